Set down the folders, the core types and the shape

Cause: nothing existed. The users ask for a core without input or output, plain structs and functions, and borrowed views in signatures. Conclusion: the shape stands; nothing was measured yet.

--- /dev/null
+++ b/crates/core/src/control/mod.rs
@@ -0,0 +1,289 @@
+//! Control state of one host: configuration, membership and what follows from them.
+
+use std::{collections::BTreeMap, net::SocketAddr, sync::Arc};
+
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    config::{self, ChunkHash, ConfigMsg, Root},
+    crash::CrashMsg,
+    event::{Event, Kind},
+    host::HostInfo,
+    member::{Heard, Heartbeat, Members},
+    once::OnceMsg,
+    rate::RateMsg,
+    rollout::RolloutMsg,
+    route::RouteMsg,
+    time::Instant,
+    view::{LiveHost, View},
+    world::{self, World},
+};
+
+/// A message between two hosts.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum PeerMsg {
+    /// Membership.
+    Heartbeat(Heartbeat),
+    /// Configuration.
+    Config(ConfigMsg),
+    /// Rates.
+    Rate(RateMsg),
+    /// Request ids.
+    Once(OnceMsg),
+    /// Backend servers.
+    Route(RouteMsg),
+    /// Rollouts.
+    Rollout(RolloutMsg),
+    /// Requests that crash backend servers.
+    Crash(CrashMsg),
+}
+
+/// Something that happened outside.
+#[derive(Clone, Copy, Debug)]
+pub enum Input<'a> {
+    /// The control timer fired.
+    Tick,
+    /// A message of another host arrived.
+    Peer {
+        /// Where it came from.
+        from: SocketAddr,
+        /// The message.
+        msg: &'a PeerMsg,
+    },
+    /// The root record was read; `version` is what a compare-and-swap must name.
+    Root {
+        /// The record.
+        root: &'a Root,
+        /// The store's version of it.
+        version: u64,
+        /// When the read was begun.
+        asked: Instant,
+    },
+    /// A call to the store failed.
+    StoreFailed,
+    /// Chunks arrived.
+    Chunks(&'a [config::chunk::Chunk]),
+    /// Addresses of hosts from the platform's list.
+    HostList(&'a [SocketAddr]),
+    /// A graceful stop was asked for.
+    Stop,
+}
+
+/// Something to do outside.
+#[derive(Clone, Debug)]
+pub enum Effect {
+    /// Send a message to another host.
+    Send {
+        /// Its address.
+        to: SocketAddr,
+        /// The message.
+        msg: PeerMsg,
+    },
+    /// Fetch chunks from the store.
+    FetchChunks(Vec<ChunkHash>),
+    /// Replace the root record if the store still holds `version`.
+    SwapRoot {
+        /// The version that must still stand.
+        version: u64,
+        /// The new record.
+        root: Root,
+    },
+    /// Hand a new view to the traffic threads.
+    Publish(Arc<View>),
+    /// Write a log event.
+    Log(Event),
+}
+
+/// Control state of one host.
+#[derive(Clone, Debug)]
+pub struct Control {
+    me: HostInfo,
+    members: Members,
+    root: Option<(Root, u64)>,
+    pending: Option<(Root, u64)>,
+    chunks: BTreeMap<ChunkHash, String>,
+    world: Arc<World>,
+    sequence: u64,
+    last_tick: Instant,
+    claimed: Option<u64>,
+    store_up: bool,
+    stopping: bool,
+}
+
+impl Control {
+    /// The state of a host that has just started; `seeds` are addresses of other hosts.
+    pub fn new(me: HostInfo, seeds: &[SocketAddr]) -> Self {
+        Control {
+            me,
+            members: Members::with_hints(seeds),
+            root: None,
+            pending: None,
+            chunks: BTreeMap::new(),
+            world: Arc::default(),
+            sequence: 0,
+            last_tick: Instant::ZERO,
+            claimed: None,
+            store_up: true,
+            stopping: false,
+        }
+    }
+
+    /// Takes in what happened and appends what to do to `fx`.
+    pub fn handle(&mut self, now: Instant, input: Input<'_>, fx: &mut Vec<Effect>) {
+        match input {
+            Input::Tick => self.tick(now, fx),
+            Input::Peer { from, msg } => self.hear(now, from, msg, fx),
+            Input::Root { root, version, .. } => self.see_root(now, root, version, fx),
+            Input::StoreFailed => self.see_store(false, fx),
+            Input::Chunks(chunks) => self.see_chunks(now, chunks, fx),
+            Input::HostList(addresses) => self.members.hints.extend(addresses),
+            Input::Stop => {
+                self.stopping = true;
+                self.publish(now, fx);
+                self.tick(now, fx);
+            }
+        }
+    }
+
+    fn tick(&mut self, now: Instant, fx: &mut Vec<Effect>) {
+        for name in self.members.expire(now, self.last_tick) {
+            fx.push(Effect::Log(Event::new(Kind::MemberSilent, name)));
+            self.publish(now, fx);
+        }
+        self.last_tick = now;
+        self.sequence += 1;
+        let beat = Heartbeat {
+            host: self.me.clone(),
+            sequence: self.sequence,
+            revision: self.root.as_ref().map_or(0, |(r, _)| r.revision),
+            stopping: self.stopping,
+            stamp: now,
+            echo: None,
+        };
+        for to in self.members.targets(self.me.peer_address) {
+            fx.push(Effect::Send { to, msg: PeerMsg::Heartbeat(beat.clone()) });
+        }
+        self.claim_seat(fx);
+    }
+
+    fn hear(&mut self, now: Instant, _from: SocketAddr, msg: &PeerMsg, fx: &mut Vec<Effect>) {
+        if let PeerMsg::Heartbeat(beat) = msg {
+            match self.members.hear(now, beat) {
+                Heard::Joined => {
+                    fx.push(Effect::Log(Event::new(Kind::MemberJoined, &beat.host.name)));
+                    self.publish(now, fx);
+                }
+                Heard::Changed => self.publish(now, fx),
+                Heard::Same | Heard::Old => {}
+            }
+        }
+    }
+
+    fn see_store(&mut self, up: bool, fx: &mut Vec<Effect>) {
+        if self.store_up != up {
+            let kind = if up { Kind::StoreAvailable } else { Kind::StoreUnavailable };
+            fx.push(Effect::Log(Event::new(kind, "")));
+        }
+        self.store_up = up;
+    }
+
+    fn see_root(&mut self, now: Instant, root: &Root, version: u64, fx: &mut Vec<Effect>) {
+        self.see_store(true, fx);
+        let held = self.root.as_ref().map_or(0, |(r, _)| r.revision);
+        if root.revision <= held {
+            return;
+        }
+        let missing: Vec<_> =
+            root.chunks.iter().filter(|h| !self.chunks.contains_key(h)).copied().collect();
+        self.pending = Some((root.clone(), version));
+        if missing.is_empty() {
+            self.complete(now, fx);
+        } else {
+            fx.push(Effect::FetchChunks(missing));
+        }
+    }
+
+    fn see_chunks(&mut self, now: Instant, chunks: &[config::chunk::Chunk], fx: &mut Vec<Effect>) {
+        for chunk in chunks {
+            if ChunkHash::of(&chunk.body) == chunk.hash {
+                self.chunks.insert(chunk.hash, chunk.body.clone());
+            } else {
+                let detail = chunk.hash.to_string();
+                fx.push(Effect::Log(Event::new(Kind::RevisionDamaged, detail)));
+            }
+        }
+        self.complete(now, fx);
+    }
+
+    /// Puts the pending revision in force when all its chunks are here.
+    fn complete(&mut self, now: Instant, fx: &mut Vec<Effect>) {
+        let Some((root, version)) = self.pending.take() else { return };
+        let bodies: Option<Vec<String>> =
+            root.chunks.iter().map(|h| self.chunks.get(h).cloned()).collect();
+        let Some(bodies) = bodies else {
+            self.pending = Some((root, version));
+            return;
+        };
+        let same = self.root.as_ref().is_some_and(|(r, _)| r.chunks == root.chunks);
+        if !same {
+            match world::parse(&config::join(&bodies)) {
+                Ok(world) => self.world = Arc::new(world),
+                Err(e) => {
+                    fx.push(Effect::Log(Event::new(Kind::RevisionDamaged, e.to_string())));
+                    return;
+                }
+            }
+        }
+        self.chunks.retain(|hash, _| root.chunks.contains(hash));
+        let detail = format!("revision {}", root.revision);
+        fx.push(Effect::Log(Event::new(Kind::RevisionInForce, detail)));
+        self.root = Some((root, version));
+        self.publish(now, fx);
+        self.claim_seat(fx);
+    }
+
+    fn claim_seat(&mut self, fx: &mut Vec<Effect>) {
+        let Some((root, version)) = &self.root else { return };
+        let held = root.seat_of(&self.me).is_some();
+        if held || self.stopping || self.claimed == Some(*version) {
+            return;
+        }
+        let Some(domain) = self.world.domain(&self.me.domain) else { return };
+        let write_id = format!("{}-{}", self.me.incarnation, version);
+        let seats = self.world.domains[domain].seats;
+        if let Some(next) = root.with_claim(&self.me, seats, &write_id) {
+            fx.push(Effect::SwapRoot { version: *version, root: next });
+            self.claimed = Some(*version);
+        }
+    }
+
+    fn publish(&self, now: Instant, fx: &mut Vec<Effect>) {
+        let member_hosts = self.members.iter().filter(|m| m.is_live(now)).map(|m| {
+            let taking = !m.last.stopping && !self.world.is_leaving(&m.last.host.name);
+            live_host(&m.last.host, taking)
+        });
+        let taking = !self.stopping && !self.world.is_leaving(&self.me.name);
+        let mut hosts: Vec<_> = member_hosts.chain([live_host(&self.me, taking)]).collect();
+        hosts.sort_by(|a, b| a.name.cmp(&b.name));
+        let view = View {
+            me: self.me.clone(),
+            revision: self.root.as_ref().map_or(0, |(r, _)| r.revision),
+            world: Arc::clone(&self.world),
+            seat: self.root.as_ref().and_then(|(r, _)| r.seat_of(&self.me)),
+            hosts,
+            stopping: self.stopping,
+        };
+        fx.push(Effect::Publish(Arc::new(view)));
+    }
+}
+
+fn live_host(info: &HostInfo, taking: bool) -> LiveHost {
+    LiveHost {
+        name: info.name.clone(),
+        domain: info.domain.clone(),
+        caller_address: info.caller_address,
+        peer_address: info.peer_address,
+        incarnation: info.incarnation,
+        taking,
+    }
+}
--- /dev/null
+++ b/crates/core/src/event.rs
@@ -0,0 +1,95 @@
+//! Numbered log events.
+
+use std::fmt;
+
+/// Severity of an event.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Level {
+    /// Something an operator must see.
+    Error,
+    /// Something an operator may want to see.
+    Warn,
+    /// A change of state.
+    Info,
+}
+
+macro_rules! events {
+    ($($(#[doc = $doc:literal])+ $name:ident = $number:literal, $level:ident;)+) => {
+        /// Kind of a log event.
+        #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+        pub enum Kind {
+            $($(#[doc = $doc])+ $name,)+
+        }
+
+        impl Kind {
+            /// Every kind, in the order of its number.
+            pub const ALL: &'static [Kind] = &[$(Kind::$name,)+];
+
+            /// Number of the event, stable across releases.
+            pub const fn number(self) -> u16 {
+                match self { $(Kind::$name => $number,)+ }
+            }
+
+            /// Severity of the event.
+            pub const fn level(self) -> Level {
+                match self { $(Kind::$name => Level::$level,)+ }
+            }
+
+            /// One sentence for people.
+            pub fn text(self) -> &'static str {
+                match self { $(Kind::$name => concat!($($doc),+).trim_start(),)+ }
+            }
+        }
+    };
+}
+
+events! {
+    /// The process has started.
+    Started = 1, Info;
+    /// A graceful stop has begun.
+    Stopping = 2, Info;
+    /// The process stops.
+    Stopped = 3, Info;
+    /// The stop took longer than its declared limit.
+    StopOverdue = 4, Warn;
+    /// A revision of the configuration is in force on this host.
+    RevisionInForce = 20, Info;
+    /// A revision was ignored because it is not newer than the one in force.
+    RevisionIgnored = 21, Info;
+    /// A revision was ignored because it is incomplete or its hash does not match.
+    RevisionDamaged = 22, Warn;
+    /// The platform's store does not answer.
+    StoreUnavailable = 30, Warn;
+    /// The platform's store answers again.
+    StoreAvailable = 31, Info;
+    /// A member of the fleet was heard for the first time.
+    MemberJoined = 40, Info;
+    /// A member of the fleet has not been heard within the limit.
+    MemberSilent = 41, Warn;
+    /// A message from another host was rejected.
+    MessageRejected = 50, Warn;
+    /// A broken invariant was found; the part concerned stops serving.
+    InvariantBroken = 90, Error;
+}
+
+impl fmt::Display for Kind {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{} {}", self.number(), self.text())
+    }
+}
+
+/// A log event with its free text.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Event {
+    /// What happened.
+    pub kind: Kind,
+    /// The particulars.
+    pub detail: String,
+}
+
+impl Event {
+    /// An event of `kind` with its particulars.
+    pub fn new(kind: Kind, detail: impl Into<String>) -> Self {
+        Event { kind, detail: detail.into() }
+    }
+}
--- /dev/null
+++ b/crates/core/src/lookup/mod.rs
@@ -0,0 +1,58 @@
+//! The look-up: which entry hosts a caller should use.
+
+use std::{net::IpAddr, time::Duration};
+
+use crate::{
+    result::Code,
+    view::{LiveHost, View},
+};
+
+/// Hosts named in one answer.
+pub const MAX_HOSTS: usize = 4;
+/// How long a caller may use an answer.
+pub const LIFETIME: Duration = Duration::from_secs(5);
+
+/// A question of a caller.
+#[derive(Clone, Copy, Debug)]
+pub struct Query<'a> {
+    /// Name of the route.
+    pub route: &'a str,
+    /// Address of the client.
+    pub client: IpAddr,
+}
+
+/// Answer to a look-up, borrowed from the view.
+#[derive(Clone, Debug)]
+pub struct Answer<'v> {
+    /// Hosts in the order in which to try them.
+    pub hosts: Vec<&'v LiveHost>,
+    /// How long the answer may be used.
+    pub lifetime: Duration,
+}
+
+/// Orders the live hosts for a caller: nearest first, the same caller to the same host.
+pub fn look_up<'v>(view: &'v View, query: &Query<'_>) -> Result<Answer<'v>, Code> {
+    if view.revision == 0 {
+        return Err(Code::NoConfiguration);
+    }
+    if view.world.route(query.route).is_none() {
+        return Err(Code::UnknownRoute);
+    }
+    let near =
+        view.world.blocks.region(query.client).or_else(|| view.world.region_of(&view.me.domain));
+    let mut hosts: Vec<_> = view.hosts.iter().filter(|h| h.taking).collect();
+    hosts.sort_by_cached_key(|h| {
+        let far = view.world.region_of(&h.domain) != near;
+        (far, weight(&h.name, query.client))
+    });
+    hosts.truncate(MAX_HOSTS);
+    if hosts.is_empty() { Err(Code::NoServer) } else { Ok(Answer { hosts, lifetime: LIFETIME }) }
+}
+
+/// Rendezvous weight of a host for a client (Thaler and Ravishankar 1998).
+fn weight(host: &str, client: IpAddr) -> u64 {
+    use std::hash::{DefaultHasher, Hash, Hasher};
+    let mut hasher = DefaultHasher::new();
+    (host, client).hash(&mut hasher);
+    hasher.finish()
+}
--- /dev/null
+++ b/crates/core/src/time.rs
@@ -0,0 +1,60 @@
+//! Time as a value: instants on the clock of one host.
+
+use std::{
+    ops::{Add, Sub},
+    time::Duration,
+};
+
+use serde::{Deserialize, Serialize};
+
+/// Wall-clock time in milliseconds since the Unix epoch.
+pub type UnixMillis = u64;
+
+/// An instant on the boot-time clock of one host, in microseconds.
+///
+/// Instants of different hosts cannot be compared; a host sends them only to have them echoed.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct Instant(u64);
+
+impl Instant {
+    /// The start of the clock.
+    pub const ZERO: Instant = Instant(0);
+
+    /// An instant `micros` microseconds after the start of the clock.
+    pub const fn from_micros(micros: u64) -> Self {
+        Instant(micros)
+    }
+
+    /// An instant `millis` milliseconds after the start of the clock.
+    pub const fn from_millis(millis: u64) -> Self {
+        Instant(millis * 1000)
+    }
+
+    /// Microseconds since the start of the clock.
+    pub const fn as_micros(self) -> u64 {
+        self.0
+    }
+
+    /// Time since `earlier`, zero when `earlier` is later.
+    pub fn saturating_since(self, earlier: Instant) -> Duration {
+        Duration::from_micros(self.0.saturating_sub(earlier.0))
+    }
+}
+
+impl Add<Duration> for Instant {
+    type Output = Instant;
+
+    fn add(self, span: Duration) -> Instant {
+        Instant(self.0.saturating_add(span.as_micros() as u64))
+    }
+}
+
+impl Sub<Duration> for Instant {
+    type Output = Instant;
+
+    fn sub(self, span: Duration) -> Instant {
+        Instant(self.0.saturating_sub(span.as_micros() as u64))
+    }
+}
--- /dev/null
+++ b/crates/core/src/traffic/admit.rs
@@ -0,0 +1,75 @@
+//! Authentication and admission of one request.
+
+use std::time::Duration;
+
+use sha2::{Digest, Sha256};
+use subtle::ConstantTimeEq;
+
+use crate::{
+    crash::Fingerprint,
+    result::Code,
+    view::View,
+    world::{Access, KeyDigest, Route, RouteKey, Workspace},
+};
+
+/// A request as the front end hands it in.
+#[derive(Clone, Copy, Debug)]
+pub struct Request<'a> {
+    /// Name of the route.
+    pub route: &'a str,
+    /// The caller's key.
+    pub key: Option<&'a [u8]>,
+    /// The request id.
+    pub id: Option<&'a str>,
+    /// The caller's deadline, from now.
+    pub deadline: Option<Duration>,
+    /// Fingerprint of route and body.
+    pub fingerprint: Fingerprint,
+}
+
+/// A request that may go on, borrowed from the view.
+#[derive(Clone, Copy, Debug)]
+pub struct Admitted<'v> {
+    /// The route.
+    pub route: &'v Route,
+    /// Its key in the world.
+    pub route_key: RouteKey,
+    /// The workspace that the request runs for; none on open routes.
+    pub workspace: Option<&'v Workspace>,
+    /// Time until the answer is due.
+    pub deadline: Duration,
+}
+
+/// Checks route, key and deadline of a request.
+pub fn admit<'v>(view: &'v View, req: &Request<'_>) -> Result<Admitted<'v>, Code> {
+    if view.stopping {
+        return Err(Code::Stopping);
+    }
+    if view.revision == 0 {
+        return Err(Code::NoConfiguration);
+    }
+    let (route_key, route) = view.world.route(req.route).ok_or(Code::UnknownRoute)?;
+    let workspace = match route.access {
+        Access::Open => None,
+        Access::Keyed => Some(authenticate(view, req.key.ok_or(Code::KeyMissing)?)?),
+    };
+    if let Some(workspace) = workspace
+        && !workspace.routes.is_empty()
+        && !workspace.routes.contains(&route_key)
+    {
+        return Err(Code::RouteNotAllowed);
+    }
+    let deadline = req.deadline.map_or(route.deadline, |d| d.min(route.deadline));
+    if deadline.is_zero() {
+        return Err(Code::DeadlineBeforeStart);
+    }
+    Ok(Admitted { route, route_key, workspace, deadline })
+}
+
+fn authenticate<'v>(view: &'v View, key: &[u8]) -> Result<&'v Workspace, Code> {
+    let digest: KeyDigest = Sha256::digest(key).into();
+    let owner = view.world.key_owners.get(&digest).ok_or(Code::KeyUnknown)?;
+    let workspace = &view.world.workspaces[*owner];
+    let known = workspace.keys.iter().any(|k| bool::from(k.ct_eq(&digest)));
+    if known { Ok(workspace) } else { Err(Code::KeyUnknown) }
+}
--- /dev/null
+++ b/crates/core/src/view.rs
@@ -0,0 +1,62 @@
+//! What the control thread publishes for the traffic threads.
+
+use std::{net::SocketAddr, sync::Arc};
+
+use crate::{
+    config::Revision,
+    host::{HostInfo, Incarnation},
+    world::World,
+};
+
+/// A host that callers can be sent to.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct LiveHost {
+    /// Name of the host.
+    pub name: String,
+    /// Failure domain that it stands in.
+    pub domain: String,
+    /// Address for callers.
+    pub caller_address: SocketAddr,
+    /// Address for other hosts.
+    pub peer_address: SocketAddr,
+    /// Its life.
+    pub incarnation: Incarnation,
+    /// Whether it takes new callers.
+    pub taking: bool,
+}
+
+/// An immutable picture of the configuration and the fleet.
+#[derive(Clone, Debug)]
+pub struct View {
+    /// This host.
+    pub me: HostInfo,
+    /// Revision of the configuration, 0 when there is none.
+    pub revision: Revision,
+    /// The declaration in force.
+    pub world: Arc<World>,
+    /// The seat that this host holds in its failure domain.
+    pub seat: Option<u16>,
+    /// Hosts heard lately, this one included, in the order of their names.
+    pub hosts: Vec<LiveHost>,
+    /// Whether this host is stopping.
+    pub stopping: bool,
+}
+
+impl View {
+    /// The view of a host that has heard nothing yet.
+    pub fn empty(me: HostInfo) -> Self {
+        View {
+            me,
+            revision: 0,
+            world: Arc::default(),
+            seat: None,
+            hosts: Vec::new(),
+            stopping: false,
+        }
+    }
+
+    /// The live host with this life.
+    pub fn host(&self, incarnation: Incarnation) -> Option<&LiveHost> {
+        self.hosts.iter().find(|h| h.incarnation == incarnation)
+    }
+}
--- /dev/null
+++ b/crates/core/src/world/parse.rs
@@ -0,0 +1,262 @@
+//! From the text of a declaration to a checked world.
+
+use std::{net::SocketAddr, time::Duration};
+
+use ipnet::IpNet;
+
+use super::{
+    Access, ClientBlocks, DeclarationError, Domain, Duty, Fault, Move, Region, Repeat, Route,
+    Server, Workspace, World,
+    fields::{self, Fields, WHOLE_PPM},
+};
+use crate::ini::{self, Section};
+
+/// Default limit on what one region sends to another, in bytes per second.
+const DEFAULT_LINK: u64 = 100_000_000;
+/// Default deadline of a route.
+const DEFAULT_DEADLINE: Duration = Duration::from_secs(2);
+/// Default time for which a cut-off failure domain goes on serving keyed routes.
+const DEFAULT_AUTHORITY: Duration = Duration::from_secs(3);
+/// Default objective: share of requests answered in time.
+const DEFAULT_OBJECTIVE: u32 = 999_000;
+/// Default share that a move shifts in one step.
+const DEFAULT_CAP: u32 = 50_000;
+
+const DUTIES: &[(&str, Duty)] = &[("serving", Duty::Serving), ("leaving", Duty::Leaving)];
+const ACCESSES: &[(&str, Access)] = &[("open", Access::Open), ("keyed", Access::Keyed)];
+const REPEATS: &[(&str, Repeat)] =
+    &[("idempotent", Repeat::Idempotent), ("at-most-once", Repeat::AtMostOnce)];
+
+/// Reads one kind of section into the world.
+type SectionReader = fn(&Section<'_>, &mut World, &mut Vec<Fault>);
+
+/// The kinds of section in the order in which they are read: a kind refers only to earlier ones.
+const KINDS: &[(&str, SectionReader)] = &[
+    ("region", read_region),
+    ("domain", read_domain),
+    ("route", read_route),
+    ("workspace", read_workspace),
+    ("server", read_server),
+    ("host", read_host),
+    ("move", read_move),
+    ("clients", read_clients),
+];
+
+/// Parses and checks a whole declaration.
+pub fn parse(text: &str) -> Result<World, DeclarationError> {
+    let (sections, syntax) = ini::parse(text);
+    let mut faults: Vec<Fault> =
+        syntax.into_iter().map(|f| Fault { line: f.line, text: f.text }).collect();
+    let mut world = World::default();
+    for section in &sections {
+        if !KINDS.iter().any(|(kind, _)| *kind == section.kind) {
+            let known: Vec<_> = KINDS.iter().map(|(kind, _)| *kind).collect();
+            let text =
+                format!("There is no section [{}]; known: {}.", section.kind, known.join(", "));
+            faults.push(Fault { line: section.line, text });
+        }
+    }
+    for (kind, read) in KINDS {
+        for section in sections.iter().filter(|s| s.kind == *kind) {
+            read(section, &mut world, &mut faults);
+        }
+    }
+    world.blocks = read_blocks(&sections, &world, &mut faults);
+    if faults.is_empty() {
+        return Ok(world);
+    }
+    faults.sort_by_key(|f| f.line);
+    Err(DeclarationError { faults })
+}
+
+fn section_name(section: &Section<'_>, taken: bool, fields: &mut Fields<'_, '_>) -> Option<String> {
+    let kind = section.kind;
+    match fields::name(section.name) {
+        Ok(_) if taken => {
+            fields.fault(section.line, format!("[{kind} {}] stands twice.", section.name));
+            None
+        }
+        Ok(name) => Some(name),
+        Err(allowed) => {
+            let text = format!("'{}' is not a valid name of a {kind}: {allowed}.", section.name);
+            fields.fault(section.line, text);
+            None
+        }
+    }
+}
+
+fn read_region(section: &Section<'_>, world: &mut World, faults: &mut Vec<Fault>) {
+    let mut f = Fields::new(section, &["link_bytes_per_second"], faults);
+    let taken = world.region_names.contains_key(section.name);
+    let Some(name) = section_name(section, taken, &mut f) else { return };
+    let link = f.optional("link_bytes_per_second", DEFAULT_LINK, fields::number(1, u64::MAX));
+    let key = world.regions.insert(Region { name: name.clone(), link });
+    world.region_names.insert(name, key);
+}
+
+fn read_domain(section: &Section<'_>, world: &mut World, faults: &mut Vec<Fault>) {
+    let mut f = Fields::new(section, &["region", "seats"], faults);
+    let taken = world.domain_names.contains_key(section.name);
+    let name = section_name(section, taken, &mut f);
+    let region = f.required("region", |t| {
+        world.region_names.get(t).copied().ok_or("a declared region is allowed".to_owned())
+    });
+    let seats = f.optional("seats", 2, fields::number(1, 1000)) as u16;
+    let (Some(name), Some(region)) = (name, region) else { return };
+    let key = world.domains.insert(Domain { name: name.clone(), region, seats });
+    world.domain_names.insert(name, key);
+}
+
+fn read_route(section: &Section<'_>, world: &mut World, faults: &mut Vec<Fault>) {
+    let known = &["access", "repeat", "deadline", "authority", "objective", "latency"];
+    let mut f = Fields::new(section, known, faults);
+    let taken = world.route_names.contains_key(section.name);
+    let name = section_name(section, taken, &mut f);
+    let access = f.required("access", fields::word(ACCESSES));
+    let repeat = f.required("repeat", fields::word(REPEATS));
+    let deadline = f.optional("deadline", DEFAULT_DEADLINE, fields::duration);
+    let authority = f.optional("authority", DEFAULT_AUTHORITY, fields::duration);
+    let objective = f.optional("objective", DEFAULT_OBJECTIVE, fields::share);
+    let latency = f.optional("latency", deadline, fields::duration);
+    let (Some(name), Some(access), Some(repeat)) = (name, access, repeat) else { return };
+    if access == Access::Open && repeat == Repeat::AtMostOnce {
+        let line = f.line_of("repeat");
+        f.fault(line, "A route that runs at most once must be keyed.".to_owned());
+        return;
+    }
+    let route =
+        Route { name: name.clone(), access, repeat, deadline, authority, objective, latency };
+    let key = world.routes.insert(route);
+    world.route_names.insert(name, key);
+}
+
+fn read_workspace(section: &Section<'_>, world: &mut World, faults: &mut Vec<Fault>) {
+    let mut f = Fields::new(section, &["keys", "rate", "burst", "routes"], faults);
+    let taken = world.workspace_names.contains_key(section.name);
+    let name = section_name(section, taken, &mut f);
+    let keys = f.optional("keys", Vec::new(), fields::digests);
+    let rate = f.required("rate", fields::number(1, 10_000_000));
+    let burst = f.required("burst", fields::number(1, 100_000_000));
+    let routes = f.optional("routes", Vec::new(), |t| {
+        t.split(',')
+            .map(|r| world.route_names.get(r.trim()).copied())
+            .collect::<Option<Vec<_>>>()
+            .ok_or("declared routes, separated by commas, are allowed".to_owned())
+    });
+    let doubled = keys.iter().any(|k| world.key_owners.contains_key(k));
+    if doubled {
+        let line = f.line_of("keys");
+        f.fault(line, "A key's digest stands in two workspaces.".to_owned());
+    }
+    let (Some(name), Some(rate), Some(burst)) = (name, rate, burst) else { return };
+    let workspace = Workspace {
+        name: name.clone(),
+        keys: keys.clone(),
+        rate: rate as u32,
+        burst: burst as u32,
+        routes,
+    };
+    let key = world.workspaces.insert(workspace);
+    world.workspace_names.insert(name, key);
+    world.key_owners.extend(keys.into_iter().map(|k| (k, key)));
+}
+
+fn read_server(section: &Section<'_>, world: &mut World, faults: &mut Vec<Fault>) {
+    let known = &["route", "version", "domain", "address", "slots", "connections", "state"];
+    let mut f = Fields::new(section, known, faults);
+    let taken = world.servers.values().any(|s| s.name == section.name);
+    let name = section_name(section, taken, &mut f);
+    let route = f.required("route", |t| {
+        world.route_names.get(t).copied().ok_or("a declared route is allowed".to_owned())
+    });
+    let version = f.required("version", fields::name);
+    let domain = f.required("domain", |t| {
+        world.domain(t).ok_or("a declared failure domain is allowed".to_owned())
+    });
+    let address =
+        f.required("address", fields::plain::<SocketAddr>("an IP address with a port is allowed"));
+    let slots = f.required("slots", fields::number(1, 10_000));
+    let connections = f.optional("connections", 360, fields::number(1, 65_000)) as u16;
+    let duty = f.optional("state", Duty::Serving, fields::word(DUTIES));
+    let (Some(name), Some(route), Some(version)) = (name, route, version) else { return };
+    let (Some(domain), Some(address), Some(slots)) = (domain, address, slots) else { return };
+    let slots = slots as u16;
+    world.servers.insert(Server {
+        name,
+        route,
+        version,
+        domain,
+        address,
+        slots,
+        connections,
+        duty,
+    });
+}
+
+fn read_host(section: &Section<'_>, world: &mut World, faults: &mut Vec<Fault>) {
+    let mut f = Fields::new(section, &["state"], faults);
+    let taken = world.hosts.contains_key(section.name);
+    let name = section_name(section, taken, &mut f);
+    let duty = f.required("state", fields::word(DUTIES));
+    let (Some(name), Some(duty)) = (name, duty) else { return };
+    world.hosts.insert(name, duty);
+}
+
+fn read_move(section: &Section<'_>, world: &mut World, faults: &mut Vec<Fault>) {
+    let known = &["route", "from", "to", "cap", "start_unix_ms", "finish_by_unix_ms"];
+    let mut f = Fields::new(section, known, faults);
+    let taken = world.moves.values().any(|m| m.name == section.name);
+    let name = section_name(section, taken, &mut f);
+    let route = f.required("route", |t| {
+        world.route_names.get(t).copied().ok_or("a declared route is allowed".to_owned())
+    });
+    let version = |t: &str| {
+        let declared = world.servers.values().any(|s| Some(s.route) == route && s.version == t);
+        if declared {
+            Ok(t.to_owned())
+        } else {
+            Err("a version that a declared server of the route runs is allowed".to_owned())
+        }
+    };
+    let from = f.required("from", version);
+    let to = f.required("to", version);
+    let cap = f.optional("cap", DEFAULT_CAP, fields::share).min(WHOLE_PPM);
+    let start = f.optional("start_unix_ms", 0, fields::unix_millis);
+    let finish_by = f.required("finish_by_unix_ms", fields::unix_millis);
+    let (Some(name), Some(route), Some(from)) = (name, route, from) else { return };
+    let (Some(to), Some(finish_by)) = (to, finish_by) else { return };
+    if from == to || finish_by <= start {
+        let text = "A move needs two versions and an end after its start.".to_owned();
+        f.fault(section.line, text);
+        return;
+    }
+    world.moves.insert(Move { name, route, from, to, cap, start, finish_by });
+}
+
+fn read_clients(section: &Section<'_>, _: &mut World, faults: &mut Vec<Fault>) {
+    if !section.name.is_empty() {
+        let text = "[clients] takes no name; its lines are 'block = region'.".to_owned();
+        faults.push(Fault { line: section.line, text });
+    }
+}
+
+fn read_blocks(sections: &[Section<'_>], world: &World, faults: &mut Vec<Fault>) -> ClientBlocks {
+    let mut blocks = Vec::new();
+    let entries = sections.iter().filter(|s| s.kind == "clients").flat_map(|s| &s.entries);
+    for entry in entries {
+        let net = entry.key.parse::<IpNet>();
+        let region = world.region_names.get(entry.value);
+        match (net, region) {
+            (Ok(net), Some(region)) => blocks.push((net, *region)),
+            (Err(_), _) => {
+                let text = format!("'{}' is not an address block such as 10.0.0.0/8.", entry.key);
+                faults.push(Fault { line: entry.line, text });
+            }
+            (_, None) => {
+                let text = format!("'{}' is not a declared region.", entry.value);
+                faults.push(Fault { line: entry.line, text });
+            }
+        }
+    }
+    ClientBlocks::new(blocks)
+}
--- /dev/null
+++ b/crates/core/tests/value_front_end.rs
@@ -0,0 +1,176 @@
+//! A second front end: it drives the same decisions by plain values, without a socket.
+
+use std::sync::Arc;
+
+use jasminestage_core::{
+    host::{HostInfo, Incarnation},
+    lookup::{Query, look_up},
+    once::RequestId,
+    result::Code,
+    time::Instant,
+    traffic::{Outcome, Request, Step, Traffic},
+    view::{LiveHost, View},
+    world,
+};
+use sha2::{Digest, Sha256};
+
+const ME: Incarnation = Incarnation(7);
+
+fn declaration() -> String {
+    format!(
+        "[region r]\n[domain d]\nregion = r\nseats = 1\n\
+         [route read]\naccess = keyed\nrepeat = idempotent\n\
+         [route book]\naccess = keyed\nrepeat = at-most-once\n\
+         [route open]\naccess = open\nrepeat = idempotent\n\
+         [workspace w]\nkeys = sha256:{}\nrate = 1000\nburst = 10\n\
+         [server s1]\nroute = read\nversion = v1\ndomain = d\naddress = 127.0.0.1:1\nslots = 1\n\
+         [server s2]\nroute = book\nversion = v1\ndomain = d\naddress = 127.0.0.1:2\nslots = 1\n\
+         [server s3]\nroute = open\nversion = v1\ndomain = d\naddress = 127.0.0.1:3\nslots = 1\n",
+        hex::encode(Sha256::digest(b"key"))
+    )
+}
+
+fn view() -> View {
+    let me = HostInfo {
+        name: "h".into(),
+        domain: "d".into(),
+        caller_address: ([127, 0, 0, 1], 80).into(),
+        peer_address: ([127, 0, 0, 1], 81).into(),
+        incarnation: ME,
+    };
+    let live = LiveHost {
+        name: me.name.clone(),
+        domain: me.domain.clone(),
+        caller_address: me.caller_address,
+        peer_address: me.peer_address,
+        incarnation: ME,
+        taking: true,
+    };
+    View {
+        revision: 1,
+        world: Arc::new(world::parse(&declaration()).expect("the declaration is valid")),
+        seat: Some(0),
+        hosts: vec![live],
+        ..View::empty(me)
+    }
+}
+
+struct Case {
+    name: &'static str,
+    route: &'static str,
+    key: Option<&'static str>,
+    id: Option<RequestId>,
+    outcome: Option<Outcome>,
+    code: Code,
+}
+
+const ID: RequestId = RequestId { owner: ME, nonce: 1 };
+const FOREIGN: RequestId = RequestId { owner: Incarnation(8), nonce: 1 };
+
+const CASES: &[Case] = &[
+    Case {
+        name: "keyed and idempotent",
+        route: "read",
+        key: Some("key"),
+        id: None,
+        outcome: Some(Outcome::Answered(200)),
+        code: Code::Done,
+    },
+    Case {
+        name: "keyed and at most once",
+        route: "book",
+        key: Some("key"),
+        id: Some(ID),
+        outcome: Some(Outcome::Answered(200)),
+        code: Code::Done,
+    },
+    Case {
+        name: "open",
+        route: "open",
+        key: None,
+        id: None,
+        outcome: Some(Outcome::Answered(200)),
+        code: Code::Done,
+    },
+    Case {
+        name: "an at-most-once request whose connection is lost",
+        route: "book",
+        key: Some("key"),
+        id: Some(ID),
+        outcome: Some(Outcome::ConnectionLost),
+        code: Code::ConnectionLost,
+    },
+    Case {
+        name: "no key",
+        route: "read",
+        key: None,
+        id: None,
+        outcome: None,
+        code: Code::KeyMissing,
+    },
+    Case {
+        name: "a wrong key",
+        route: "read",
+        key: Some("other"),
+        id: None,
+        outcome: None,
+        code: Code::KeyUnknown,
+    },
+    Case {
+        name: "an unknown route",
+        route: "none",
+        key: Some("key"),
+        id: None,
+        outcome: None,
+        code: Code::UnknownRoute,
+    },
+    Case {
+        name: "at most once without an id",
+        route: "book",
+        key: Some("key"),
+        id: None,
+        outcome: None,
+        code: Code::BadRequestId,
+    },
+    Case {
+        name: "the id of a host that is gone",
+        route: "book",
+        key: Some("key"),
+        id: Some(FOREIGN),
+        outcome: None,
+        code: Code::OwnerGone,
+    },
+];
+
+#[test]
+fn requests_are_decided_without_a_socket() {
+    for case in CASES {
+        let view = Arc::new(view());
+        let mut traffic = Traffic::new(Arc::clone(&view));
+        traffic.install(Instant::ZERO, view);
+        let id = case.id.map(|id| id.to_string());
+        let req = Request {
+            route: case.route,
+            key: case.key.map(str::as_bytes),
+            id: id.as_deref(),
+            deadline: None,
+            fingerprint: 0,
+        };
+        let now = Instant::from_millis(1000);
+        let mut step = traffic.begin(now, &req);
+        if let Step::Send { flight, .. } = step {
+            let outcome = case.outcome.expect(case.name);
+            step = traffic.finish(now, flight, outcome);
+        }
+        assert_eq!(step, Step::Reply(case.code), "{}", case.name);
+        assert_eq!(traffic.in_flight(), 0, "{}", case.name);
+    }
+}
+
+#[test]
+fn look_ups_are_answered_without_a_socket() {
+    let view = view();
+    let query = Query { route: "read", client: [10, 0, 0, 1].into() };
+    let answer = look_up(&view, &query).expect("a host is live");
+    assert_eq!(answer.hosts[0].name, "h");
+}
