Serve a request end to end as separate processes

Not yet: acceptance, takeover of seats, moves of tokens, forwarding to the owner of a request id, rollouts.

--- /dev/null
+++ b/crates/cli/src/commands/diff.rs
@@ -0,0 +1,51 @@
+//! `diff`: compares a declaration with the one in the store, entry by entry.
+
+use std::{collections::BTreeSet, path::Path};
+
+use jasminestage_core::ini;
+use jasminestage_store::Client;
+use serde::Serialize;
+
+use super::{get, read_world};
+use crate::{CliError, Options, output};
+
+#[derive(Serialize)]
+struct Differences {
+    revision: u64,
+    removed: Vec<String>,
+    added: Vec<String>,
+}
+
+/// Prints what applying the file would change.
+pub async fn run(store: &Client, cfg: &Options, path: &Path) -> Result<(), CliError> {
+    let (text, _) = read_world(path)?;
+    let stored = get::read(store).await?;
+    let (old, new) = (entries(&stored.declaration), entries(&text));
+    let differences = Differences {
+        revision: stored.revision,
+        removed: old.difference(&new).cloned().collect(),
+        added: new.difference(&old).cloned().collect(),
+    };
+    output::print(cfg.output, &differences, |d| {
+        let removed = d.removed.iter().map(|l| format!("- {l}"));
+        let added = d.added.iter().map(|l| format!("+ {l}"));
+        let mut lines: Vec<_> = removed.chain(added).collect();
+        lines.sort_by(|a, b| a[2..].cmp(&b[2..]));
+        if lines.is_empty() {
+            format!("No difference from revision {}.", d.revision)
+        } else {
+            lines.join("\n")
+        }
+    });
+    Ok(())
+}
+
+fn entries(text: &str) -> BTreeSet<String> {
+    let (sections, _) = ini::parse(text);
+    let lines = sections.iter().flat_map(|s| {
+        let heading = format!("[{} {}]", s.kind, s.name).replace(" ]", "]");
+        let entries = s.entries.iter().map(|e| format!("{heading} {} = {}", e.key, e.value));
+        entries.chain([heading.clone()]).collect::<Vec<_>>()
+    });
+    lines.collect()
+}
--- /dev/null
+++ b/crates/cli/src/main.rs
@@ -0,0 +1,7 @@
+//! The operators' tool of jasminestage.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    jasminestage_cli::run()
+}
--- /dev/null
+++ b/crates/daemon/src/control.rs
@@ -0,0 +1,148 @@
+//! The control thread: one thread that owns the control state and carries out its effects.
+
+use std::{
+    net::SocketAddr,
+    sync::Arc,
+    thread::{self, JoinHandle},
+};
+
+use jasminestage_core::{
+    config::{Root, chunk::Chunk},
+    control::{Control, Effect, Input, PeerMsg},
+    event::{Event, Kind},
+    member::HEARTBEAT_PERIOD,
+    time::Instant,
+};
+use jasminestage_store::Client;
+use tokio::sync::mpsc;
+
+use crate::{clock, error::DaemonError, log, peer, platform, shared::Shared, timer::Timers};
+
+/// Messages that may wait for the control thread.
+const QUEUE: usize = 1024;
+
+/// Something that happened outside, as sent to the control thread.
+#[derive(Debug)]
+pub enum ControlEvent {
+    /// A message of another host.
+    Peer(SocketAddr, PeerMsg),
+    /// The root record was read.
+    Root(Root, u64, Instant),
+    /// A call to the store failed.
+    StoreFailed,
+    /// Chunks arrived.
+    Chunks(Vec<Chunk>),
+    /// The platform's list of hosts.
+    HostList(Vec<SocketAddr>),
+    /// A graceful stop was asked for.
+    Stop,
+    /// The process ends.
+    Close,
+}
+
+/// Sender to the control thread.
+#[derive(Clone, Debug)]
+pub struct ControlTx(mpsc::Sender<ControlEvent>);
+
+impl ControlTx {
+    /// Sends an event; waits while the queue is full.
+    pub async fn send(&self, event: ControlEvent) {
+        // The receiver is gone only when the process ends.
+        let _ = self.0.send(event).await;
+    }
+
+    /// Ends the control thread.
+    pub fn close(&self) {
+        let _ = self.0.blocking_send(ControlEvent::Close);
+    }
+}
+
+/// A queue to the control thread.
+pub fn channel() -> (ControlTx, mpsc::Receiver<ControlEvent>) {
+    let (tx, rx) = mpsc::channel(QUEUE);
+    (ControlTx(tx), rx)
+}
+
+/// Starts the control thread.
+pub fn spawn(
+    shared: Arc<Shared>,
+    tx: ControlTx,
+    rx: mpsc::Receiver<ControlEvent>,
+) -> Result<JoinHandle<Result<(), DaemonError>>, DaemonError> {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .map_err(DaemonError::Thread)?;
+    thread::Builder::new()
+        .name("control".to_owned())
+        .spawn(move || runtime.block_on(run(shared, tx, rx)))
+        .map_err(DaemonError::Thread)
+}
+
+async fn run(
+    shared: Arc<Shared>,
+    tx: ControlTx,
+    mut rx: mpsc::Receiver<ControlEvent>,
+) -> Result<(), DaemonError> {
+    let socket = peer::udp::Socket::bind(Arc::clone(&shared)).await?;
+    let store = platform::client(&shared.cfg.platform);
+    let timers = Timers::start();
+    tokio::spawn(peer::udp::receive(socket.clone(), tx.clone()));
+    tokio::spawn(platform::watch_root(store.clone(), tx.clone()));
+    let mut ticks = timers.subscribe(HEARTBEAT_PERIOD).await;
+    let mut control = Control::new(shared.me.clone(), &shared.cfg.seeds);
+    let mut fx = Vec::new();
+    log::write(&Event::new(Kind::Started, &shared.cfg.name));
+    loop {
+        let event = tokio::select! {
+            event = rx.recv() => event,
+            Some(()) = ticks.recv() => {
+                control.handle(clock::now(), Input::Tick, &mut fx);
+                None
+            }
+        };
+        match &event {
+            Some(ControlEvent::Close) => break,
+            Some(event) => control.handle(clock::now(), input(event), &mut fx),
+            None => {}
+        }
+        for effect in fx.drain(..) {
+            perform(effect, &shared, &socket, &store, &tx).await;
+        }
+    }
+    log::write(&Event::new(Kind::Stopped, &shared.cfg.name));
+    Ok(())
+}
+
+fn input(event: &ControlEvent) -> Input<'_> {
+    match event {
+        ControlEvent::Peer(from, msg) => Input::Peer { from: *from, msg },
+        ControlEvent::Root(root, version, asked) => {
+            Input::Root { root, version: *version, asked: *asked }
+        }
+        ControlEvent::StoreFailed => Input::StoreFailed,
+        ControlEvent::Chunks(chunks) => Input::Chunks(chunks),
+        ControlEvent::HostList(addresses) => Input::HostList(addresses),
+        ControlEvent::Stop | ControlEvent::Close => Input::Stop,
+    }
+}
+
+async fn perform(
+    effect: Effect,
+    shared: &Shared,
+    socket: &peer::udp::Socket,
+    store: &Client,
+    tx: &ControlTx,
+) {
+    match effect {
+        Effect::Send { to, msg } => socket.send(to, &msg).await,
+        Effect::FetchChunks(hashes) => {
+            tokio::spawn(platform::fetch_chunks(store.clone(), hashes, tx.clone()));
+        }
+        Effect::SwapRoot { version, root } => {
+            tokio::spawn(platform::swap_root(store.clone(), version, root, tx.clone()));
+        }
+        Effect::Publish(view) => shared.publish(view),
+        Effect::Log(event) => log::write(&event),
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/front/lookup.rs
@@ -0,0 +1,84 @@
+//! Look-ups over HTTP.
+
+use std::{net::IpAddr, sync::Arc};
+
+use jasminestage_core::{
+    lookup::{Query, look_up},
+    once::RequestId,
+    result::Code,
+    world::Repeat,
+};
+use salvo::{
+    Depot, FlowCtrl, Request, Response, async_trait,
+    handler::Handler,
+    http::{HeaderValue, header},
+};
+use serde::Serialize;
+
+use super::refuse;
+use crate::shared::Shared;
+
+/// Answers look-ups from the published view.
+pub struct LookUp {
+    /// State of the process.
+    pub shared: Arc<Shared>,
+}
+
+#[derive(Serialize)]
+struct Body<'a> {
+    hosts: Vec<HostBody<'a>>,
+    lifetime_ms: u64,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    request_id: Option<String>,
+}
+
+#[derive(Serialize)]
+struct HostBody<'a> {
+    name: &'a str,
+    domain: &'a str,
+    address: String,
+}
+
+#[async_trait]
+impl Handler for LookUp {
+    async fn handle(&self, req: &mut Request, _: &mut Depot, res: &mut Response, _: &mut FlowCtrl) {
+        let view = self.shared.view.load();
+        let Some(route) = req.query::<&str>("route") else { return refuse(res, Code::Malformed) };
+        let client = match req.query::<&str>("client") {
+            Some(text) => text.parse().ok(),
+            None => remote_ip(req),
+        };
+        let Some(client) = client else { return refuse(res, Code::Malformed) };
+        let answer = match look_up(&view, &Query { route, client }) {
+            Ok(answer) => answer,
+            Err(code) => return refuse(res, code),
+        };
+        let once = view.world.route(route).is_some_and(|(_, r)| r.repeat == Repeat::AtMostOnce);
+        let request_id = once.then(|| {
+            let owner = answer.hosts[0].incarnation;
+            RequestId { owner, nonce: rand::random() }.to_string()
+        });
+        let hosts = answer.hosts.iter().map(|h| HostBody {
+            name: &h.name,
+            domain: &h.domain,
+            address: h.caller_address.to_string(),
+        });
+        let body = Body {
+            hosts: hosts.collect(),
+            lifetime_ms: answer.lifetime.as_millis() as u64,
+            request_id,
+        };
+        let json = serde_json::to_vec(&body).unwrap_or_default();
+        let headers = res.headers_mut();
+        headers.insert(header::CONTENT_TYPE, HeaderValue::from_static("application/json"));
+        let _ = res.write_body(json);
+    }
+}
+
+fn remote_ip(req: &Request) -> Option<IpAddr> {
+    match req.remote_addr() {
+        salvo::conn::SocketAddr::IPv4(a) => Some(IpAddr::from(*a.ip())),
+        salvo::conn::SocketAddr::IPv6(a) => Some(IpAddr::from(*a.ip())),
+        _ => None,
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/front/mod.rs
@@ -0,0 +1,76 @@
+//! The HTTP front end for callers and the operators' supervisor.
+
+mod admin;
+mod backend;
+mod headers;
+mod lookup;
+mod request;
+mod stop;
+
+use std::{net::SocketAddr, sync::Arc};
+
+use jasminestage_core::result::Code;
+use salvo::{
+    Listener, Router, Server,
+    conn::TcpListener,
+    http::{HeaderValue, Response, StatusCode},
+};
+
+use crate::{control::ControlTx, error::DaemonError, shared::Shared};
+
+/// Serves callers until the process is asked to stop, then stops gracefully.
+pub fn run(shared: &Arc<Shared>, control: &ControlTx) -> Result<(), DaemonError> {
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(shared.cfg.traffic.threads)
+        .thread_name("traffic")
+        .enable_all()
+        .build()
+        .map_err(DaemonError::Thread)?;
+    runtime.block_on(serve(shared, control))
+}
+
+async fn serve(shared: &Arc<Shared>, control: &ControlTx) -> Result<(), DaemonError> {
+    let callers = bind(shared.cfg.caller_address).await?;
+    let admin = bind(shared.cfg.admin_address).await?;
+    let server = Server::new(callers);
+    let handle = server.handle();
+    let admin_server = Server::new(admin);
+    tokio::spawn(admin_server.serve(admin::router(shared)));
+    tokio::spawn(stop::on_signal(Arc::clone(shared), control.clone(), handle));
+    server.serve(caller_router(shared)).await;
+    Ok(())
+}
+
+fn caller_router(shared: &Arc<Shared>) -> Router {
+    let look_up = lookup::LookUp { shared: Arc::clone(shared) };
+    let request = request::Forward::new(Arc::clone(shared));
+    Router::new()
+        .push(Router::with_path("v1/lookup").get(look_up))
+        .push(Router::with_path("v1/routes/{route}/{**rest}").goal(request))
+}
+
+async fn bind(address: SocketAddr) -> Result<impl salvo::conn::Acceptor, DaemonError> {
+    TcpListener::new(address)
+        .try_bind()
+        .await
+        .map_err(|e| DaemonError::Bind { address, source: std::io::Error::other(e) })
+}
+
+/// Fills an answer that carries only a result code.
+fn refuse(res: &mut Response, code: Code) {
+    res.status_code(StatusCode::from_u16(code.http_status()).unwrap_or(StatusCode::BAD_GATEWAY));
+    mark(res, code);
+    let body = serde_json::json!({
+        "code": code.number(),
+        "execution": headers::execution(code),
+        "text": code.text(),
+    });
+    res.render(salvo::writing::Json(body));
+}
+
+/// Puts the result code into the headers of an answer.
+fn mark(res: &mut Response, code: Code) {
+    let headers = res.headers_mut();
+    headers.insert(headers::CODE, HeaderValue::from(code.number()));
+    headers.insert(headers::EXECUTION, HeaderValue::from_static(headers::execution(code)));
+}
--- /dev/null
+++ b/crates/daemon/src/options/load.rs
@@ -0,0 +1,153 @@
+//! Reading the settings file.
+
+use std::{fs, net::SocketAddr, path::Path};
+
+use jasminestage_core::{
+    ini::{self, Entry},
+    world::fields,
+};
+use jasminestage_wire::FleetKey;
+
+use super::Options;
+use crate::error::DaemonError;
+
+/// Shortest secret of a fleet, in characters.
+const MIN_SECRET_CHARS: usize = 16;
+
+/// Sets one setting from its text; the error says what is allowed.
+type Setter = fn(&mut Options, &str) -> Result<(), String>;
+
+/// One setting: its section, its key and how it is set.
+struct Setting {
+    section: &'static str,
+    key: &'static str,
+    required: bool,
+    set: Setter,
+}
+
+const fn setting(section: &'static str, key: &'static str, set: Setter) -> Setting {
+    Setting { section, key, required: false, set }
+}
+
+const fn required(section: &'static str, key: &'static str, set: Setter) -> Setting {
+    Setting { section, key, required: true, set }
+}
+
+const SETTINGS: &[Setting] = &[
+    required("host", "name", |o, t| put(&mut o.name, fields::name(t))),
+    required("host", "domain", |o, t| put(&mut o.domain, fields::name(t))),
+    required("host", "caller_address", |o, t| put(&mut o.caller_address, address(t))),
+    required("host", "peer_address", |o, t| put(&mut o.peer_address, address(t))),
+    required("host", "admin_address", |o, t| put(&mut o.admin_address, address(t))),
+    required("fleet", "secret", |o, t| put(&mut o.fleet_key, secret(t))),
+    setting("fleet", "seeds", |o, t| put(&mut o.seeds, addresses(t))),
+    required("platform", "store", |o, t| put(&mut o.platform.store, url(t))),
+    setting("platform", "host_list", |o, t| put(&mut o.platform.host_list, url(t))),
+    setting("platform", "timeout", |o, t| put(&mut o.platform.timeout, fields::duration(t))),
+    setting("traffic", "threads", |o, t| put(&mut o.traffic.threads, size(t, 1, 256))),
+    setting("traffic", "max_body_bytes", |o, t| {
+        put(&mut o.traffic.max_body_bytes, size(t, 1, 64 * 1024 * 1024))
+    }),
+    setting("traffic", "stop_limit", |o, t| put(&mut o.traffic.stop_limit, fields::duration(t))),
+    setting("traffic", "stop_delay", |o, t| put(&mut o.traffic.stop_delay, fields::duration(t))),
+    setting("log", "format", |o, t| {
+        put(&mut o.log.json, fields::word(&[("text", false), ("json", true)])(t))
+    }),
+    setting("log", "filter", |o, t| put(&mut o.log.filter, Ok(t.to_owned()))),
+];
+
+impl Options {
+    /// Reads and checks a settings file.
+    pub fn load(path: &Path) -> Result<Options, DaemonError> {
+        let text = fs::read_to_string(path)
+            .map_err(|source| DaemonError::ReadSettings { path: path.to_owned(), source })?;
+        Options::parse(&text, &path.display().to_string())
+    }
+
+    /// Checks the text of a settings file; `file` names it in errors.
+    pub fn parse(text: &str, file: &str) -> Result<Options, DaemonError> {
+        let (sections, faults) = ini::parse(text);
+        if let Some(fault) = faults.first() {
+            let entry = Entry { key: "", value: "", line: fault.line };
+            return Err(wrong(file, "", entry, fault.text.trim_end_matches('.').to_owned()));
+        }
+        let mut cfg = Options::default();
+        let mut seen: Vec<(&str, &str)> = Vec::new();
+        for section in &sections {
+            for entry in &section.entries {
+                let found =
+                    SETTINGS.iter().find(|s| s.section == section.kind && s.key == entry.key);
+                let Some(setting) = found else {
+                    let allowed = unknown(section.kind);
+                    return Err(wrong(file, section.kind, *entry, allowed));
+                };
+                if seen.contains(&(setting.section, setting.key)) {
+                    let allowed = "a setting stands only once".to_owned();
+                    return Err(wrong(file, section.kind, *entry, allowed));
+                }
+                seen.push((setting.section, setting.key));
+                (setting.set)(&mut cfg, entry.value)
+                    .map_err(|allowed| wrong(file, section.kind, *entry, allowed))?;
+            }
+        }
+        let absent = SETTINGS.iter().find(|s| s.required && !seen.contains(&(s.section, s.key)));
+        if let Some(s) = absent {
+            let line = text.lines().count() as u32;
+            let entry = Entry { key: s.key, value: "", line };
+            return Err(wrong(file, s.section, entry, "this setting is required".to_owned()));
+        }
+        Ok(cfg)
+    }
+}
+
+fn wrong(file: &str, section: &str, entry: Entry<'_>, allowed: String) -> DaemonError {
+    let secret = entry.key == "secret";
+    DaemonError::Setting {
+        file: file.to_owned(),
+        line: entry.line,
+        section: section.to_owned(),
+        key: entry.key.to_owned(),
+        value: if secret { "(hidden)".to_owned() } else { entry.value.to_owned() },
+        allowed,
+    }
+}
+
+fn unknown(section: &str) -> String {
+    let keys: Vec<_> = SETTINGS.iter().filter(|s| s.section == section).map(|s| s.key).collect();
+    if keys.is_empty() {
+        "there is no such section; host, fleet, platform, traffic and log are known".to_owned()
+    } else {
+        format!("there is no such setting; known are {}", keys.join(", "))
+    }
+}
+
+fn put<T>(to: &mut T, value: Result<T, String>) -> Result<(), String> {
+    *to = value?;
+    Ok(())
+}
+
+fn address(text: &str) -> Result<SocketAddr, String> {
+    fields::plain("an IP address with a port is allowed")(text)
+}
+
+fn addresses(text: &str) -> Result<Vec<SocketAddr>, String> {
+    text.split(',').map(str::trim).filter(|t| !t.is_empty()).map(address).collect()
+}
+
+fn secret(text: &str) -> Result<FleetKey, String> {
+    if text.chars().count() < MIN_SECRET_CHARS {
+        return Err(format!("a secret of at least {MIN_SECRET_CHARS} characters is allowed"));
+    }
+    Ok(FleetKey::new(text))
+}
+
+fn url(text: &str) -> Result<String, String> {
+    match reqwest::Url::parse(text) {
+        Ok(url) if url.scheme() == "http" => Ok(text.trim_end_matches('/').to_owned()),
+        _ => Err("an http:// URL is allowed".to_owned()),
+    }
+}
+
+fn size(text: &str, min: u64, max: u64) -> Result<usize, String> {
+    fields::number(min, max)(text).map(|n| n as usize)
+}
--- /dev/null
+++ b/crates/daemon/src/peer/mod.rs
@@ -0,0 +1,3 @@
+//! Other hosts of the fleet.
+
+pub mod udp;
--- /dev/null
+++ b/crates/standins/src/forwarder/mod.rs
@@ -0,0 +1,89 @@
+//! A forwarder between two addresses that can cut or hold what passes, for tests of cuts.
+
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicU8, Ordering},
+    },
+};
+
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{TcpListener, TcpStream, UdpSocket},
+};
+
+use crate::serve;
+
+/// What happens to bytes that pass.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Mode {
+    /// They pass.
+    Pass,
+    /// They are dropped in silence; connections stay open.
+    Drop,
+}
+
+/// A running forwarder for TCP and UDP on one port.
+pub struct Forwarder {
+    /// Address to send to.
+    pub address: SocketAddr,
+    mode: Arc<AtomicU8>,
+}
+
+impl Forwarder {
+    /// Forwards to `target`.
+    pub async fn start(target: SocketAddr) -> std::io::Result<Forwarder> {
+        let listener = TcpListener::bind(serve::any_port()).await?;
+        let address = listener.local_addr()?;
+        let socket = UdpSocket::bind(address).await?;
+        let mode = Arc::new(AtomicU8::new(Mode::Pass as u8));
+        tokio::spawn(forward_udp(socket, target, Arc::clone(&mode)));
+        tokio::spawn(accept(listener, target, Arc::clone(&mode)));
+        Ok(Forwarder { address, mode })
+    }
+
+    /// Sets what happens to bytes that pass, on open connections too.
+    pub fn set(&self, mode: Mode) {
+        self.mode.store(mode as u8, Ordering::Relaxed);
+    }
+}
+
+fn passes(mode: &AtomicU8) -> bool {
+    mode.load(Ordering::Relaxed) == Mode::Pass as u8
+}
+
+async fn forward_udp(socket: UdpSocket, target: SocketAddr, mode: Arc<AtomicU8>) {
+    let mut buf = vec![0; 65_536];
+    while let Ok((len, _)) = socket.recv_from(&mut buf).await {
+        if passes(&mode) {
+            let _ = socket.send_to(&buf[..len], target).await;
+        }
+    }
+}
+
+async fn accept(listener: TcpListener, target: SocketAddr, mode: Arc<AtomicU8>) {
+    while let Ok((near, _)) = listener.accept().await {
+        let mode = Arc::clone(&mode);
+        tokio::spawn(async move {
+            let Ok(far) = TcpStream::connect(target).await else { return };
+            let (near_rx, near_tx) = near.into_split();
+            let (far_rx, far_tx) = far.into_split();
+            tokio::join!(copy(near_rx, far_tx, &mode), copy(far_rx, near_tx, &mode));
+        });
+    }
+}
+
+async fn copy(
+    mut rx: impl AsyncReadExt + Unpin,
+    mut tx: impl AsyncWriteExt + Unpin,
+    mode: &AtomicU8,
+) {
+    let mut buf = vec![0; 16_384];
+    while let Ok(len @ 1..) = rx.read(&mut buf).await {
+        if passes(mode) && tx.write_all(&buf[..len]).await.is_err() {
+            return;
+        }
+    }
+    let _ = tx.shutdown().await;
+}
--- /dev/null
+++ b/crates/standins/src/lib.rs
@@ -0,0 +1,8 @@
+//! Stand-ins for the platform and the backend servers, for tests and the demo only.
+
+pub mod backend;
+pub mod fleet;
+pub mod forwarder;
+pub mod platform;
+pub mod process;
+pub mod serve;
