Add calls between hosts over TCP and split the control state

Cause: parts that follow need chunks from peers and requests passed to the owner of an id; one control file would be changed by all of them. Change: one call at a time per connection, bound to a nonce of the answering side; control/configuration.rs.

--- a/crates/core/src/control/mod.rs
+++ b/crates/core/src/control/mod.rs
@@ -1,11 +1,13 @@
 //! Control state of one host: configuration, membership and what follows from them.
 
+mod configuration;
+
 use std::{collections::BTreeMap, net::SocketAddr, sync::Arc};
 
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    config::{self, ChunkHash, ConfigMsg, Root},
+    config::{ChunkHash, ConfigMsg, Root, chunk::Chunk},
     crash::CrashMsg,
     event::{Event, Kind},
     host::HostInfo,
@@ -16,7 +18,7 @@
     route::RouteMsg,
     time::Instant,
     view::{LiveHost, View},
-    world::{self, World},
+    world::World,
 };
 
 /// A message between two hosts.
@@ -62,7 +64,7 @@
     /// A call to the store failed.
     StoreFailed,
     /// Chunks arrived.
-    Chunks(&'a [config::chunk::Chunk]),
+    Chunks(&'a [Chunk]),
     /// Addresses of hosts from the platform's list.
     HostList(&'a [SocketAddr]),
     /// A graceful stop was asked for.
@@ -179,84 +181,6 @@
         }
     }
 
-    fn see_store(&mut self, up: bool, fx: &mut Vec<Effect>) {
-        if self.store_up != up {
-            let kind = if up { Kind::StoreAvailable } else { Kind::StoreUnavailable };
-            fx.push(Effect::Log(Event::new(kind, "")));
-        }
-        self.store_up = up;
-    }
-
-    fn see_root(&mut self, now: Instant, root: &Root, version: u64, fx: &mut Vec<Effect>) {
-        self.see_store(true, fx);
-        let held = self.root.as_ref().map_or(0, |(r, _)| r.revision);
-        if root.revision <= held {
-            return;
-        }
-        let missing: Vec<_> =
-            root.chunks.iter().filter(|h| !self.chunks.contains_key(h)).copied().collect();
-        self.pending = Some((root.clone(), version));
-        if missing.is_empty() {
-            self.complete(now, fx);
-        } else {
-            fx.push(Effect::FetchChunks(missing));
-        }
-    }
-
-    fn see_chunks(&mut self, now: Instant, chunks: &[config::chunk::Chunk], fx: &mut Vec<Effect>) {
-        for chunk in chunks {
-            if ChunkHash::of(&chunk.body) == chunk.hash {
-                self.chunks.insert(chunk.hash, chunk.body.clone());
-            } else {
-                let detail = chunk.hash.to_string();
-                fx.push(Effect::Log(Event::new(Kind::RevisionDamaged, detail)));
-            }
-        }
-        self.complete(now, fx);
-    }
-
-    /// Puts the pending revision in force when all its chunks are here.
-    fn complete(&mut self, now: Instant, fx: &mut Vec<Effect>) {
-        let Some((root, version)) = self.pending.take() else { return };
-        let bodies: Option<Vec<String>> =
-            root.chunks.iter().map(|h| self.chunks.get(h).cloned()).collect();
-        let Some(bodies) = bodies else {
-            self.pending = Some((root, version));
-            return;
-        };
-        let same = self.root.as_ref().is_some_and(|(r, _)| r.chunks == root.chunks);
-        if !same {
-            match world::parse(&config::join(&bodies)) {
-                Ok(world) => self.world = Arc::new(world),
-                Err(e) => {
-                    fx.push(Effect::Log(Event::new(Kind::RevisionDamaged, e.to_string())));
-                    return;
-                }
-            }
-        }
-        self.chunks.retain(|hash, _| root.chunks.contains(hash));
-        let detail = format!("revision {}", root.revision);
-        fx.push(Effect::Log(Event::new(Kind::RevisionInForce, detail)));
-        self.root = Some((root, version));
-        self.publish(now, fx);
-        self.claim_seat(fx);
-    }
-
-    fn claim_seat(&mut self, fx: &mut Vec<Effect>) {
-        let Some((root, version)) = &self.root else { return };
-        let held = root.seat_of(&self.me).is_some();
-        if held || self.stopping || self.claimed == Some(*version) {
-            return;
-        }
-        let Some(domain) = self.world.domain(&self.me.domain) else { return };
-        let write_id = format!("{}-{}", self.me.incarnation, version);
-        let seats = self.world.domains[domain].seats;
-        if let Some(next) = root.with_claim(&self.me, seats, &write_id) {
-            fx.push(Effect::SwapRoot { version: *version, root: next });
-            self.claimed = Some(*version);
-        }
-    }
-
     fn publish(&self, now: Instant, fx: &mut Vec<Effect>) {
         let member_hosts = self.members.iter().filter(|m| m.is_live(now)).map(|m| {
             let taking = !m.last.stopping && !self.world.is_leaving(&m.last.host.name);
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod lookup;
 pub mod member;
 pub mod once;
+pub mod peer;
 pub mod rate;
 pub mod result;
 pub mod rollout;
--- a/crates/daemon/src/control.rs
+++ b/crates/daemon/src/control.rs
@@ -85,6 +85,7 @@
     mut rx: mpsc::Receiver<ControlEvent>,
 ) -> Result<(), DaemonError> {
     let socket = peer::udp::Socket::bind(Arc::clone(&shared)).await?;
+    peer::stream::serve(Arc::clone(&shared)).await?;
     let store = platform::client(&shared.cfg.platform);
     let timers = Timers::start();
     tokio::spawn(peer::udp::receive(socket.clone(), tx.clone()));
--- a/crates/daemon/src/peer/mod.rs
+++ b/crates/daemon/src/peer/mod.rs
@@ -1,3 +1,5 @@
 //! Other hosts of the fleet.
 
+pub mod answer;
+pub mod stream;
 pub mod udp;
--- /dev/null
+++ b/crates/daemon/src/peer/stream.rs
@@ -0,0 +1,221 @@
+//! Calls between hosts over TCP.
+//!
+//! The answering side opens a connection with a random nonce. Every frame after it is a length in
+//! four bytes and a sealed body that names the nonce, so that no frame counts on another
+//! connection; the sequence number of the frame is the number of the call on its connection. One
+//! call is under way on a connection at a time; idle connections are kept for later calls.
+
+use std::{
+    collections::HashMap,
+    io,
+    net::SocketAddr,
+    sync::{Arc, Mutex, PoisonError},
+    time::Duration,
+};
+
+use jasminestage_core::{
+    event::{Event, Kind},
+    peer::{PeerCall, PeerReply},
+};
+use jasminestage_wire::{WireError, open, seal};
+use serde::{Serialize, de::DeserializeOwned};
+use thiserror::Error;
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{TcpListener, TcpStream},
+};
+
+use super::answer::answer;
+use crate::{error::DaemonError, log, shared::Shared};
+
+/// Largest frame in bytes.
+const MAX_FRAME_BYTES: u32 = 72 * 1024 * 1024;
+/// Longest time to make a connection.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+/// Time after which an idle connection is closed by the answering side.
+const IDLE_LIMIT: Duration = Duration::from_secs(30);
+/// Idle connections kept for one host.
+const MAX_IDLE: usize = 8;
+
+type Nonce = u128;
+
+/// Why a call to another host failed.
+#[derive(Debug, Error)]
+pub enum CallError {
+    /// No connection was made: no byte of the call was sent.
+    #[error("The host at {0} cannot be reached.")]
+    Unreachable(SocketAddr),
+    /// The call may have arrived but no answer came.
+    #[error("The host at {0} did not answer within the time given.")]
+    NoAnswer(SocketAddr),
+    /// The connection failed after the call may have arrived.
+    #[error("The connection to the host at {0} failed: {1}.")]
+    Connection(SocketAddr, io::Error),
+    /// The answer cannot be read.
+    #[error("The answer of the host at {0} is damaged: {1}")]
+    Damaged(SocketAddr, WireError),
+}
+
+struct Connection {
+    stream: TcpStream,
+    nonce: Nonce,
+    calls: u64,
+}
+
+/// Connections to other hosts.
+#[derive(Default)]
+pub struct Peers {
+    idle: Mutex<HashMap<SocketAddr, Vec<Connection>>>,
+}
+
+impl Peers {
+    /// Calls another host and waits for its answer.
+    pub async fn call(
+        &self,
+        shared: &Shared,
+        to: SocketAddr,
+        call: &PeerCall,
+        timeout: Duration,
+    ) -> Result<PeerReply, CallError> {
+        let exchange = async {
+            let mut connection = match self.take(to) {
+                Some(connection) => connection,
+                None => connect(to).await?,
+            };
+            let reply = exchange(shared, to, &mut connection, call).await?;
+            self.put(to, connection);
+            Ok(reply)
+        };
+        tokio::time::timeout(timeout, exchange).await.unwrap_or(Err(CallError::NoAnswer(to)))
+    }
+
+    fn take(&self, to: SocketAddr) -> Option<Connection> {
+        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        let connections = idle.get_mut(&to)?;
+        while let Some(connection) = connections.pop() {
+            if is_open(&connection.stream) {
+                return Some(connection);
+            }
+        }
+        None
+    }
+
+    fn put(&self, to: SocketAddr, connection: Connection) {
+        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        let connections = idle.entry(to).or_default();
+        if connections.len() < MAX_IDLE {
+            connections.push(connection);
+        }
+    }
+}
+
+/// Whether an idle connection has neither ended nor received bytes that nobody asked for.
+fn is_open(stream: &TcpStream) -> bool {
+    let read = stream.try_read(&mut [0]);
+    matches!(read, Err(e) if e.kind() == io::ErrorKind::WouldBlock)
+}
+
+async fn connect(to: SocketAddr) -> Result<Connection, CallError> {
+    let connecting = async {
+        let mut stream = TcpStream::connect(to).await?;
+        stream.set_nodelay(true)?;
+        let nonce = stream.read_u128().await?;
+        Ok::<_, io::Error>(Connection { stream, nonce, calls: 0 })
+    };
+    match tokio::time::timeout(CONNECT_TIMEOUT, connecting).await {
+        Ok(Ok(connection)) => Ok(connection),
+        _ => Err(CallError::Unreachable(to)),
+    }
+}
+
+async fn exchange(
+    shared: &Shared,
+    to: SocketAddr,
+    connection: &mut Connection,
+    call: &PeerCall,
+) -> Result<PeerReply, CallError> {
+    connection.calls += 1;
+    let (nonce, number) = (connection.nonce, connection.calls);
+    let failed = |e| CallError::Connection(to, e);
+    write(shared, &mut connection.stream, nonce, number, call).await.map_err(failed)?;
+    let frame = read_frame(&mut connection.stream).await.map_err(failed)?;
+    unframe(shared, nonce, number, &frame).map_err(|e| CallError::Damaged(to, e))
+}
+
+/// Accepts calls of other hosts for ever.
+pub async fn serve(shared: Arc<Shared>) -> Result<(), DaemonError> {
+    let address = shared.cfg.peer_address;
+    let listener =
+        TcpListener::bind(address).await.map_err(|source| DaemonError::Bind { address, source })?;
+    tokio::spawn(async move {
+        loop {
+            let Ok((stream, from)) = listener.accept().await else { continue };
+            let shared = Arc::clone(&shared);
+            tokio::spawn(async move {
+                if let Err(e) = serve_connection(&shared, stream).await {
+                    let detail = format!("from {from}: {e}");
+                    log::write(&Event::new(Kind::MessageRejected, detail));
+                }
+            });
+        }
+    });
+    Ok(())
+}
+
+async fn serve_connection(shared: &Shared, mut stream: TcpStream) -> Result<(), WireError> {
+    let nonce: Nonce = rand::random();
+    if stream.set_nodelay(true).is_err() || stream.write_u128(nonce).await.is_err() {
+        return Ok(());
+    }
+    for number in 1.. {
+        let read = tokio::time::timeout(IDLE_LIMIT, read_frame(&mut stream)).await;
+        let Ok(Ok(frame)) = read else { break };
+        let call: PeerCall = unframe(shared, nonce, number, &frame)?;
+        let reply = answer(shared, call).await;
+        if write(shared, &mut stream, nonce, number, &reply).await.is_err() {
+            break;
+        }
+    }
+    Ok(())
+}
+
+async fn write<T: Serialize>(
+    shared: &Shared,
+    stream: &mut TcpStream,
+    nonce: Nonce,
+    number: u64,
+    msg: &T,
+) -> io::Result<()> {
+    let sealed = seal(&shared.cfg.fleet_key, shared.me.incarnation, number, &(nonce, msg));
+    let sealed = sealed.map_err(io::Error::other)?;
+    let mut frame = Vec::with_capacity(4 + sealed.len());
+    frame.extend_from_slice(&(sealed.len() as u32).to_be_bytes());
+    frame.extend_from_slice(&sealed);
+    stream.write_all(&frame).await
+}
+
+async fn read_frame(stream: &mut TcpStream) -> io::Result<Vec<u8>> {
+    let len = stream.read_u32().await?;
+    if len > MAX_FRAME_BYTES {
+        return Err(io::Error::other(WireError::Large(len as usize)));
+    }
+    // The buffer grows with what arrives, so that a false length costs no memory.
+    let mut frame = Vec::new();
+    let read = stream.take(u64::from(len)).read_to_end(&mut frame).await?;
+    if read < len as usize { Err(io::ErrorKind::UnexpectedEof.into()) } else { Ok(frame) }
+}
+
+fn unframe<T: DeserializeOwned>(
+    shared: &Shared,
+    nonce: Nonce,
+    number: u64,
+    frame: &[u8],
+) -> Result<T, WireError> {
+    let opened = open::<(Nonce, T)>(&shared.cfg.fleet_key, frame)?;
+    let (named, msg) = opened.msg;
+    if named != nonce || opened.sequence != number {
+        let (sender, sequence) = (opened.sender, opened.sequence);
+        return Err(WireError::Replayed { sender, sequence });
+    }
+    Ok(msg)
+}
--- a/crates/daemon/src/shared.rs
+++ b/crates/daemon/src/shared.rs
@@ -12,7 +12,7 @@
     view::View,
 };
 
-use crate::{clock, options::Options};
+use crate::{clock, options::Options, peer::stream::Peers};
 
 /// Settings, the published view and the state of the request path.
 pub struct Shared {
@@ -22,6 +22,8 @@
     pub me: HostInfo,
     /// The view that look-ups answer from.
     pub view: ArcSwap<View>,
+    /// Connections to other hosts.
+    pub peers: Peers,
     traffic: Mutex<Traffic>,
     sequence: AtomicU64,
 }
@@ -41,6 +43,7 @@
             cfg,
             me,
             view: ArcSwap::from(Arc::clone(&view)),
+            peers: Peers::default(),
             traffic: Mutex::new(Traffic::new(view)),
             sequence: AtomicU64::new(1),
         }
