Let requests wait: parked flights, wakes and an outbox of the request path

Cause: a request that lacks a token, a slot or the answer of an earlier try must wait without a thread; and a caller that went away left its flight open for ever (the handler's future is dropped), so a stop would hang and the slot stayed taken. Change: Step::Park, Traffic::resume, abandon, hear, tick and take_outbox; the daemon wakes and sends after each decision.

--- a/crates/core/src/traffic/admit.rs
+++ b/crates/core/src/traffic/admit.rs
@@ -9,7 +9,7 @@
     crash::Fingerprint,
     result::Code,
     view::View,
-    world::{Access, KeyDigest, Route, RouteKey, Workspace},
+    world::{Access, KeyDigest, Route, RouteKey, WorkspaceKey},
 };
 
 /// A request as the front end hands it in.
@@ -35,7 +35,7 @@
     /// Its key in the world.
     pub route_key: RouteKey,
     /// The workspace that the request runs for; none on open routes.
-    pub workspace: Option<&'v Workspace>,
+    pub workspace_key: Option<WorkspaceKey>,
     /// Time until the answer is due.
     pub deadline: Duration,
 }
@@ -49,11 +49,11 @@
         return Err(Code::NoConfiguration);
     }
     let (route_key, route) = view.world.route(req.route).ok_or(Code::UnknownRoute)?;
-    let workspace = match route.access {
+    let workspace_key = match route.access {
         Access::Open => None,
         Access::Keyed => Some(authenticate(view, req.key.ok_or(Code::KeyMissing)?)?),
     };
-    if let Some(workspace) = workspace
+    if let Some(workspace) = workspace_key.map(|w| &view.world.workspaces[w])
         && !workspace.routes.is_empty()
         && !workspace.routes.contains(&route_key)
     {
@@ -63,13 +63,13 @@
     if deadline.is_zero() {
         return Err(Code::DeadlineBeforeStart);
     }
-    Ok(Admitted { route, route_key, workspace, deadline })
+    Ok(Admitted { route, route_key, workspace_key, deadline })
 }
 
-fn authenticate<'v>(view: &'v View, key: &[u8]) -> Result<&'v Workspace, Code> {
+fn authenticate(view: &View, key: &[u8]) -> Result<WorkspaceKey, Code> {
     let digest: KeyDigest = Sha256::digest(key).into();
-    let owner = view.world.key_owners.get(&digest).ok_or(Code::KeyUnknown)?;
-    let workspace = &view.world.workspaces[*owner];
+    let owner = *view.world.key_owners.get(&digest).ok_or(Code::KeyUnknown)?;
+    let workspace = &view.world.workspaces[owner];
     let known = workspace.keys.iter().any(|k| bool::from(k.ct_eq(&digest)));
-    if known { Ok(workspace) } else { Err(Code::KeyUnknown) }
+    if known { Ok(owner) } else { Err(Code::KeyUnknown) }
 }
--- a/crates/core/src/traffic/mod.rs
+++ b/crates/core/src/traffic/mod.rs
@@ -8,14 +8,16 @@
 
 pub use self::admit::{Admitted, Request};
 use crate::{
+    control::PeerMsg,
     crash::Fingerprint,
+    event::Event,
     once::{self, RequestId},
     rate::Buckets,
-    result::Code,
+    result::{Code, Execution},
     route::Balancer,
     time::Instant,
     view::View,
-    world::{Repeat, ServerKey},
+    world::{Repeat, RouteKey, ServerKey, WorkspaceKey},
 };
 
 new_key_type! {
@@ -25,11 +27,13 @@
 
 /// Tries of an idempotent request, the first one included.
 pub const MAX_TRIES: usize = 2;
+/// Time between two calls of [`Traffic::tick`].
+pub const TICK_PERIOD: Duration = Duration::from_millis(50);
 
 /// What to do next for a request.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Step {
-    /// Send the request to a backend server and report the outcome.
+    /// Send the request to a backend server and report the outcome to [`Traffic::finish`].
     Send {
         /// The request in flight.
         flight: FlightKey,
@@ -38,6 +42,13 @@
         /// Time that is left for the answer.
         timeout: Duration,
     },
+    /// Wait until the flight is woken or the time has come, then call [`Traffic::resume`].
+    Park {
+        /// The request in flight.
+        flight: FlightKey,
+        /// When to stop waiting.
+        until: Instant,
+    },
     /// Answer the caller with this code; with `Code::Done`, the backend server's answer goes along.
     Reply(Code),
 }
@@ -57,15 +68,42 @@
     BadAnswer,
 }
 
+/// What the request path wants done besides the step that a call returns.
+#[derive(Clone, Debug, Default)]
+pub struct Outbox {
+    /// Parked flights that should be resumed.
+    pub wakes: Vec<FlightKey>,
+    /// Messages to other hosts.
+    pub sends: Vec<(SocketAddr, PeerMsg)>,
+    /// Log events.
+    pub events: Vec<Event>,
+}
+
+/// How far a request has come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Stage {
+    /// It needs a token of its workspace.
+    Admission,
+    /// It needs a backend server.
+    Choice,
+    /// It was sent to this backend server.
+    Sent(ServerKey),
+}
+
+/// A request that has not been answered.
 #[derive(Clone, Debug)]
 struct Flight {
     view: Arc<View>,
-    server: ServerKey,
-    tried: Vec<ServerKey>,
-    route: crate::world::RouteKey,
+    route: RouteKey,
+    workspace: Option<WorkspaceKey>,
     deadline: Instant,
     id: Option<RequestId>,
+    #[expect(dead_code, reason = "read when backend servers die")]
     fingerprint: Fingerprint,
+    tried: Vec<ServerKey>,
+    /// What is answered when no further server can be tried.
+    otherwise: Code,
+    stage: Stage,
 }
 
 /// State of the request path of one host.
@@ -76,6 +114,7 @@
     once: once::Table,
     balancer: Balancer,
     flights: SlotMap<FlightKey, Flight>,
+    outbox: Outbox,
 }
 
 impl Traffic {
@@ -87,6 +126,7 @@
             once: once::Table::default(),
             balancer: Balancer::default(),
             flights: SlotMap::default(),
+            outbox: Outbox::default(),
         }
     }
 
@@ -97,6 +137,17 @@
         self.view = view;
     }
 
+    /// Takes in a message of another host.
+    pub fn hear(&mut self, _now: Instant, _from: SocketAddr, _msg: &PeerMsg) {}
+
+    /// Does what is due; called every [`TICK_PERIOD`].
+    pub fn tick(&mut self, _now: Instant) {}
+
+    /// Takes what is to be done besides the steps returned.
+    pub fn take_outbox(&mut self) -> Outbox {
+        std::mem::take(&mut self.outbox)
+    }
+
     /// Requests in flight.
     pub fn in_flight(&self) -> usize {
         self.flights.len()
@@ -116,25 +167,33 @@
                 Err(code) => return Step::Reply(code),
             },
         };
-        if let Some(workspace) = admitted.workspace
-            && !self.rates.take(now, &workspace.name)
-        {
-            self.end_once(now, id, false);
-            return Step::Reply(Code::OverRate);
-        }
-        let deadline = now + admitted.deadline;
-        let route = admitted.route_key;
-        let fingerprint = req.fingerprint;
-        self.send(now, &view, route, deadline, id, fingerprint, Vec::new(), Code::NoServer)
+        let flight = Flight {
+            route: admitted.route_key,
+            workspace: admitted.workspace_key,
+            deadline: now + admitted.deadline,
+            id,
+            fingerprint: req.fingerprint,
+            tried: Vec::new(),
+            otherwise: Code::NoServer,
+            stage: Stage::Admission,
+            view: Arc::clone(&view),
+        };
+        let flight = self.flights.insert(flight);
+        self.advance(now, flight)
+    }
+
+    /// Goes on with a parked request.
+    pub fn resume(&mut self, now: Instant, flight: FlightKey) -> Step {
+        self.advance(now, flight)
     }
 
     /// Decides what follows after a try.
     pub fn finish(&mut self, now: Instant, flight: FlightKey, outcome: Outcome) -> Step {
-        let Some(flight) = self.flights.remove(flight) else {
+        let Some(state) = self.flights.get_mut(flight) else {
             return Step::Reply(Code::BadAnswer);
         };
-        let Flight { view, server, mut tried, route, deadline, id, fingerprint } = flight;
-        self.balancer.release(&view.world.servers[server].name);
+        let Stage::Sent(server) = state.stage else { return Step::Reply(Code::BadAnswer) };
+        self.balancer.release(&state.view.world.servers[server].name);
         let (code, sent) = match outcome {
             Outcome::Answered(_) => (Code::Done, true),
             Outcome::ConnectFailed => (Code::NoServer, false),
@@ -142,38 +201,62 @@
             Outcome::TimedOut => (Code::DeadlineAfterStart, true),
             Outcome::BadAnswer => (Code::BadAnswer, true),
         };
-        tried.push(server);
-        let again = !sent || id.is_none();
-        if code == Code::Done || !again || tried.len() >= MAX_TRIES {
-            self.end_once(now, id, sent);
-            return Step::Reply(code);
+        state.tried.push(server);
+        state.otherwise = code;
+        state.stage = Stage::Choice;
+        let again = !sent || state.id.is_none();
+        if code == Code::Done || !again || state.tried.len() >= MAX_TRIES {
+            return self.end(now, flight, code, sent);
         }
-        self.send(now, &view, route, deadline, id, fingerprint, tried, code)
+        self.advance(now, flight)
     }
 
-    #[expect(clippy::too_many_arguments, reason = "the state of one request")]
-    fn send(
-        &mut self,
-        now: Instant,
-        view: &Arc<View>,
-        route: crate::world::RouteKey,
-        deadline: Instant,
-        id: Option<RequestId>,
-        fingerprint: Fingerprint,
-        tried: Vec<ServerKey>,
-        otherwise: Code,
-    ) -> Step {
-        let timeout = deadline.saturating_since(now);
-        let server =
-            if timeout.is_zero() { None } else { self.balancer.choose(view, route, &tried) };
-        let Some(server) = server else {
-            self.end_once(now, id, false);
-            return Step::Reply(otherwise);
+    /// Ends a request whose caller has gone away.
+    pub fn abandon(&mut self, now: Instant, flight: FlightKey) {
+        let Some(state) = self.flights.get(flight) else { return };
+        let mut sent = state.otherwise.execution() != Execution::NotRun;
+        if let Stage::Sent(server) = state.stage {
+            self.balancer.release(&state.view.world.servers[server].name);
+            sent = true;
+        }
+        self.end(now, flight, Code::ConnectionLost, sent);
+    }
+
+    /// Takes a request as far as it goes now.
+    fn advance(&mut self, now: Instant, flight: FlightKey) -> Step {
+        let Some(state) = self.flights.get_mut(flight) else {
+            return Step::Reply(Code::BadAnswer);
+        };
+        if state.stage == Stage::Admission {
+            let workspace = state.workspace.map(|w| &state.view.world.workspaces[w]);
+            if workspace.is_some_and(|w| !self.rates.take(now, &w.name)) {
+                return self.end(now, flight, Code::OverRate, false);
+            }
+            state.stage = Stage::Choice;
+        }
+        let timeout = state.deadline.saturating_since(now);
+        let chosen = match state.stage {
+            Stage::Choice if !timeout.is_zero() => {
+                self.balancer.choose(&state.view, state.route, &state.tried)
+            }
+            _ => None,
+        };
+        let Some(server) = chosen else {
+            let (code, sent) = (state.otherwise, state.otherwise.execution() != Execution::NotRun);
+            return self.end(now, flight, code, sent);
         };
-        let address = view.world.servers[server].address;
-        let view = Arc::clone(view);
-        let flight = Flight { view, server, tried, route, deadline, id, fingerprint };
-        Step::Send { flight: self.flights.insert(flight), address, timeout }
+        state.stage = Stage::Sent(server);
+        Step::Send { flight, address: state.view.world.servers[server].address, timeout }
+    }
+
+    /// Ends a request; `sent` says whether a byte of it may have left this system.
+    fn end(&mut self, now: Instant, flight: FlightKey, code: Code, sent: bool) -> Step {
+        if let Some(state) = self.flights.remove(flight)
+            && let Some(id) = state.id
+        {
+            self.once.end(now, id, sent);
+        }
+        Step::Reply(code)
     }
 
     fn begin_once(
@@ -193,10 +276,4 @@
             once::Begin::Full => Err(Code::RequestIdsFull),
         }
     }
-
-    fn end_once(&mut self, now: Instant, id: Option<RequestId>, sent: bool) {
-        if let Some(id) = id {
-            self.once.end(now, id, sent);
-        }
-    }
 }
--- a/crates/daemon/src/control.rs
+++ b/crates/daemon/src/control.rs
@@ -12,6 +12,7 @@
     event::{Event, Kind},
     member::HEARTBEAT_PERIOD,
     time::Instant,
+    traffic::TICK_PERIOD,
 };
 use jasminestage_store::Client;
 use tokio::sync::mpsc;
@@ -21,6 +22,14 @@
 /// Messages that may wait for the control thread.
 const QUEUE: usize = 1024;
 
+/// Messages from the traffic threads to other hosts.
+pub type SendQueue = mpsc::Receiver<(SocketAddr, PeerMsg)>;
+
+/// A queue for messages from the traffic threads to other hosts.
+pub fn send_queue() -> (mpsc::Sender<(SocketAddr, PeerMsg)>, SendQueue) {
+    mpsc::channel(QUEUE)
+}
+
 /// Something that happened outside, as sent to the control thread.
 #[derive(Debug)]
 pub enum ControlEvent {
@@ -68,6 +77,7 @@
     shared: Arc<Shared>,
     tx: ControlTx,
     rx: mpsc::Receiver<ControlEvent>,
+    sends: SendQueue,
 ) -> Result<JoinHandle<Result<(), DaemonError>>, DaemonError> {
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
@@ -75,7 +85,7 @@
         .map_err(DaemonError::Thread)?;
     thread::Builder::new()
         .name("control".to_owned())
-        .spawn(move || runtime.block_on(run(shared, tx, rx)))
+        .spawn(move || runtime.block_on(run(shared, tx, rx, sends)))
         .map_err(DaemonError::Thread)
 }
 
@@ -83,6 +93,7 @@
     shared: Arc<Shared>,
     tx: ControlTx,
     mut rx: mpsc::Receiver<ControlEvent>,
+    mut sends: SendQueue,
 ) -> Result<(), DaemonError> {
     let socket = peer::udp::Socket::bind(Arc::clone(&shared)).await?;
     peer::stream::serve(Arc::clone(&shared)).await?;
@@ -91,6 +102,7 @@
     tokio::spawn(peer::udp::receive(socket.clone(), tx.clone()));
     tokio::spawn(platform::watch_root(store.clone(), tx.clone()));
     let mut ticks = timers.subscribe(HEARTBEAT_PERIOD).await;
+    let mut traffic_ticks = timers.subscribe(TICK_PERIOD).await;
     let mut control = Control::new(shared.me.clone(), &shared.cfg.seeds);
     let mut fx = Vec::new();
     log::write(&Event::new(Kind::Started, &shared.cfg.name));
@@ -101,9 +113,20 @@
                 control.handle(clock::now(), Input::Tick, &mut fx);
                 None
             }
+            Some(()) = traffic_ticks.recv() => {
+                shared.decide(|traffic, now| traffic.tick(now));
+                None
+            }
+            Some((to, msg)) = sends.recv() => {
+                socket.send(to, &msg).await;
+                None
+            }
         };
         match &event {
             Some(ControlEvent::Close) => break,
+            Some(ControlEvent::Peer(from, msg)) if is_for_traffic(msg) => {
+                shared.decide(|traffic, now| traffic.hear(now, *from, msg));
+            }
             Some(event) => control.handle(clock::now(), input(event), &mut fx),
             None => {}
         }
@@ -115,6 +138,11 @@
     Ok(())
 }
 
+/// Whether a message concerns the request path rather than the control state.
+fn is_for_traffic(msg: &PeerMsg) -> bool {
+    matches!(msg, PeerMsg::Rate(_) | PeerMsg::Once(_) | PeerMsg::Route(_) | PeerMsg::Crash(_))
+}
+
 fn input(event: &ControlEvent) -> Input<'_> {
     match event {
         ControlEvent::Peer(from, msg) => Input::Peer { from: *from, msg },
--- a/crates/daemon/src/front/admin.rs
+++ b/crates/daemon/src/front/admin.rs
@@ -60,7 +60,7 @@
         "revision": view.revision,
         "seat": view.seat,
         "stopping": view.stopping,
-        "in_flight": shared.traffic().in_flight(),
+        "in_flight": shared.in_flight(),
         "hosts": hosts.collect::<Vec<_>>(),
     })));
 }
--- a/crates/daemon/src/front/request.rs
+++ b/crates/daemon/src/front/request.rs
@@ -6,7 +6,7 @@
 use jasminestage_core::{
     crash::Fingerprint,
     result::Code,
-    traffic::{self, Outcome, Step},
+    traffic::{self, FlightKey, Outcome, Step},
 };
 use salvo::{
     Depot, FlowCtrl, Request, Response, async_trait,
@@ -19,7 +19,7 @@
     backend::{Backends, Call, Reply},
     headers, mark, refuse,
 };
-use crate::{clock, shared::Shared};
+use crate::shared::Shared;
 
 /// Longest header value that is read as a number or id, in bytes.
 const MAX_VALUE_BYTES: usize = 256;
@@ -56,13 +56,24 @@
             deadline,
             fingerprint: fingerprint(&route, &call.body),
         };
-        let mut step = self.shared.traffic().begin(clock::now(), &request);
+        let mut step = self.shared.decide(|traffic, now| traffic.begin(now, &request));
         let mut reply = None;
+        let mut open = OpenFlight { shared: &self.shared, flight: None };
         loop {
             let (flight, address, timeout) = match step {
                 Step::Send { flight, address, timeout } => (flight, address, timeout),
-                Step::Reply(code) => return (code, reply),
+                Step::Park { flight, until } => {
+                    open.flight = Some(flight);
+                    self.shared.parked(flight, until).await;
+                    step = self.shared.decide(|traffic, now| traffic.resume(now, flight));
+                    continue;
+                }
+                Step::Reply(code) => {
+                    open.flight = None;
+                    return (code, reply);
+                }
             };
+            open.flight = Some(flight);
             let outcome = match self.backends.call(address, &call, timeout).await {
                 Ok(answer) => {
                     let status = answer.status.as_u16();
@@ -71,7 +82,21 @@
                 }
                 Err(outcome) => outcome,
             };
-            step = self.shared.traffic().finish(clock::now(), flight, outcome);
+            step = self.shared.decide(|traffic, now| traffic.finish(now, flight, outcome));
+        }
+    }
+}
+
+/// Ends a flight when its caller goes away and the handler is dropped.
+struct OpenFlight<'a> {
+    shared: &'a Shared,
+    flight: Option<FlightKey>,
+}
+
+impl Drop for OpenFlight<'_> {
+    fn drop(&mut self) {
+        if let Some(flight) = self.flight {
+            self.shared.decide(|traffic, now| traffic.abandon(now, flight));
         }
     }
 }
--- a/crates/daemon/src/front/stop.rs
+++ b/crates/daemon/src/front/stop.rs
@@ -30,7 +30,7 @@
     control.send(ControlEvent::Stop).await;
     tokio::time::sleep(shared.cfg.traffic.stop_delay).await;
     let idle = async {
-        while shared.traffic().in_flight() > 0 {
+        while shared.in_flight() > 0 {
             tokio::time::sleep(POLL_PERIOD).await;
         }
     };
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -33,9 +33,10 @@
 
 /// Serves callers and hosts until SIGTERM or SIGINT.
 pub fn serve(cfg: Options) -> Result<(), DaemonError> {
-    let shared = Arc::new(Shared::new(cfg));
+    let (sends_tx, sends_rx) = control::send_queue();
+    let shared = Arc::new(Shared::new(cfg, sends_tx));
     let (control_tx, control_rx) = control::channel();
-    let control = control::spawn(Arc::clone(&shared), control_tx.clone(), control_rx)?;
+    let control = control::spawn(Arc::clone(&shared), control_tx.clone(), control_rx, sends_rx)?;
     let served = front::run(&shared, &control_tx);
     control_tx.close();
     control.join().map_err(|_| DaemonError::ControlThread)??;
--- a/crates/daemon/src/shared.rs
+++ b/crates/daemon/src/shared.rs
@@ -1,18 +1,25 @@
 //! What the threads of one process share.
 
-use std::sync::{
-    Arc, Mutex, MutexGuard, PoisonError,
-    atomic::{AtomicU64, Ordering},
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicU64, Ordering},
+    },
 };
 
 use arc_swap::ArcSwap;
 use jasminestage_core::{
+    control::PeerMsg,
     host::{HostInfo, Incarnation},
-    traffic::Traffic,
+    time::Instant,
+    traffic::{FlightKey, Traffic},
     view::View,
 };
+use slotmap::SecondaryMap;
+use tokio::sync::{Notify, mpsc};
 
-use crate::{clock, options::Options, peer::stream::Peers};
+use crate::{clock, log, options::Options, peer::stream::Peers};
 
 /// Settings, the published view and the state of the request path.
 pub struct Shared {
@@ -25,12 +32,14 @@
     /// Connections to other hosts.
     pub peers: Peers,
     traffic: Mutex<Traffic>,
+    parked: Mutex<SecondaryMap<FlightKey, Arc<Notify>>>,
+    sends: mpsc::Sender<(SocketAddr, PeerMsg)>,
     sequence: AtomicU64,
 }
 
 impl Shared {
-    /// The state of a process that has just started.
-    pub fn new(cfg: Options) -> Self {
+    /// The state of a process that has just started; messages to other hosts go to `sends`.
+    pub fn new(cfg: Options, sends: mpsc::Sender<(SocketAddr, PeerMsg)>) -> Self {
         let me = HostInfo {
             name: cfg.name.clone(),
             domain: cfg.domain.clone(),
@@ -45,21 +54,63 @@
             view: ArcSwap::from(Arc::clone(&view)),
             peers: Peers::default(),
             traffic: Mutex::new(Traffic::new(view)),
+            parked: Mutex::default(),
+            sends,
             sequence: AtomicU64::new(1),
         }
     }
 
-    /// State of the request path; held for one decision at a time, never across a wait.
-    pub fn traffic(&self) -> MutexGuard<'_, Traffic> {
-        self.traffic.lock().unwrap_or_else(PoisonError::into_inner)
+    /// Lets the request path decide, under its lock and never across a wait, and carries out what
+    /// it wants done besides.
+    pub fn decide<T>(&self, decision: impl FnOnce(&mut Traffic, Instant) -> T) -> T {
+        let mut traffic = self.lock();
+        let decided = decision(&mut traffic, clock::now());
+        let outbox = traffic.take_outbox();
+        drop(traffic);
+        for flight in outbox.wakes {
+            if let Some(woken) = self.parked_entry(flight) {
+                woken.notify_one();
+            }
+        }
+        for send in outbox.sends {
+            // A message that finds the queue full or closed counts as lost.
+            let _ = self.sends.try_send(send);
+        }
+        for event in &outbox.events {
+            log::write(event);
+        }
+        decided
+    }
+
+    /// Waits until a parked flight is woken or its time has come. A wake that came first counts.
+    pub async fn parked(&self, flight: FlightKey, until: Instant) {
+        let Some(woken) = self.parked_entry(flight) else { return };
+        let limit = until.saturating_since(clock::now());
+        // Whether it was woken or its time has come, the flight is resumed.
+        let _ = tokio::time::timeout(limit, woken.notified()).await;
+        self.parked.lock().unwrap_or_else(PoisonError::into_inner).remove(flight);
+    }
+
+    /// Requests in flight.
+    pub fn in_flight(&self) -> usize {
+        self.lock().in_flight()
     }
 
     /// Takes over a new view.
     pub fn publish(&self, view: Arc<View>) {
-        self.traffic().install(clock::now(), Arc::clone(&view));
+        self.decide(|traffic, now| traffic.install(now, Arc::clone(&view)));
         self.view.store(view);
     }
 
+    fn parked_entry(&self, flight: FlightKey) -> Option<Arc<Notify>> {
+        let mut parked = self.parked.lock().unwrap_or_else(PoisonError::into_inner);
+        Some(Arc::clone(parked.entry(flight)?.or_default()))
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Traffic> {
+        self.traffic.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Number of the next frame that this process seals.
     pub fn next_sequence(&self) -> u64 {
         self.sequence.fetch_add(1, Ordering::Relaxed)
