--- a/crates/cli/src/cli.rs
+++ b/crates/cli/src/cli.rs
@@ -46,6 +46,12 @@
         /// Apply only if this is still the revision in the store.
         #[arg(long)]
         revision: Option<u64>,
+        /// Wait until no host can act against the change any more.
+        #[arg(long)]
+        wait: bool,
+        /// Longest wait in seconds.
+        #[arg(long, default_value_t = 30)]
+        timeout: u64,
     },
     /// Print the declaration in the store.
     Get,
@@ -60,13 +66,13 @@
         #[arg(long, value_delimiter = ',')]
         admin: Vec<SocketAddr>,
     },
-    /// Wait until a revision is in force on hosts.
+    /// Wait until a revision is accepted, or until it is in force on the hosts that are named.
     Wait {
         /// The revision; the one in the store when it is not given.
         #[arg(long)]
         revision: Option<u64>,
         /// Operators' addresses of the hosts.
-        #[arg(long, value_delimiter = ',', required = true)]
+        #[arg(long, value_delimiter = ',')]
         admin: Vec<SocketAddr>,
         /// Longest wait in seconds.
         #[arg(long, default_value_t = 30)]
--- a/crates/cli/src/commands/apply.rs
+++ b/crates/cli/src/commands/apply.rs
@@ -1,76 +1,146 @@
 //! `apply`: writes a declaration as a whole.
 
-use std::path::Path;
+use std::{collections::BTreeSet, path::Path, time::Duration};
 
-use jasminestage_core::config::{Root, split};
+use jasminestage_core::{
+    config::{Acceptance, ChunkHash, Declared, Root, accept, chunk, split},
+    world::World,
+};
 use jasminestage_store::{Client, StoreError, Versioned};
 use serde::Serialize;
 
 use super::read_world;
-use crate::{CliError, Options, output};
+use crate::{CliError, Options, cli::OutputFormat, output};
 
-/// Tries to resolve a write whose answer was lost.
-const RESOLVE_TRIES: u32 = 5;
+/// Tries of a write that other writers of the root record come before.
+const WRITE_TRIES: u32 = 50;
+/// Tries to read the root record back after a write whose answer was lost.
+const RESOLVE_TRIES: u32 = 20;
+/// Time between two tries to read the root record back.
+const RESOLVE_PERIOD: Duration = Duration::from_millis(500);
+
+/// What an apply is to do.
+#[derive(Clone, Copy, Debug)]
+pub struct Order<'a> {
+    /// File with the declaration.
+    pub path: &'a Path,
+    /// Check only.
+    pub dry_run: bool,
+    /// The revision that the apply is based on.
+    pub based: Option<u64>,
+    /// Longest time to wait until the change is accepted.
+    pub wait: Option<Duration>,
+}
 
 #[derive(Serialize)]
 struct Applied {
     revision: u64,
     dry_run: bool,
+    accepted: bool,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    waited_ms: Option<u64>,
 }
 
 /// Checks and writes a declaration.
-pub async fn run(
-    store: &Client,
-    cfg: &Options,
-    path: &Path,
-    dry_run: bool,
-    based: Option<u64>,
-) -> Result<(), CliError> {
-    let (text, _) = read_world(path)?;
-    let held = store.root().await?.unwrap_or(Versioned { value: Root::default(), version: 0 });
-    let found = held.value.revision;
-    if let Some(based) = based.filter(|b| *b != found) {
-        return Err(CliError::Conflict { found, based });
+pub async fn run(store: &Client, cfg: &Options, order: &Order<'_>) -> Result<(), CliError> {
+    let (text, world) = read_world(order.path)?;
+    let held = read(store).await?;
+    let found = held.value.declared;
+    if let Some(based) = order.based.filter(|b| *b < found || *b > held.value.revision) {
+        return Err(CliError::Conflict { found: held.value.revision, based });
+    }
+    if order.dry_run {
+        let revision = held.value.revision;
+        let applied = Applied { revision, dry_run: true, accepted: false, waited_ms: None };
+        output::print(cfg.output, &applied, |a| {
+            format!("The declaration is valid; the store holds revision {}.", a.revision)
+        });
+        return Ok(());
     }
-    let mut revision = found;
-    if !dry_run {
-        revision = write(store, &held, &text).await?;
+    let revision = write(store, held, &text, &world).await?;
+    if cfg.output == OutputFormat::Text {
+        println!("Revision {revision} is written.");
+    }
+    let waited = match order.wait {
+        Some(limit) => Some(super::accept::wait(store, cfg, revision, limit).await?),
+        None => None,
+    };
+    let waited_ms = waited.map(|w| w.as_millis() as u64);
+    let applied = Applied { revision, dry_run: false, accepted: waited.is_some(), waited_ms };
+    if cfg.output == OutputFormat::Json || waited.is_some() {
+        output::print(cfg.output, &applied, |a| format!("Revision {} is accepted.", a.revision));
     }
-    output::print(cfg.output, &Applied { revision, dry_run }, |a| match a.dry_run {
-        true => format!("The declaration is valid; the store holds revision {}.", a.revision),
-        false => format!("Revision {} is written.", a.revision),
-    });
     Ok(())
 }
 
-async fn write(store: &Client, held: &Versioned<Root>, text: &str) -> Result<u64, CliError> {
-    let mut chunks = Vec::new();
-    for body in split(text) {
-        chunks.push(store.put_chunk(body).await?);
-    }
-    let write_id = format!("{:032x}", rand::random::<u128>());
-    let next = held.value.with_chunks(chunks, &write_id);
-    let swapped = match store.swap_root(held.version, &next).await {
-        Ok(swapped) => swapped,
-        Err(StoreError::Call { .. }) => was_written(store, &next).await?,
-        Err(e) => return Err(e.into()),
+async fn read(store: &Client) -> Result<Versioned<Root>, StoreError> {
+    let held = store.root().await?;
+    Ok(held.unwrap_or(Versioned { value: Root::default(), version: 0 }))
+}
+
+/// Writes the root record. A writer that only changed seats does not make the apply fail; one that
+/// changed the declaration does. A write whose answer was lost is found again by its id.
+async fn write(
+    store: &Client,
+    mut held: Versioned<Root>,
+    text: &str,
+    world: &World,
+) -> Result<u64, CliError> {
+    let base = held.value.clone();
+    let declared = Declared {
+        index: put_chunks(store, &base, text).await?,
+        seat_counts: world.seat_counts(),
+        authority: world.longest_authority(),
     };
-    if swapped {
-        return Ok(next.revision);
+    let write_id = format!("{:032x}", rand::random::<u128>());
+    for _ in 0..WRITE_TRIES {
+        let acks = store.acks().await?;
+        let is_settled =
+            accept::acceptance(&held.value, &acks, held.value.revision) == Acceptance::Accepted;
+        let next = held.value.with_declaration(declared.clone(), is_settled, &write_id);
+        let Some(next) = next else {
+            return Err(CliError::SeatsNotSettled { revision: held.value.revision });
+        };
+        match store.swap_root(held.version, &next).await {
+            Ok(true) => return Ok(next.revision),
+            Ok(false) | Err(StoreError::Call { .. }) => {}
+            Err(e) => return Err(e.into()),
+        }
+        held = read_back(store).await?;
+        if let Some(revision) = held.value.find_write(&write_id) {
+            return Ok(revision);
+        }
+        if held.value.declared != base.declared {
+            break;
+        }
     }
-    let found = store.root().await?.map_or(0, |r| r.value.revision);
-    Err(CliError::Conflict { found, based: held.value.revision })
+    Err(CliError::Conflict { found: held.value.revision, based: base.revision })
 }
 
-/// Finds out whether a write whose answer was lost took effect, by reading the root back.
-async fn was_written(store: &Client, next: &Root) -> Result<bool, CliError> {
-    let mut last = None;
-    for _ in 0..RESOLVE_TRIES {
-        match store.root().await {
-            Ok(found) => return Ok(found.is_some_and(|r| r.value.write_id == next.write_id)),
-            Err(e) => last = Some(e),
+/// Reads the root record, also while the store does not answer for some seconds.
+async fn read_back(store: &Client) -> Result<Versioned<Root>, CliError> {
+    for _ in 1..RESOLVE_TRIES {
+        match read(store).await {
+            Err(StoreError::Call { .. }) => tokio::time::sleep(RESOLVE_PERIOD).await,
+            other => return Ok(other?),
+        }
+    }
+    Ok(read(store).await?)
+}
+
+/// Writes the chunks that the declaration in the store does not have; returns the index.
+async fn put_chunks(store: &Client, held: &Root, text: &str) -> Result<Vec<ChunkHash>, CliError> {
+    let mut stored: BTreeSet<ChunkHash> = held.index.iter().copied().collect();
+    for hash in &held.index {
+        let body = store.chunk(*hash).await?.body;
+        stored.extend(chunk::read_index(&body).into_iter().map(|l| l.hash));
+    }
+    let declaration = split(text);
+    let bodies = declaration.bodies.iter().copied();
+    for body in bodies.chain(declaration.index.iter().map(String::as_str)) {
+        if !stored.contains(&ChunkHash::of(body)) {
+            store.put_chunk(body).await?;
         }
-        tokio::time::sleep(std::time::Duration::from_millis(500)).await;
     }
-    Err(last.map_or(CliError::NoDeclaration, CliError::Store))
+    Ok(declaration.index.iter().map(|body| ChunkHash::of(body)).collect())
 }
--- a/crates/cli/src/commands/get.rs
+++ b/crates/cli/src/commands/get.rs
@@ -1,6 +1,6 @@
 //! `get`: prints the declaration in the store.
 
-use jasminestage_core::config::join;
+use jasminestage_core::config::chunk::read_index;
 use jasminestage_store::Client;
 use serde::Serialize;
 
@@ -18,11 +18,13 @@
 /// Reads the declaration in the store.
 pub async fn read(store: &Client) -> Result<Stored, CliError> {
     let root = store.root().await?.ok_or(CliError::NoDeclaration)?.value;
-    let mut bodies = Vec::with_capacity(root.chunks.len());
-    for hash in &root.chunks {
-        bodies.push(store.chunk(*hash).await?.body);
+    let mut declaration = String::new();
+    for hash in &root.index {
+        for listed in read_index(&store.chunk(*hash).await?.body) {
+            declaration.push_str(&store.chunk(listed.hash).await?.body);
+        }
     }
-    Ok(Stored { revision: root.revision, declaration: join(&bodies) })
+    Ok(Stored { revision: root.revision, declaration })
 }
 
 /// Prints it.
--- a/crates/cli/src/commands/mod.rs
+++ b/crates/cli/src/commands/mod.rs
@@ -1,5 +1,6 @@
 //! The commands, one file each.
 
+mod accept;
 mod apply;
 mod diff;
 mod get;
@@ -7,7 +8,7 @@
 mod status;
 mod wait;
 
-use std::{fs, path::Path};
+use std::{fs, path::Path, time::Duration};
 
 use jasminestage_core::world::{self, World};
 use jasminestage_store::Client;
@@ -18,8 +19,14 @@
 pub async fn run(command: &Command, cfg: &Options) -> Result<(), CliError> {
     let store = client(cfg);
     match command {
-        Command::Apply { world, dry_run, revision } => {
-            apply::run(&store, cfg, world, *dry_run, *revision).await
+        Command::Apply { world, dry_run, revision, wait, timeout } => {
+            let order = apply::Order {
+                path: world,
+                dry_run: *dry_run,
+                based: *revision,
+                wait: wait.then(|| Duration::from_secs(*timeout)),
+            };
+            apply::run(&store, cfg, &order).await
         }
         Command::Get => get::run(&store, cfg).await,
         Command::Diff { world } => diff::run(&store, cfg, world).await,
--- a/crates/cli/src/commands/wait.rs
+++ b/crates/cli/src/commands/wait.rs
@@ -1,4 +1,4 @@
-//! `wait`: waits until a revision is in force on hosts.
+//! `wait`: waits until a revision is accepted, or in force on hosts.
 
 use std::{net::SocketAddr, time::Duration};
 
@@ -6,7 +6,7 @@
 use serde::Serialize;
 use tokio::time::Instant;
 
-use super::hosts;
+use super::{accept, hosts};
 use crate::{CliError, Options, output};
 
 /// Time between two rounds of questions.
@@ -19,6 +19,13 @@
     waited_ms: u128,
 }
 
+#[derive(Serialize)]
+struct Accepted {
+    revision: u64,
+    accepted: bool,
+    waited_ms: u128,
+}
+
 /// Waits for a revision.
 pub async fn run(
     store: &Client,
@@ -31,6 +38,14 @@
         Some(revision) => revision,
         None => store.root().await?.ok_or(CliError::NoDeclaration)?.value.revision,
     };
+    if admin.is_empty() {
+        let waited = accept::wait(store, cfg, revision, Duration::from_secs(seconds)).await?;
+        let waited_ms = waited.as_millis();
+        output::print(cfg.output, &Accepted { revision, accepted: true, waited_ms }, |a| {
+            format!("Revision {} is accepted.", a.revision)
+        });
+        return Ok(());
+    }
     let http = reqwest::Client::new();
     let start = Instant::now();
     loop {
--- a/crates/cli/src/error.rs
+++ b/crates/cli/src/error.rs
@@ -52,6 +52,30 @@
         /// Who has not taken it.
         waiting: String,
     },
+    /// The seats were changed twice while hosts may still count by the first table.
+    #[error(
+        "The seats of the failure domains were changed by a revision that is not accepted yet; \
+         they can be changed again once 'wait' says that revision {revision} is accepted."
+    )]
+    SeatsNotSettled {
+        /// Revision in the store.
+        revision: u64,
+    },
+    /// A change was not accepted in time.
+    #[error(
+        "Revision {revision} is written but not accepted after {seconds} s; {majority} of the \
+         declared seats has it in force; outstanding: {outstanding}."
+    )]
+    NotAccepted {
+        /// The revision.
+        revision: u64,
+        /// Length of the wait.
+        seconds: u64,
+        /// Whether a majority has it in force.
+        majority: &'static str,
+        /// Failure domains that have not acknowledged it.
+        outstanding: String,
+    },
     /// The runtime could not be started.
     #[error("The tool could not be started: {0}.")]
     Runtime(io::Error),
@@ -66,6 +90,8 @@
             CliError::Conflict { .. } => 4,
             CliError::Store(_) | CliError::NoDeclaration => 5,
             CliError::WaitTimeout { .. } => 6,
+            CliError::NotAccepted { .. } => 7,
+            CliError::SeatsNotSettled { .. } => 8,
         }
     }
 }
--- a/crates/core/src/config/chunk.rs
+++ b/crates/core/src/config/chunk.rs
@@ -1,4 +1,8 @@
 //! Splitting a declaration into chunks that fit one value of the platform's store.
+//!
+//! The text is kept byte for byte. Where it is cut depends on the content of single lines, as in
+//! the low-bandwidth file system (Muthitacharoen, Chen and Mazières 2001), so that a changed line
+//! changes its own chunk only. Client blocks have chunks of their own, which hold nothing else.
 
 use std::fmt;
 
@@ -7,8 +11,16 @@
 use sha2::{Digest, Sha256};
 use thiserror::Error;
 
-/// Largest chunk in bytes; the platform's service holds values up to a megabyte.
-pub const MAX_CHUNK_BYTES: usize = 256 * 1024;
+/// Largest chunk in bytes, but for a single line that is longer.
+pub const MAX_CHUNK_BYTES: usize = 32 * 1024;
+/// Mean number of sections in a chunk.
+const SECTIONS_PER_CHUNK: u32 = 16;
+/// Mean number of client blocks in a chunk.
+const BLOCKS_PER_CHUNK: u32 = 128;
+/// Mean number of chunks that an index chunk lists.
+const CHUNKS_PER_INDEX: u32 = 64;
+/// Heading of the section with the client blocks.
+const CLIENTS_HEADING: &str = "clients";
 
 /// SHA-256 of a chunk's body.
 #[derive(
@@ -21,6 +33,12 @@
     pub fn of(body: &str) -> Self {
         ChunkHash(Sha256::digest(body.as_bytes()).into())
     }
+
+    /// Whether one in `mean` hashes is cut at.
+    fn is_cut(&self, mean: u32) -> bool {
+        let [a, b, c, d, ..] = self.0;
+        u32::from_be_bytes([a, b, c, d]).is_multiple_of(mean)
+    }
 }
 
 impl fmt::Display for ChunkHash {
@@ -50,36 +68,116 @@
     }
 }
 
-/// Splits a declaration at line ends.
-pub fn split(text: &str) -> Vec<&str> {
-    let mut chunks = Vec::new();
-    let mut rest = text;
-    while rest.len() > MAX_CHUNK_BYTES {
-        let mut limit = MAX_CHUNK_BYTES;
-        while !rest.is_char_boundary(limit) {
-            limit -= 1;
+/// A chunk as it is sent between hosts.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Chunk {
+    /// Hash of the body.
+    pub hash: ChunkHash,
+    /// Part of the declaration's text, or an index.
+    pub body: String,
+}
+
+/// What a chunk of the declaration holds.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ChunkKind {
+    /// Sections other than client blocks.
+    Sections,
+    /// Client blocks only.
+    Blocks,
+}
+
+impl ChunkKind {
+    const fn letter(self) -> char {
+        match self {
+            ChunkKind::Sections => 's',
+            ChunkKind::Blocks => 'b',
         }
-        let cut = rest[..limit].rfind('\n').map_or(limit, |at| at + 1);
-        let (chunk, tail) = rest.split_at(cut);
-        chunks.push(chunk);
-        rest = tail;
     }
-    if !rest.is_empty() {
-        chunks.push(rest);
+}
+
+/// One line of an index chunk.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Listed {
+    /// What the chunk holds.
+    pub kind: ChunkKind,
+    /// Its hash.
+    pub hash: ChunkHash,
+}
+
+/// A declaration in chunks.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct SplitDeclaration<'a> {
+    /// Bodies of the chunks, in order.
+    pub bodies: Vec<&'a str>,
+    /// Bodies of the index chunks, in order.
+    pub index: Vec<String>,
+}
+
+/// Splits a declaration; the bodies in order are its text.
+pub fn split(text: &str) -> SplitDeclaration<'_> {
+    let parts = cut(text);
+    let mut index = Vec::new();
+    let mut lines = String::new();
+    for (kind, body) in &parts {
+        let hash = ChunkHash::of(body);
+        lines.push_str(&format!("{} {hash}\n", kind.letter()));
+        if hash.is_cut(CHUNKS_PER_INDEX) || lines.len() > MAX_CHUNK_BYTES {
+            index.push(std::mem::take(&mut lines));
+        }
+    }
+    if !lines.is_empty() {
+        index.push(lines);
     }
-    chunks
+    SplitDeclaration { bodies: parts.into_iter().map(|(_, body)| body).collect(), index }
 }
 
-/// The declaration that `bodies` were split from.
-pub fn join(bodies: &[String]) -> String {
-    bodies.concat()
+/// Reads an index chunk; lines that are damaged are left out.
+pub fn read_index(body: &str) -> Vec<Listed> {
+    let read = |line: &str| {
+        let (letter, hash) = line.split_once(' ')?;
+        let kind = match letter {
+            "s" => ChunkKind::Sections,
+            "b" => ChunkKind::Blocks,
+            _ => return None,
+        };
+        Some(Listed { kind, hash: hash.parse().ok()? })
+    };
+    body.lines().filter_map(read).collect()
 }
 
-/// A root record or chunk as it is sent between hosts.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Chunk {
-    /// Hash of the body.
-    pub hash: ChunkHash,
-    /// Part of the declaration's text.
-    pub body: String,
+fn cut(text: &str) -> Vec<(ChunkKind, &str)> {
+    let mut parts = Vec::new();
+    let (mut start, mut at) = (0, 0);
+    let mut kind = ChunkKind::Sections;
+    for line in text.split_inclusive('\n') {
+        let next_kind = kind_after(kind, line);
+        let is_full = at - start + line.len() > MAX_CHUNK_BYTES;
+        if at > start && (next_kind != kind || is_full || is_cut(kind, line)) {
+            parts.push((kind, &text[start..at]));
+            start = at;
+        }
+        kind = next_kind;
+        at += line.len();
+    }
+    if at > start {
+        parts.push((kind, &text[start..at]));
+    }
+    parts
+}
+
+fn kind_after(kind: ChunkKind, line: &str) -> ChunkKind {
+    let Some(heading) = line.trim().strip_prefix('[') else { return kind };
+    match heading.trim_end_matches(']').trim() {
+        CLIENTS_HEADING => ChunkKind::Blocks,
+        _ => ChunkKind::Sections,
+    }
+}
+
+fn is_cut(kind: ChunkKind, line: &str) -> bool {
+    match kind {
+        ChunkKind::Blocks => ChunkHash::of(line).is_cut(BLOCKS_PER_CHUNK),
+        ChunkKind::Sections => {
+            line.starts_with('[') && ChunkHash::of(line).is_cut(SECTIONS_PER_CHUNK)
+        }
+    }
 }
--- /dev/null
+++ b/crates/core/src/control/acks.rs
@@ -0,0 +1,66 @@
+//! Acknowledgements: one host of a failure domain records what its hosts have in force.
+
+use std::time::Duration;
+
+use super::{Control, Effect};
+use crate::{
+    config::{DomainAck, Revision, SeatHolder},
+    time::Instant,
+};
+
+/// Time for which a record waits for the rest of the domain.
+const GATHER_LIMIT: Duration = Duration::from_millis(500);
+/// Time after which an unchanged record is written again.
+const REFRESH_PERIOD: Duration = Duration::from_secs(10);
+
+/// What was recorded.
+#[derive(Clone, Debug, Default)]
+pub(super) struct AckState {
+    written: Option<(DomainAck, Instant)>,
+    changed: Option<Instant>,
+}
+
+impl AckState {
+    /// Lets the record be written again.
+    pub(super) fn forget(&mut self) {
+        self.written = None;
+    }
+}
+
+impl Control {
+    pub(super) fn tick_acks(&mut self, now: Instant, fx: &mut Vec<Effect>) {
+        if self.revision() == 0 || self.members.rank(now, &self.me) > 0 {
+            return;
+        }
+        let ack = self.domain_ack();
+        let is_written = |(written, at): &(DomainAck, Instant)| {
+            *written == ack && now.saturating_since(*at) < REFRESH_PERIOD
+        };
+        if ack.in_force.is_empty() || self.acks.written.as_ref().is_some_and(is_written) {
+            self.acks.changed = None;
+            return;
+        }
+        let since = *self.acks.changed.get_or_insert(now);
+        let is_whole = ack.in_force.values().all(|r| *r >= self.revision());
+        if is_whole || now.saturating_since(since) >= GATHER_LIMIT {
+            self.acks.written = Some((ack.clone(), now));
+            self.acks.changed = None;
+            fx.push(Effect::WriteAck(ack));
+        }
+    }
+
+    /// The revision in force on each life of a host that holds a seat of the domain.
+    fn domain_ack(&self) -> DomainAck {
+        let row = self.held.root.seats.get(&self.me.domain);
+        let holders = row.into_iter().flatten().flatten();
+        let in_force = holders.map(|s| (DomainAck::key(s.incarnation), self.in_force_on(s)));
+        DomainAck { in_force: in_force.collect() }
+    }
+
+    fn in_force_on(&self, holder: &SeatHolder) -> Revision {
+        if holder.incarnation == self.me.incarnation {
+            return self.revision();
+        }
+        self.members.get(holder.incarnation).map_or(0, |m| m.last.revision)
+    }
+}
--- a/crates/core/src/control/mod.rs
+++ b/crates/core/src/control/mod.rs
@@ -1,33 +1,37 @@
 //! Control state of one host: configuration, membership and what follows from them.
 
+mod acks;
+mod authority;
 mod configuration;
+mod membership;
+mod seats;
 
 use std::{collections::BTreeMap, net::SocketAddr, sync::Arc};
 
 use serde::{Deserialize, Serialize};
 
+use self::{acks::AckState, configuration::Pending, seats::SeatState};
 use crate::{
-    config::{ChunkHash, ConfigMsg, Root, chunk::Chunk},
+    config::{Acks, ChunkHash, Chunks, DomainAck, Held, Revision, Root, chunk::Chunk},
     crash::CrashMsg,
     event::{Event, Kind},
     host::HostInfo,
-    member::{Heard, Heartbeat, Members},
+    member::{Fleet, MemberMsg, Members},
     once::OnceMsg,
+    peer::{PeerCall, PeerReply},
     rate::RateMsg,
     rollout::RolloutMsg,
     route::RouteMsg,
     time::Instant,
-    view::{LiveHost, View},
-    world::World,
+    view::View,
+    world::{BlockPart, World},
 };
 
 /// A message between two hosts.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum PeerMsg {
-    /// Membership.
-    Heartbeat(Heartbeat),
-    /// Configuration.
-    Config(ConfigMsg),
+    /// Membership, and the proofs of authority that go with it.
+    Member(MemberMsg),
     /// Rates.
     Rate(RateMsg),
     /// Request ids.
@@ -52,19 +56,33 @@
         /// The message.
         msg: &'a PeerMsg,
     },
-    /// The root record was read; `version` is what a compare-and-swap must name.
+    /// The root record was read from the store.
     Root {
         /// The record.
         root: &'a Root,
-        /// The store's version of it.
-        version: u64,
         /// When the read was begun.
         asked: Instant,
     },
     /// A call to the store failed.
     StoreFailed,
-    /// Chunks arrived.
+    /// Chunks arrived from the store.
     Chunks(&'a [Chunk]),
+    /// Another host answered a call.
+    PeerReply {
+        /// Its address.
+        from: SocketAddr,
+        /// The answer.
+        reply: &'a PeerReply,
+    },
+    /// The root record and the acknowledgements were read from the store.
+    Acks {
+        /// The record.
+        root: &'a Root,
+        /// The acknowledgements, read after it.
+        acks: &'a Acks,
+    },
+    /// The acknowledgement could not be written.
+    AckFailed,
     /// Addresses of hosts from the platform's list.
     HostList(&'a [SocketAddr]),
     /// A graceful stop was asked for.
@@ -81,17 +99,29 @@
         /// The message.
         msg: PeerMsg,
     },
+    /// Call another host.
+    AskPeer {
+        /// Its address.
+        to: SocketAddr,
+        /// The question.
+        call: PeerCall,
+    },
+    /// Keep a watch on the root record, or end it.
+    WatchStore(bool),
+    /// Read the root record.
+    ReadRoot,
+    /// Read the root record, then the acknowledgements.
+    ReadAcks,
     /// Fetch chunks from the store.
     FetchChunks(Vec<ChunkHash>),
-    /// Replace the root record if the store still holds `version`.
-    SwapRoot {
-        /// The version that must still stand.
-        version: u64,
-        /// The new record.
-        root: Root,
-    },
+    /// Replace the root record by this one if the store still holds the one before it; then read it.
+    SwapRoot(Box<Root>),
+    /// Record what this host's failure domain has in force.
+    WriteAck(DomainAck),
     /// Hand a new view to the traffic threads.
     Publish(Arc<View>),
+    /// Hand a later proof to the traffic threads.
+    Prove(Instant),
     /// Write a log event.
     Log(Event),
 }
@@ -100,14 +130,28 @@
 #[derive(Clone, Debug)]
 pub struct Control {
     me: HostInfo,
+    seeds: Vec<SocketAddr>,
+    listed: Vec<SocketAddr>,
     members: Members,
-    root: Option<(Root, u64)>,
-    pending: Option<(Root, u64)>,
-    chunks: BTreeMap<ChunkHash, String>,
+    fleet: Fleet,
+    held: Arc<Held>,
+    chunks: Chunks,
+    pending: Option<Pending>,
+    damaged: Revision,
+    asked: Option<(Revision, Instant)>,
     world: Arc<World>,
+    sections: Vec<ChunkHash>,
+    parts: BTreeMap<ChunkHash, Arc<BlockPart>>,
+    proof: Option<Instant>,
+    told_proof: Option<Instant>,
+    read_proof: Option<(Revision, Instant)>,
+    seat: SeatState,
+    acks: AckState,
+    started: Option<Instant>,
     sequence: u64,
+    ticks: u64,
     last_tick: Instant,
-    claimed: Option<u64>,
+    watching: bool,
     store_up: bool,
     stopping: bool,
 }
@@ -117,97 +161,85 @@
     pub fn new(me: HostInfo, seeds: &[SocketAddr]) -> Self {
         Control {
             me,
-            members: Members::with_hints(seeds),
-            root: None,
+            seeds: seeds.to_vec(),
+            listed: Vec::new(),
+            members: Members::default(),
+            fleet: Fleet::default(),
+            held: Arc::default(),
+            chunks: Chunks::default(),
             pending: None,
-            chunks: BTreeMap::new(),
+            damaged: 0,
+            asked: None,
             world: Arc::default(),
+            sections: Vec::new(),
+            parts: BTreeMap::new(),
+            proof: None,
+            told_proof: None,
+            read_proof: None,
+            seat: SeatState::default(),
+            acks: AckState::default(),
+            started: None,
             sequence: 0,
+            ticks: 0,
             last_tick: Instant::ZERO,
-            claimed: None,
+            watching: false,
             store_up: true,
             stopping: false,
         }
     }
 
+    /// The configuration in force.
+    pub fn held(&self) -> &Arc<Held> {
+        &self.held
+    }
+
     /// Takes in what happened and appends what to do to `fx`.
     pub fn handle(&mut self, now: Instant, input: Input<'_>, fx: &mut Vec<Effect>) {
+        self.started.get_or_insert(now);
         match input {
             Input::Tick => self.tick(now, fx),
-            Input::Peer { from, msg } => self.hear(now, from, msg, fx),
-            Input::Root { root, version, .. } => self.see_root(now, root, version, fx),
+            Input::Peer { from, msg: PeerMsg::Member(msg) } => self.hear(now, from, msg, fx),
+            Input::Peer { .. } => {}
+            Input::Root { root, asked } => self.see_store_root(now, root, asked, fx),
             Input::StoreFailed => self.see_store(false, fx),
-            Input::Chunks(chunks) => self.see_chunks(now, chunks, fx),
-            Input::HostList(addresses) => self.members.hints.extend(addresses),
-            Input::Stop => {
-                self.stopping = true;
-                self.publish(now, fx);
-                self.tick(now, fx);
+            Input::Chunks(chunks) => {
+                self.see_store(true, fx);
+                self.see_chunks(now, chunks, fx);
             }
+            Input::PeerReply { from, reply } => self.see_reply(now, from, reply, fx),
+            Input::Acks { root, acks } => self.see_acks(now, root, acks, fx),
+            Input::AckFailed => self.acks.forget(),
+            Input::HostList(addresses) => self.listed = addresses.to_vec(),
+            Input::Stop => self.stop(now, fx),
         }
+        debug_assert!(self.proof.is_none_or(|p| p <= now), "a proof lies in the past");
     }
 
-    fn tick(&mut self, now: Instant, fx: &mut Vec<Effect>) {
-        for name in self.members.expire(now, self.last_tick) {
-            fx.push(Effect::Log(Event::new(Kind::MemberSilent, name)));
-            self.publish(now, fx);
-        }
-        self.last_tick = now;
-        self.sequence += 1;
-        let beat = Heartbeat {
-            host: self.me.clone(),
-            sequence: self.sequence,
-            revision: self.root.as_ref().map_or(0, |(r, _)| r.revision),
-            stopping: self.stopping,
-            stamp: now,
-            echo: None,
-        };
-        for to in self.members.targets(self.me.peer_address) {
-            fx.push(Effect::Send { to, msg: PeerMsg::Heartbeat(beat.clone()) });
-        }
-        self.claim_seat(fx);
+    fn revision(&self) -> Revision {
+        self.held.root.revision
     }
 
-    fn hear(&mut self, now: Instant, _from: SocketAddr, msg: &PeerMsg, fx: &mut Vec<Effect>) {
-        if let PeerMsg::Heartbeat(beat) = msg {
-            match self.members.hear(now, beat) {
-                Heard::Joined => {
-                    fx.push(Effect::Log(Event::new(Kind::MemberJoined, &beat.host.name)));
-                    self.publish(now, fx);
-                }
-                Heard::Changed => self.publish(now, fx),
-                Heard::Same | Heard::Old => {}
-            }
-        }
+    fn tick(&mut self, now: Instant, fx: &mut Vec<Effect>) {
+        self.ticks += 1;
+        self.tick_members(now, fx);
+        self.last_tick = now;
+        self.tick_store(now, fx);
+        self.prove_by_echoes(now, fx);
+        self.send_heartbeats(now, fx);
+        self.send_digests(now, fx);
+        self.pass_news_on(now, fx);
+        self.tick_seat(now, fx);
+        self.tick_acks(now, fx);
     }
 
-    fn publish(&self, now: Instant, fx: &mut Vec<Effect>) {
-        let member_hosts = self.members.iter().filter(|m| m.is_live(now)).map(|m| {
-            let taking = !m.last.stopping && !self.world.is_leaving(&m.last.host.name);
-            live_host(&m.last.host, taking)
-        });
-        let taking = !self.stopping && !self.world.is_leaving(&self.me.name);
-        let mut hosts: Vec<_> = member_hosts.chain([live_host(&self.me, taking)]).collect();
-        hosts.sort_by(|a, b| a.name.cmp(&b.name));
-        let view = View {
-            me: self.me.clone(),
-            revision: self.root.as_ref().map_or(0, |(r, _)| r.revision),
-            world: Arc::clone(&self.world),
-            seat: self.root.as_ref().and_then(|(r, _)| r.seat_of(&self.me)),
-            hosts,
-            stopping: self.stopping,
-        };
-        fx.push(Effect::Publish(Arc::new(view)));
+    fn stop(&mut self, now: Instant, fx: &mut Vec<Effect>) {
+        self.stopping = true;
+        self.publish(now, fx);
+        self.send_heartbeats(now, fx);
+        self.send_digests(now, fx);
     }
-}
 
-fn live_host(info: &HostInfo, taking: bool) -> LiveHost {
-    LiveHost {
-        name: info.name.clone(),
-        domain: info.domain.clone(),
-        caller_address: info.caller_address,
-        peer_address: info.peer_address,
-        incarnation: info.incarnation,
-        taking,
+    fn log(&self, kind: Kind, detail: impl Into<String>, fx: &mut Vec<Effect>) {
+        fx.push(Effect::Log(Event::new(kind, detail)));
     }
 }
--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -58,6 +58,16 @@
     RevisionIgnored = 21, Info;
     /// A revision was ignored because it is incomplete or its hash does not match.
     RevisionDamaged = 22, Warn;
+    /// This host took a seat of its failure domain.
+    SeatTaken = 23, Info;
+    /// This host may use its seat.
+    SeatConfirmed = 24, Info;
+    /// This host has lost its seat or may use it no more.
+    SeatLost = 25, Warn;
+    /// The authority for keyed routes has ended on this host.
+    AuthorityEnded = 26, Warn;
+    /// The authority for keyed routes holds again on this host.
+    AuthorityHolds = 27, Info;
     /// The platform's store does not answer.
     StoreUnavailable = 30, Warn;
     /// The platform's store answers again.
@@ -66,6 +76,10 @@
     MemberJoined = 40, Info;
     /// A member of the fleet has not been heard within the limit.
     MemberSilent = 41, Warn;
+    /// No delegate of another failure domain has been heard within the limit.
+    DomainSilent = 42, Warn;
+    /// Another failure domain was heard.
+    DomainHeard = 43, Info;
     /// A message from another host was rejected.
     MessageRejected = 50, Warn;
     /// A broken invariant was found; the part concerned stops serving.
--- a/crates/core/src/traffic/admit.rs
+++ b/crates/core/src/traffic/admit.rs
@@ -8,7 +8,8 @@
 use crate::{
     crash::Fingerprint,
     result::Code,
-    view::View,
+    time::Instant,
+    view::{View, holds_authority},
     world::{Access, KeyDigest, Route, RouteKey, WorkspaceKey},
 };
 
@@ -40,8 +41,13 @@
     pub deadline: Duration,
 }
 
-/// Checks route, key and deadline of a request.
-pub fn admit<'v>(view: &'v View, req: &Request<'_>) -> Result<Admitted<'v>, Code> {
+/// Checks route, key, authority and deadline of a request; `proof` is the latest one.
+pub fn admit<'v>(
+    view: &'v View,
+    proof: Option<Instant>,
+    now: Instant,
+    req: &Request<'_>,
+) -> Result<Admitted<'v>, Code> {
     if view.stopping {
         return Err(Code::Stopping);
     }
@@ -51,7 +57,11 @@
     let (route_key, route) = view.world.route(req.route).ok_or(Code::UnknownRoute)?;
     let workspace_key = match route.access {
         Access::Open => None,
-        Access::Keyed => Some(authenticate(view, req.key.ok_or(Code::KeyMissing)?)?),
+        Access::Keyed => {
+            let key = req.key.ok_or(Code::KeyMissing)?;
+            check_authority(proof, now, route)?;
+            Some(authenticate(view, key)?)
+        }
     };
     if let Some(workspace) = workspace_key.map(|w| &view.world.workspaces[w])
         && !workspace.routes.is_empty()
@@ -73,3 +83,9 @@
     let known = workspace.keys.iter().any(|k| bool::from(k.ct_eq(&digest)));
     if known { Ok(owner) } else { Err(Code::KeyUnknown) }
 }
+
+/// Checks that the configuration in force may still be acted on for this route.
+pub fn check_authority(proof: Option<Instant>, now: Instant, route: &Route) -> Result<(), Code> {
+    let holds = route.access == Access::Open || holds_authority(now, proof, route.authority);
+    if holds { Ok(()) } else { Err(Code::AuthorityEnded) }
+}
--- a/crates/core/src/traffic/mod.rs
+++ b/crates/core/src/traffic/mod.rs
@@ -110,6 +110,8 @@
 #[derive(Clone, Debug)]
 pub struct Traffic {
     view: Arc<View>,
+    /// Instant at which the configuration in force was last proven to be the newest one.
+    proof: Option<Instant>,
     rates: Buckets,
     once: once::Table,
     balancer: Balancer,
@@ -121,6 +123,7 @@
     /// The state of a host that has no configuration yet.
     pub fn new(view: Arc<View>) -> Self {
         Traffic {
+            proof: view.proof,
             view,
             rates: Buckets::default(),
             once: once::Table::default(),
@@ -134,9 +137,17 @@
     pub fn install(&mut self, now: Instant, view: Arc<View>) {
         self.rates.install(now, &view);
         self.balancer.install(&view);
+        self.proof = view.proof;
         self.view = view;
     }
 
+    /// Takes over a later proof that the configuration in force is the newest one.
+    pub fn prove(&mut self, proof: Instant) {
+        if self.view.seat.is_some() {
+            self.proof = self.proof.max(Some(proof));
+        }
+    }
+
     /// Takes in a message of another host.
     pub fn hear(&mut self, _now: Instant, _from: SocketAddr, _msg: &PeerMsg) {}
 
@@ -156,7 +167,7 @@
     /// Decides on a request that has arrived.
     pub fn begin(&mut self, now: Instant, req: &Request<'_>) -> Step {
         let view = Arc::clone(&self.view);
-        let admitted = match admit::admit(&view, req) {
+        let admitted = match admit::admit(&view, self.proof, now, req) {
             Ok(admitted) => admitted,
             Err(code) => return Step::Reply(code),
         };
@@ -234,6 +245,12 @@
             }
             state.stage = Stage::Choice;
         }
+        let route = &state.view.world.routes[state.route];
+        if let Err(code) = admit::check_authority(self.proof, now, route) {
+            let sent = state.otherwise.execution() != Execution::NotRun;
+            let code = if sent { state.otherwise } else { code };
+            return self.end(now, flight, code, sent);
+        }
         let timeout = state.deadline.saturating_since(now);
         let chosen = match state.stage {
             Stage::Choice if !timeout.is_zero() => {
--- a/crates/core/src/view.rs
+++ b/crates/core/src/view.rs
@@ -1,10 +1,11 @@
 //! What the control thread publishes for the traffic threads.
 
-use std::{net::SocketAddr, sync::Arc};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use crate::{
-    config::Revision,
+    config::{Held, Revision, SeatHolder},
     host::{HostInfo, Incarnation},
+    time::Instant,
     world::World,
 };
 
@@ -34,8 +35,13 @@
     pub revision: Revision,
     /// The declaration in force.
     pub world: Arc<World>,
-    /// The seat that this host holds in its failure domain.
+    /// The root record and the chunks of the declaration in force.
+    pub held: Arc<Held>,
+    /// The seat that this host holds in its failure domain and may use.
     pub seat: Option<u16>,
+    /// Instant at which the revision was proven to be the newest one, none without a seat. Later
+    /// proofs come by [`crate::traffic::Traffic::prove`].
+    pub proof: Option<Instant>,
     /// Hosts heard lately, this one included, in the order of their names.
     pub hosts: Vec<LiveHost>,
     /// Whether this host is stopping.
@@ -49,7 +55,9 @@
             me,
             revision: 0,
             world: Arc::default(),
+            held: Arc::default(),
             seat: None,
+            proof: None,
             hosts: Vec::new(),
             stopping: false,
         }
@@ -59,4 +67,16 @@
     pub fn host(&self, incarnation: Incarnation) -> Option<&LiveHost> {
         self.hosts.iter().find(|h| h.incarnation == incarnation)
     }
+
+    /// The holder of a seat, as of the revision in force.
+    ///
+    /// A holder that is not confirmed may not use the seat yet: nobody may.
+    pub fn seat_holder(&self, domain: &str, seat: u16) -> Option<&SeatHolder> {
+        self.held.root.holder(domain, seat)
+    }
+}
+
+/// Whether a host with this proof may still act for `authority` after it.
+pub fn holds_authority(now: Instant, proof: Option<Instant>, authority: Duration) -> bool {
+    proof.is_some_and(|proof| now <= proof + authority)
 }
--- a/crates/core/src/world/mod.rs
+++ b/crates/core/src/world/mod.rs
@@ -5,12 +5,17 @@
 pub mod fields;
 pub mod parse;
 
-use std::{collections::HashMap, net::SocketAddr, time::Duration};
+use std::{
+    collections::{BTreeMap, HashMap},
+    net::SocketAddr,
+    sync::Arc,
+    time::Duration,
+};
 
 use slotmap::{SlotMap, new_key_type};
 
 pub use self::{
-    blocks::ClientBlocks,
+    blocks::{BlockPart, ClientBlocks},
     check::{DeclarationError, Fault},
     parse::parse,
 };
@@ -180,13 +185,15 @@
     /// Declared states of hosts by name; a host that is not named serves.
     pub hosts: HashMap<String, Duty>,
     /// Client blocks and the region of each.
-    pub blocks: ClientBlocks,
+    pub blocks: Arc<ClientBlocks>,
     /// Failure domains by name.
     pub domain_names: HashMap<String, DomainKey>,
     /// Regions by name.
     pub region_names: HashMap<String, RegionKey>,
     /// Routes by name.
     pub route_names: HashMap<String, RouteKey>,
+    /// Backend servers by name.
+    pub server_names: HashMap<String, ServerKey>,
     /// Workspaces by name.
     pub workspace_names: HashMap<String, WorkspaceKey>,
     /// Workspaces by the digest of a key.
@@ -215,6 +222,17 @@
         self.servers.iter().filter(move |(_, s)| s.route == route)
     }
 
+    /// Seats by name of the failure domain.
+    pub fn seat_counts(&self) -> BTreeMap<String, u16> {
+        self.domains.values().map(|d| (d.name.clone(), d.seats)).collect()
+    }
+
+    /// Longest authority of a keyed route.
+    pub fn longest_authority(&self) -> Duration {
+        let keyed = self.routes.values().filter(|r| r.access == Access::Keyed);
+        keyed.map(|r| r.authority).max().unwrap_or_default()
+    }
+
     /// Seats of all failure domains together.
     pub fn seats(&self) -> u32 {
         self.domains.values().map(|d| u32::from(d.seats)).sum()
--- a/crates/core/src/world/parse.rs
+++ b/crates/core/src/world/parse.rs
@@ -1,12 +1,10 @@
 //! From the text of a declaration to a checked world.
 
-use std::{net::SocketAddr, time::Duration};
-
-use ipnet::IpNet;
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use super::{
-    Access, ClientBlocks, DeclarationError, Domain, Duty, Fault, Move, Region, Repeat, Route,
-    Server, Workspace, World,
+    Access, BlockPart, ClientBlocks, DeclarationError, Domain, Duty, Fault, Move, Region, Repeat,
+    Route, Server, Workspace, World,
     fields::{self, Fields, WHOLE_PPM},
 };
 use crate::ini::{self, Section};
@@ -164,7 +162,7 @@
 fn read_server(section: &Section<'_>, world: &mut World, faults: &mut Vec<Fault>) {
     let known = &["route", "version", "domain", "address", "slots", "connections", "state"];
     let mut f = Fields::new(section, known, faults);
-    let taken = world.servers.values().any(|s| s.name == section.name);
+    let taken = world.server_names.contains_key(section.name);
     let name = section_name(section, taken, &mut f);
     let route = f.required("route", |t| {
         world.route_names.get(t).copied().ok_or("a declared route is allowed".to_owned())
@@ -181,8 +179,8 @@
     let (Some(name), Some(route), Some(version)) = (name, route, version) else { return };
     let (Some(domain), Some(address), Some(slots)) = (domain, address, slots) else { return };
     let slots = slots as u16;
-    world.servers.insert(Server {
-        name,
+    let key = world.servers.insert(Server {
+        name: name.clone(),
         route,
         version,
         domain,
@@ -191,6 +189,7 @@
         connections,
         duty,
     });
+    world.server_names.insert(name, key);
 }
 
 fn read_host(section: &Section<'_>, world: &mut World, faults: &mut Vec<Fault>) {
@@ -240,23 +239,20 @@
     }
 }
 
-fn read_blocks(sections: &[Section<'_>], world: &World, faults: &mut Vec<Fault>) -> ClientBlocks {
-    let mut blocks = Vec::new();
+fn read_blocks(
+    sections: &[Section<'_>],
+    world: &World,
+    faults: &mut Vec<Fault>,
+) -> Arc<ClientBlocks> {
+    let mut part = BlockPart::default();
     let entries = sections.iter().filter(|s| s.kind == "clients").flat_map(|s| &s.entries);
     for entry in entries {
-        let net = entry.key.parse::<IpNet>();
-        let region = world.region_names.get(entry.value);
-        match (net, region) {
-            (Ok(net), Some(region)) => blocks.push((net, *region)),
-            (Err(_), _) => {
-                let text = format!("'{}' is not an address block such as 10.0.0.0/8.", entry.key);
-                faults.push(Fault { line: entry.line, text });
-            }
-            (_, None) => {
-                let text = format!("'{}' is not a declared region.", entry.value);
-                faults.push(Fault { line: entry.line, text });
-            }
+        if !world.region_names.contains_key(entry.value) {
+            let text = format!("'{}' is not a declared region.", entry.value);
+            faults.push(Fault { line: entry.line, text });
+        } else if let Err(e) = part.push(entry) {
+            faults.push(Fault { line: entry.line, text: e.to_string() });
         }
     }
-    ClientBlocks::new(blocks)
+    Arc::new(ClientBlocks::build([&part], &world.region_names).unwrap_or_default())
 }
--- a/crates/core/tests/value_front_end.rs
+++ b/crates/core/tests/value_front_end.rs
@@ -50,6 +50,7 @@
         revision: 1,
         world: Arc::new(world::parse(&declaration()).expect("the declaration is valid")),
         seat: Some(0),
+        proof: Some(Instant::ZERO),
         hosts: vec![live],
         ..View::empty(me)
     }
--- a/crates/daemon/src/control.rs
+++ b/crates/daemon/src/control.rs
@@ -4,13 +4,15 @@
     net::SocketAddr,
     sync::Arc,
     thread::{self, JoinHandle},
+    time::Duration,
 };
 
 use jasminestage_core::{
-    config::{Root, chunk::Chunk},
+    config::{Acks, Root, chunk::Chunk},
     control::{Control, Effect, Input, PeerMsg},
     event::{Event, Kind},
     member::HEARTBEAT_PERIOD,
+    peer::{PeerCall, PeerReply},
     time::Instant,
     traffic::TICK_PERIOD,
 };
@@ -21,6 +23,10 @@
 
 /// Messages that may wait for the control thread.
 const QUEUE: usize = 1024;
+/// Longest time for a call to another host about the configuration.
+const CALL_TIMEOUT: Duration = Duration::from_secs(2);
+/// Longest time to give the seat back at the end.
+const RELEASE_LIMIT: Duration = Duration::from_millis(1500);
 
 /// Messages from the traffic threads to other hosts.
 pub type SendQueue = mpsc::Receiver<(SocketAddr, PeerMsg)>;
@@ -36,11 +42,17 @@
     /// A message of another host.
     Peer(SocketAddr, PeerMsg),
     /// The root record was read.
-    Root(Root, u64, Instant),
+    Root(Root, Instant),
     /// A call to the store failed.
     StoreFailed,
     /// Chunks arrived.
     Chunks(Vec<Chunk>),
+    /// Another host answered a call.
+    PeerReply(SocketAddr, PeerReply),
+    /// The root record and the acknowledgements were read.
+    Acks(Root, Acks),
+    /// The acknowledgement could not be written.
+    AckFailed,
     /// The platform's list of hosts.
     HostList(Vec<SocketAddr>),
     /// A graceful stop was asked for.
@@ -100,11 +112,11 @@
     let store = platform::client(&shared.cfg.platform);
     let timers = Timers::start();
     tokio::spawn(peer::udp::receive(socket.clone(), tx.clone()));
-    tokio::spawn(platform::watch_root(store.clone(), tx.clone()));
     let mut ticks = timers.subscribe(HEARTBEAT_PERIOD).await;
     let mut traffic_ticks = timers.subscribe(TICK_PERIOD).await;
     let mut control = Control::new(shared.me.clone(), &shared.cfg.seeds);
     let mut fx = Vec::new();
+    let mut carrier = Carrier { shared: Arc::clone(&shared), socket, store, tx, watches: None };
     log::write(&Event::new(Kind::Started, &shared.cfg.name));
     loop {
         let event = tokio::select! {
@@ -118,7 +130,7 @@
                 None
             }
             Some((to, msg)) = sends.recv() => {
-                socket.send(to, &msg).await;
+                carrier.socket.send(to, &msg).await;
                 None
             }
         };
@@ -131,9 +143,12 @@
             None => {}
         }
         for effect in fx.drain(..) {
-            perform(effect, &shared, &socket, &store, &tx).await;
+            carrier.perform(effect).await;
         }
     }
+    // A release that cannot be recorded in time leaves the seat to a takeover.
+    let _ = tokio::time::timeout(RELEASE_LIMIT, platform::release_seat(&carrier.store, &shared.me))
+        .await;
     log::write(&Event::new(Kind::Stopped, &shared.cfg.name));
     Ok(())
 }
@@ -146,32 +161,86 @@
 fn input(event: &ControlEvent) -> Input<'_> {
     match event {
         ControlEvent::Peer(from, msg) => Input::Peer { from: *from, msg },
-        ControlEvent::Root(root, version, asked) => {
-            Input::Root { root, version: *version, asked: *asked }
-        }
+        ControlEvent::Root(root, asked) => Input::Root { root, asked: *asked },
         ControlEvent::StoreFailed => Input::StoreFailed,
         ControlEvent::Chunks(chunks) => Input::Chunks(chunks),
+        ControlEvent::PeerReply(from, reply) => Input::PeerReply { from: *from, reply },
+        ControlEvent::Acks(root, acks) => Input::Acks { root, acks },
+        ControlEvent::AckFailed => Input::AckFailed,
         ControlEvent::HostList(addresses) => Input::HostList(addresses),
         ControlEvent::Stop | ControlEvent::Close => Input::Stop,
     }
 }
 
-async fn perform(
-    effect: Effect,
-    shared: &Shared,
-    socket: &peer::udp::Socket,
-    store: &Client,
-    tx: &ControlTx,
-) {
-    match effect {
-        Effect::Send { to, msg } => socket.send(to, &msg).await,
-        Effect::FetchChunks(hashes) => {
-            tokio::spawn(platform::fetch_chunks(store.clone(), hashes, tx.clone()));
+/// Carries out effects.
+struct Carrier {
+    shared: Arc<Shared>,
+    socket: peer::udp::Socket,
+    store: Client,
+    tx: ControlTx,
+    watches: Option<Watches>,
+}
+
+/// Tasks of a host that reads the platform's services; they end when this is dropped.
+struct Watches {
+    root: tokio::task::JoinHandle<()>,
+    hosts: Option<tokio::task::JoinHandle<()>>,
+}
+
+impl Drop for Watches {
+    fn drop(&mut self) {
+        self.root.abort();
+        if let Some(hosts) = &self.hosts {
+            hosts.abort();
         }
-        Effect::SwapRoot { version, root } => {
-            tokio::spawn(platform::swap_root(store.clone(), version, root, tx.clone()));
+    }
+}
+
+impl Carrier {
+    async fn perform(&mut self, effect: Effect) {
+        let (store, tx) = (self.store.clone(), self.tx.clone());
+        match effect {
+            Effect::Send { to, msg } => self.socket.send(to, &msg).await,
+            Effect::AskPeer { to, call } => {
+                tokio::spawn(ask_peer(Arc::clone(&self.shared), to, call, tx));
+            }
+            Effect::WatchStore(true) => self.watches = Some(self.watch()),
+            Effect::WatchStore(false) => self.watches = None,
+            Effect::ReadRoot => {
+                tokio::spawn(async move { platform::read_root(&store, &tx).await });
+            }
+            Effect::ReadAcks => {
+                tokio::spawn(async move { platform::read_acks(&store, &tx).await });
+            }
+            Effect::FetchChunks(hashes) => {
+                tokio::spawn(platform::fetch_chunks(store, hashes, tx));
+            }
+            Effect::SwapRoot(next) => {
+                tokio::spawn(async move { platform::swap_root(&store, &next, &tx).await });
+            }
+            Effect::WriteAck(ack) => {
+                tokio::spawn(platform::write_ack(store, self.shared.me.domain.clone(), ack, tx));
+            }
+            Effect::Publish(view) => self.shared.publish(view),
+            Effect::Prove(at) => self.shared.decide(|traffic, _| traffic.prove(at)),
+            Effect::Log(event) => log::write(&event),
         }
-        Effect::Publish(view) => shared.publish(view),
-        Effect::Log(event) => log::write(&event),
+    }
+
+    fn watch(&self) -> Watches {
+        let (store, tx, url) =
+            (self.store.clone(), self.tx.clone(), self.shared.cfg.platform.host_list.clone());
+        let hosts = (!url.is_empty()).then(|| {
+            let tx = tx.clone();
+            tokio::spawn(platform::poll_host_list(url, tx))
+        });
+        Watches { root: tokio::spawn(platform::watch_root(store, tx)), hosts }
+    }
+}
+
+async fn ask_peer(shared: Arc<Shared>, to: SocketAddr, call: PeerCall, tx: ControlTx) {
+    // A call that fails is asked again when the other host is heard the next time.
+    if let Ok(reply) = shared.peers.call(&shared, to, &call, CALL_TIMEOUT).await {
+        tx.send(ControlEvent::PeerReply(to, reply)).await;
     }
 }
--- a/crates/daemon/src/peer/answer.rs
+++ b/crates/daemon/src/peer/answer.rs
@@ -5,9 +5,13 @@
 use crate::shared::Shared;
 
 /// Answers one call.
-pub async fn answer(_shared: &Shared, call: PeerCall) -> PeerReply {
+pub async fn answer(shared: &Shared, call: PeerCall) -> PeerReply {
     match call {
-        PeerCall::Root(_) => PeerReply::Root(None),
-        PeerCall::Chunks(_) => PeerReply::Chunks(Vec::new()),
+        PeerCall::Root(than) => {
+            let view = shared.view.load();
+            let root = &view.held.root;
+            PeerReply::Root((root.revision > than).then(|| root.clone()))
+        }
+        PeerCall::Chunks(wanted) => PeerReply::Chunks(shared.view.load().held.find(&wanted)),
     }
 }
--- a/crates/daemon/src/platform.rs
+++ b/crates/daemon/src/platform.rs
@@ -1,9 +1,13 @@
 //! The platform's services: the store and the list of hosts.
 
-use std::time::Duration;
+use std::{net::SocketAddr, time::Duration};
 
-use jasminestage_core::config::{ChunkHash, Root};
-use jasminestage_store::{Client, Options, StoreError};
+use jasminestage_core::{
+    config::{ChunkHash, DomainAck, Root},
+    host::HostInfo,
+};
+use jasminestage_store::{Client, Options, StoreError, Versioned};
+use serde::Deserialize;
 
 use crate::{
     clock,
@@ -13,6 +17,8 @@
 
 /// Time before a failed call is tried again.
 const RETRY_PERIOD: Duration = Duration::from_millis(500);
+/// Time between two reads of the list of hosts.
+const HOST_LIST_PERIOD: Duration = Duration::from_secs(5);
 
 /// A client of the store.
 pub fn client(cfg: &PlatformOptions) -> Client {
@@ -34,11 +40,14 @@
                 }
             }
         };
-        tokio::select! {
-            _ = watch => tx.send(ControlEvent::StoreFailed).await,
-            () = reads => {}
+        let ended = tokio::select! {
+            ended = watch => ended,
+            () = reads => Ok(()),
+        };
+        if ended.is_err() {
+            tx.send(ControlEvent::StoreFailed).await;
+            tokio::time::sleep(RETRY_PERIOD).await;
         }
-        tokio::time::sleep(RETRY_PERIOD).await;
     }
 }
 
@@ -46,27 +55,92 @@
 pub async fn read_root(store: &Client, tx: &ControlTx) {
     let asked = clock::now();
     match store.root().await {
-        Ok(Some(found)) => tx.send(ControlEvent::Root(found.value, found.version, asked)).await,
+        Ok(Some(found)) => tx.send(ControlEvent::Root(found.value, asked)).await,
         Ok(None) => {}
         Err(_) => tx.send(ControlEvent::StoreFailed).await,
     }
 }
 
-/// Fetches chunks until all are here.
+/// Reads the root record, then the acknowledgements.
+pub async fn read_acks(store: &Client, tx: &ControlTx) {
+    let read = async {
+        let root = store.root().await?;
+        Ok::<_, StoreError>((root, store.acks().await?))
+    };
+    match read.await {
+        Ok((Some(root), acks)) => tx.send(ControlEvent::Acks(root.value, acks)).await,
+        Ok((None, _)) => {}
+        Err(_) => tx.send(ControlEvent::StoreFailed).await,
+    }
+}
+
+/// Fetches chunks; those that cannot be had are left out.
 pub async fn fetch_chunks(store: Client, hashes: Vec<ChunkHash>, tx: ControlTx) {
     let mut chunks = Vec::with_capacity(hashes.len());
     for hash in hashes {
         match store.chunk(hash).await {
             Ok(chunk) => chunks.push(chunk),
-            Err(StoreError::Call { .. }) => tx.send(ControlEvent::StoreFailed).await,
+            Err(StoreError::Call { .. }) => return tx.send(ControlEvent::StoreFailed).await,
             Err(_) => {}
         }
     }
     tx.send(ControlEvent::Chunks(chunks)).await;
 }
 
-/// Replaces the root record, then reads it back whatever the answer was.
-pub async fn swap_root(store: Client, version: u64, root: Root, tx: ControlTx) {
-    let _ = store.swap_root(version, &root).await;
-    read_root(&store, &tx).await;
+/// Replaces the root record if the one before `next` still stands, then reads it back whatever the
+/// answer was.
+pub async fn swap_root(store: &Client, next: &Root, tx: &ControlTx) {
+    if let Ok(Some(held)) = store.root().await
+        && is_base(&held, next)
+    {
+        let _ = store.swap_root(held.version, next).await;
+    }
+    read_root(store, tx).await;
+}
+
+/// Gives the seat of this host back, against other writers of the root record. The host must use it
+/// no more, whether or not the store hears of it.
+pub async fn release_seat(store: &Client, me: &HostInfo) {
+    while let Ok(Some(held)) = store.root().await {
+        let write_id = format!("{}-release-{}", me.incarnation, held.version);
+        let Some(next) = held.value.with_release(me, &write_id) else { return };
+        if !matches!(store.swap_root(held.version, &next).await, Ok(false)) {
+            return;
+        }
+    }
+}
+
+fn is_base(held: &Versioned<Root>, next: &Root) -> bool {
+    next.recent.last().is_some_and(|base| {
+        base.revision == held.value.revision && base.write_id == held.value.write_id
+    })
+}
+
+/// Records what a failure domain has in force.
+pub async fn write_ack(store: Client, domain: String, ack: DomainAck, tx: ControlTx) {
+    if store.put_ack(&domain, &ack).await.is_err() {
+        tx.send(ControlEvent::AckFailed).await;
+    }
+}
+
+/// One group of a Prometheus HTTP service discovery list.
+#[derive(Debug, Deserialize)]
+struct TargetGroup {
+    targets: Vec<String>,
+}
+
+/// Reads the platform's list of hosts again and again; the list is a hint only.
+pub async fn poll_host_list(url: String, tx: ControlTx) {
+    let http = reqwest::Client::new();
+    loop {
+        let call = http.get(&url).timeout(HOST_LIST_PERIOD).send();
+        if let Ok(answer) = call.await
+            && let Ok(groups) = answer.json::<Vec<TargetGroup>>().await
+        {
+            let targets = groups.iter().flat_map(|g| &g.targets);
+            let addresses: Vec<SocketAddr> = targets.filter_map(|t| t.parse().ok()).collect();
+            tx.send(ControlEvent::HostList(addresses)).await;
+        }
+        tokio::time::sleep(HOST_LIST_PERIOD).await;
+    }
 }
--- a/crates/standins/src/fleet.rs
+++ b/crates/standins/src/fleet.rs
@@ -20,6 +20,9 @@
 /// Longest wait for a fleet to be ready.
 const READY_LIMIT: Duration = Duration::from_secs(20);
 
+/// Time for the buckets of a new seat to hold some tokens.
+const FILL_TIME: Duration = Duration::from_millis(500);
+
 /// What to start.
 #[derive(Clone, Debug)]
 pub struct FleetOptions {
@@ -64,7 +67,12 @@
         let mut fleet = Fleet::start_empty(folder, cfg).await?;
         let declaration = fleet.declaration.clone();
         fleet.apply(&declaration)?;
-        if fleet.ready(READY_LIMIT).await { Ok(fleet) } else { Err("not ready in time".into()) }
+        if !fleet.ready(READY_LIMIT).await {
+            return Err("not ready in time".into());
+        }
+        // The buckets of a new seat are empty at first.
+        tokio::time::sleep(FILL_TIME).await;
+        Ok(fleet)
     }
 
     /// Starts everything without applying the declaration.
--- a/crates/store/src/client.rs
+++ b/crates/store/src/client.rs
@@ -3,21 +3,25 @@
 use std::time::Duration;
 
 use futures_util::StreamExt;
-use jasminestage_core::config::{ChunkHash, Root, chunk::Chunk};
+use jasminestage_core::config::{Acks, ChunkHash, DomainAck, Root, chunk::Chunk};
 use serde::{Serialize, de::DeserializeOwned};
 use thiserror::Error;
+use tokio::time::timeout;
 
 use crate::{
     api::{
         Compare, PutRequest, RangeRequest, RangeResponse, RequestOp, TxnRequest, TxnResponse,
         WatchCreate, WatchLine, WatchRequest,
     },
-    records::{ROOT_KEY, chunk_key},
+    records::{ACK_END, ACK_PREFIX, ROOT_KEY, ack_key, chunk_key},
 };
 
 /// Largest line of a watch in bytes.
 const MAX_WATCH_LINE: usize = 4 * 1024 * 1024;
 
+/// Silence after which a watch counts as dead and is replaced.
+const WATCH_SILENCE_LIMIT: Duration = Duration::from_secs(10);
+
 /// Settings of the client.
 #[derive(Clone, Debug)]
 pub struct Options {
@@ -103,6 +107,32 @@
         Ok(answer.succeeded)
     }
 
+    /// Writes a key whatever it holds.
+    pub async fn put(&self, key: &str, value: &[u8]) -> Result<(), StoreError> {
+        let put = PutRequest { key: key.into(), value: value.to_vec(), lease: 0 };
+        let success = vec![RequestOp { put: Some(put) }];
+        let req = TxnRequest { compare: Vec::new(), success };
+        self.post::<_, TxnResponse>("/v3/kv/txn", &req).await.map(|_| ())
+    }
+
+    /// Reads what the failure domains have acknowledged; damaged records are left out.
+    pub async fn acks(&self) -> Result<Acks, StoreError> {
+        let req = RangeRequest { key: ACK_PREFIX.into(), range_end: ACK_END.into() };
+        let answer: RangeResponse = self.post("/v3/kv/range", &req).await?;
+        let read = answer.kvs.into_iter().filter_map(|kv| {
+            let key = String::from_utf8(kv.key).ok()?;
+            let domain = key.strip_prefix(ACK_PREFIX)?.to_owned();
+            Some((domain, serde_json::from_slice(&kv.value).ok()?))
+        });
+        Ok(read.collect())
+    }
+
+    /// Records what a failure domain has in force.
+    pub async fn put_ack(&self, domain: &str, ack: &DomainAck) -> Result<(), StoreError> {
+        let body = serde_json::to_vec(ack).map_err(StoreError::DamagedRoot)?;
+        self.put(&ack_key(domain), &body).await
+    }
+
     /// Reads the root record.
     pub async fn root(&self) -> Result<Option<Versioned<Root>>, StoreError> {
         let Some(found) = self.get(ROOT_KEY).await? else { return Ok(None) };
@@ -130,15 +160,21 @@
         Ok(hash)
     }
 
-    /// Watches the root record; calls `changed` after each change until the watch ends.
+    /// Watches the root record; calls `changed` after each change until the watch ends or has been
+    /// silent for so long that it must be replaced.
     pub async fn watch_root(&self, mut changed: impl FnMut()) -> Result<(), StoreError> {
         let create = WatchCreate { key: ROOT_KEY.into(), ..WatchCreate::default() };
         let req = WatchRequest { create_request: create };
         let send = self.http.post(format!("{}/v3/watch", self.cfg.url)).json(&req).send();
-        let answer = send.await.and_then(|a| a.error_for_status()).map_err(|e| self.failed(e))?;
+        let Ok(answer) = timeout(WATCH_SILENCE_LIMIT, send).await else { return Ok(()) };
+        let answer = answer.and_then(|a| a.error_for_status()).map_err(|e| self.failed(e))?;
         let mut stream = answer.bytes_stream();
         let mut buf = Vec::new();
-        while let Some(bytes) = stream.next().await {
+        loop {
+            let Ok(bytes) = timeout(WATCH_SILENCE_LIMIT, stream.next()).await else {
+                return Ok(());
+            };
+            let Some(bytes) = bytes else { break };
             buf.extend_from_slice(&bytes.map_err(|e| self.failed(e))?);
             while let Some(end) = buf.iter().position(|b| *b == b'\n') {
                 let line: Vec<u8> = buf.drain(..=end).collect();
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -9,5 +9,5 @@
 
 pub use self::{
     client::{Client, Options, StoreError, Versioned},
-    records::{ROOT_KEY, chunk_key},
+    records::{ACK_PREFIX, ROOT_KEY, ack_key, chunk_key},
 };
