--- a/crates/core/src/config/accept.rs
+++ b/crates/core/src/config/accept.rs
@@ -61,20 +61,25 @@
 
 /// How far `revision` has come by the newest root record and the acknowledgements read after it.
 pub fn acceptance(root: &Root, acks: &Acks, revision: Revision) -> Acceptance {
-    let has = |domain: &str, s: &SeatHolder| {
-        let ack = acks.get(domain).and_then(|a| a.in_force.get(&DomainAck::key(s.incarnation)));
-        s.confirmed && ack.is_some_and(|r| *r >= revision)
-    };
+    let has = |domain: &str, life: Incarnation| has_acknowledged(acks, domain, life, revision);
+    // The holder that was displaced may still act until it has acknowledged, the new one may not.
+    let is_safe = |d: &str, s: &SeatHolder| has(d, s.displaced.unwrap_or(s.incarnation));
     let mut outstanding: Vec<String> =
-        root.holders().filter(|(d, _, s)| !has(d, s)).map(|(d, _, _)| d.to_owned()).collect();
+        root.holders().filter(|(d, _, s)| !is_safe(d, s)).map(|(d, _, _)| d.to_owned()).collect();
     outstanding.dedup();
-    let has_majority = is_majority(root, |d, _, s| has(d, s));
+    let has_majority = is_majority(root, |d, _, s| s.is_confirmed() && has(d, s.incarnation));
     if has_majority && outstanding.is_empty() {
         return Acceptance::Accepted;
     }
     Acceptance::Waiting { has_majority, outstanding }
 }
 
+/// Whether a life of a host is recorded to have `revision` or a later one in force.
+pub fn has_acknowledged(acks: &Acks, domain: &str, life: Incarnation, revision: Revision) -> bool {
+    let ack = acks.get(domain).and_then(|a| a.in_force.get(&DomainAck::key(life)));
+    ack.is_some_and(|r| *r >= revision)
+}
+
 /// Time after which authority that was proven before a majority acknowledged has surely ended.
 pub fn wait_for_silent(root: &Root) -> Duration {
     let longest = root.longest_authority();
--- a/crates/core/src/config/root.rs
+++ b/crates/core/src/config/root.rs
@@ -1,11 +1,11 @@
 //! The root record: the one value whose compare-and-swap decides.
 
-use std::{collections::BTreeMap, time::Duration};
+use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
 
 use serde::{Deserialize, Serialize};
 use serde_with::{DurationMilliSeconds, serde_as};
 
-use super::{ChunkHash, Revision};
+use super::{ChunkHash, Revision, accept::is_majority};
 use crate::host::{HostInfo, Incarnation};
 
 /// Ids of past writes that the root record keeps, so that a lost answer can be resolved when later
@@ -22,11 +22,28 @@
     pub host: String,
     /// Its life.
     pub incarnation: Incarnation,
+    /// Its address for other hosts.
+    pub peer_address: SocketAddr,
     /// The revision by which it took the seat.
     pub since: Revision,
-    /// Whether the holder may use the seat; false until the takeover from a holder that did not
-    /// release it is accepted.
-    pub confirmed: bool,
+    /// The holder before, which did not release the seat and may still use it. While it stands
+    /// here, this holder may not use the seat.
+    pub displaced: Option<Incarnation>,
+}
+
+impl SeatHolder {
+    /// Whether the holder may use the seat.
+    pub fn is_confirmed(&self) -> bool {
+        self.displaced.is_none()
+    }
+
+    /// Whether `host` is a later life of this holder at the same address. An address is bound by
+    /// one process at a time, so the life before has ended.
+    fn is_restarted_as(&self, host: &HostInfo) -> bool {
+        self.host == host.name
+            && self.peer_address == host.peer_address
+            && self.incarnation != host.incarnation
+    }
 }
 
 /// A past write of the root record.
@@ -111,8 +128,8 @@
         self.authority.max(self.authority_before)
     }
 
-    /// The next root, in which `host` takes a seat of its failure domain: a free one, or one whose
-    /// holder `is_gone`. A host that restarted takes over its own old seat first.
+    /// The next root, in which `host` takes a seat of its failure domain: its own one
+    /// from before a restart, a free one, or one whose holder `is_gone`.
     pub fn with_claim(
         &self,
         host: &HostInfo,
@@ -135,33 +152,48 @@
         if row.len() < count {
             row.resize(count, None);
         }
-        let rank = |s: &Option<SeatHolder>| match s {
+        let rank = |n: usize, s: &Option<SeatHolder>| match s {
+            Some(s) if s.is_restarted_as(host) => Some(0),
             None => Some(1),
-            Some(s) if s.since == since || !is_gone(s) => None,
-            Some(s) if s.host == host.name => Some(0),
-            Some(_) => Some(2),
+            Some(s) if s.since < since && is_gone(s) && self.can_lose(&host.domain, n) => Some(2),
+            Some(_) => None,
         };
         let ranked = row.iter().take(count).enumerate();
-        let (_, n) = ranked.filter_map(|(n, s)| Some((rank(s)?, n))).min()?;
-        let confirmed = row[n].is_none();
-        let (name, incarnation) = (host.name.clone(), host.incarnation);
-        row[n] = Some(SeatHolder { host: name, incarnation, since, confirmed });
+        let (rank, n) = ranked.filter_map(|(n, s)| Some((rank(n, s)?, n))).min()?;
+        let displaced = match &row[n] {
+            Some(s) if rank == 0 => s.displaced,
+            Some(s) => s.displaced.or(Some(s.incarnation)),
+            None => None,
+        };
+        row[n] = Some(SeatHolder {
+            host: host.name.clone(),
+            incarnation: host.incarnation,
+            peer_address: host.peer_address,
+            since,
+            displaced,
+        });
         Some(next)
     }
 
+    /// Whether the confirmed seats are a majority without this one. A takeover that left none
+    /// could never be accepted.
+    fn can_lose(&self, domain: &str, seat: usize) -> bool {
+        is_majority(self, |d, n, s| s.is_confirmed() && (d, usize::from(n)) != (domain, seat))
+    }
+
     /// The next root, in which the seat of `me` may be used.
     pub fn with_confirmed(&self, me: &HostInfo, write_id: &str) -> Option<Root> {
-        let (n, _) = self.seat_of(me).filter(|(_, s)| !s.confirmed)?;
+        let (n, _) = self.seat_of(me).filter(|(_, s)| !s.is_confirmed())?;
         let mut next = self.next(write_id);
         let seat = next.seats.get_mut(&me.domain)?.get_mut(usize::from(n))?.as_mut()?;
-        seat.confirmed = true;
+        seat.displaced = None;
         Some(next)
     }
 
     /// The next root, in which `me` holds no seat. A seat that was not confirmed stays with `me`:
     /// the holder before it may still use it.
     pub fn with_release(&self, me: &HostInfo, write_id: &str) -> Option<Root> {
-        let (n, _) = self.seat_of(me).filter(|(_, s)| s.confirmed)?;
+        let (n, _) = self.seat_of(me).filter(|(_, s)| s.is_confirmed())?;
         let mut next = self.next(write_id);
         next.seats.get_mut(&me.domain)?[usize::from(n)] = None;
         Some(next)
--- a/crates/core/src/control/acks.rs
+++ b/crates/core/src/control/acks.rs
@@ -4,7 +4,8 @@
 
 use super::{Control, Effect};
 use crate::{
-    config::{DomainAck, Revision, SeatHolder},
+    config::{DomainAck, Revision},
+    host::Incarnation,
     time::Instant,
 };
 
@@ -49,18 +50,20 @@
         }
     }
 
-    /// The revision in force on each life of a host that holds a seat of the domain.
+    /// The revision in force on each life of a host that holds a seat of the domain or held it
+    /// before a takeover.
     fn domain_ack(&self) -> DomainAck {
         let row = self.held.root.seats.get(&self.me.domain);
         let holders = row.into_iter().flatten().flatten();
-        let in_force = holders.map(|s| (DomainAck::key(s.incarnation), self.in_force_on(s)));
+        let lives = holders.flat_map(|s| [Some(s.incarnation), s.displaced]).flatten();
+        let in_force = lives.map(|life| (DomainAck::key(life), self.in_force_on(life)));
         DomainAck { in_force: in_force.collect() }
     }
 
-    fn in_force_on(&self, holder: &SeatHolder) -> Revision {
-        if holder.incarnation == self.me.incarnation {
+    fn in_force_on(&self, life: Incarnation) -> Revision {
+        if life == self.me.incarnation {
             return self.revision();
         }
-        self.members.get(holder.incarnation).map_or(0, |m| m.last.revision)
+        self.members.get(life).map_or(0, |m| m.last.revision)
     }
 }
--- a/crates/core/src/control/authority.rs
+++ b/crates/core/src/control/authority.rs
@@ -100,10 +100,10 @@
 
     fn vouches_near(&self, holder: &SeatHolder, at: Instant) -> bool {
         if holder.incarnation == self.me.incarnation {
-            return holder.confirmed;
+            return holder.is_confirmed();
         }
         let member = self.members.get(holder.incarnation);
-        holder.confirmed
+        holder.is_confirmed()
             && member.is_some_and(|m| m.last.revision == self.revision() && m.echoed >= Some(at))
     }
 
--- a/crates/core/src/control/configuration.rs
+++ b/crates/core/src/control/configuration.rs
@@ -26,6 +26,8 @@
 #[derive(Clone, Debug)]
 pub(super) struct Pending {
     root: Root,
+    /// The host that it came from; none when it came from the store.
+    peer: Option<SocketAddr>,
     retry_at: Instant,
 }
 
@@ -50,6 +52,17 @@
         self.store_up = up;
     }
 
+    /// A call to the store failed; chunks that are missing may be had from another host.
+    pub(super) fn see_store_failure(&mut self, now: Instant, fx: &mut Vec<Effect>) {
+        self.see_store(false, fx);
+        let Some(pending) = &self.pending else { return };
+        if let Err(missing) = resolve(&pending.root, &self.chunks)
+            && let Some(peer) = self.holder_of(now, pending.root.revision)
+        {
+            self.fetch(missing, Some(peer), fx);
+        }
+    }
+
     pub(super) fn see_store_root(
         &mut self,
         now: Instant,
@@ -115,7 +128,8 @@
             Some(p) => p.root.revision == root.revision,
             None => false,
         };
-        self.pending = Some(Pending { root: root.clone(), retry_at: now + RETRY_PERIOD });
+        let retry_at = now + RETRY_PERIOD;
+        self.pending = Some(Pending { root: root.clone(), peer, retry_at });
         let Err(missing) = resolve(root, &self.chunks) else { return self.complete(now, fx) };
         let helper = (missing.len() > MANY_CHUNKS && !is_retry).then(|| self.helper(now)).flatten();
         self.fetch(missing, peer.or(helper), fx);
@@ -147,10 +161,11 @@
             Ok(_) => self.complete(now, fx),
             // An index has come, so its chunks can be asked for.
             Err(missing) if !chunks.is_empty() => {
-                let peer = if self.watching && self.store_up && missing.len() <= MANY_CHUNKS {
-                    None
-                } else {
-                    self.holder_of(now, pending.root.revision)
+                let from_store = self.store_up && missing.len() <= MANY_CHUNKS;
+                let peer = match pending.peer {
+                    None if from_store => None,
+                    None => self.holder_of(now, pending.root.revision),
+                    peer => peer,
                 };
                 self.fetch(missing, peer, fx);
             }
--- a/crates/core/src/control/mod.rs
+++ b/crates/core/src/control/mod.rs
@@ -201,7 +201,7 @@
             Input::Peer { from, msg: PeerMsg::Member(msg) } => self.hear(now, from, msg, fx),
             Input::Peer { .. } => {}
             Input::Root { root, asked } => self.see_store_root(now, root, asked, fx),
-            Input::StoreFailed => self.see_store(false, fx),
+            Input::StoreFailed => self.see_store_failure(now, fx),
             Input::Chunks(chunks) => {
                 self.see_store(true, fx);
                 self.see_chunks(now, chunks, fx);
--- a/crates/core/src/control/seats.rs
+++ b/crates/core/src/control/seats.rs
@@ -4,7 +4,10 @@
 
 use super::{Control, Effect};
 use crate::{
-    config::{Acceptance, Acks, Revision, Root, SeatHolder, accept::Follow},
+    config::{
+        Acceptance, Acks, Revision, Root, SeatHolder,
+        accept::{Follow, has_acknowledged},
+    },
     event::Kind,
     host::HostInfo,
     time::Instant,
@@ -40,7 +43,7 @@
         let root = &self.held.root;
         let (seat, holder) = root.seat_of(&self.me)?;
         let is_declared = root.seat_counts.get(&self.me.domain).is_some_and(|n| seat < *n);
-        let may = holder.confirmed && is_declared && self.has_authority(now);
+        let may = holder.is_confirmed() && is_declared && self.has_authority(now);
         may.then_some(seat)
     }
 
@@ -72,7 +75,7 @@
         let held = self.held.root.seat_of(&self.me).map(|(n, s)| (n, s.clone()));
         let before = self.seat.published;
         match held {
-            Some((n, s)) if !s.confirmed => {
+            Some((n, s)) if !s.is_confirmed() => {
                 let followed = self.seat.follow.as_ref().map(Follow::revision);
                 if followed != Some(s.since) {
                     self.seat.follow = Some(Follow::new(s.since));
@@ -161,8 +164,14 @@
         fx: &mut Vec<Effect>,
     ) {
         let Some(follow) = &mut self.seat.follow else { return };
-        if root.revision < follow.revision() || follow.see(now, root, acks) != Acceptance::Accepted
-        {
+        let since = follow.revision();
+        if root.revision < since {
+            return;
+        }
+        let is_accepted = follow.see(now, root, acks) == Acceptance::Accepted;
+        let displaced = root.seat_of(&self.me).and_then(|(_, s)| s.displaced);
+        let knows = |z| has_acknowledged(acks, &self.me.domain, z, since);
+        if !is_accepted && !displaced.is_some_and(knows) {
             return;
         }
         if let Some(next) = self.held.root.with_confirmed(&self.me, &self.write_id()) {
