--- a/crates/cli/src/commands/apply.rs
+++ b/crates/cli/src/commands/apply.rs
@@ -14,6 +14,8 @@
 
 /// Tries of a write that other writers of the root record come before.
 const WRITE_TRIES: u32 = 50;
+/// Tries to write one chunk.
+const CHUNK_TRIES: u32 = 4;
 /// Tries to read the root record back after a write whose answer was lost.
 const RESOLVE_TRIES: u32 = 20;
 /// Time between two tries to read the root record back.
@@ -139,8 +141,19 @@
     let bodies = declaration.bodies.iter().copied();
     for body in bodies.chain(declaration.index.iter().map(String::as_str)) {
         if !stored.contains(&ChunkHash::of(body)) {
-            store.put_chunk(body).await?;
+            put_chunk(store, body).await?;
         }
     }
     Ok(declaration.index.iter().map(|body| ChunkHash::of(body)).collect())
 }
+
+/// Writes a chunk. Its key is its content, so that it can be written again when the answer is lost.
+async fn put_chunk(store: &Client, body: &str) -> Result<(), StoreError> {
+    for _ in 1..CHUNK_TRIES {
+        match store.put_chunk(body).await {
+            Err(StoreError::Call { .. }) => tokio::time::sleep(RESOLVE_PERIOD).await,
+            other => return other.map(|_| ()),
+        }
+    }
+    store.put_chunk(body).await.map(|_| ())
+}
--- a/crates/daemon/src/options/load.rs
+++ b/crates/daemon/src/options/load.rs
@@ -38,6 +38,7 @@
     required("host", "domain", |o, t| put(&mut o.domain, fields::name(t))),
     required("host", "caller_address", |o, t| put(&mut o.caller_address, address(t))),
     required("host", "peer_address", |o, t| put(&mut o.peer_address, address(t))),
+    setting("host", "peer_listen", |o, t| put(&mut o.peer_listen, address(t).map(Some))),
     required("host", "admin_address", |o, t| put(&mut o.admin_address, address(t))),
     required("fleet", "secret", |o, t| put(&mut o.fleet_key, secret(t))),
     setting("fleet", "seeds", |o, t| put(&mut o.seeds, addresses(t))),
--- a/crates/daemon/src/options/mod.rs
+++ b/crates/daemon/src/options/mod.rs
@@ -17,6 +17,8 @@
     pub caller_address: SocketAddr,
     /// Address for other hosts, UDP and TCP.
     pub peer_address: SocketAddr,
+    /// Address to listen at for other hosts, when it differs from the one that they send to.
+    pub peer_listen: Option<SocketAddr>,
     /// Address for the operators' supervisor and metrics.
     pub admin_address: SocketAddr,
     /// Secret of the fleet.
@@ -39,6 +41,7 @@
             domain: "domain".to_owned(),
             caller_address: any,
             peer_address: any,
+            peer_listen: None,
             admin_address: any,
             fleet_key: FleetKey::new(""),
             seeds: Vec::new(),
@@ -49,6 +52,13 @@
     }
 }
 
+impl Options {
+    /// The address to listen at for other hosts.
+    pub fn peer_listen(&self) -> SocketAddr {
+        self.peer_listen.unwrap_or(self.peer_address)
+    }
+}
+
 /// Where the platform's services are.
 #[derive(Clone, Debug)]
 pub struct PlatformOptions {
--- a/crates/daemon/src/peer/stream.rs
+++ b/crates/daemon/src/peer/stream.rs
@@ -144,7 +144,7 @@
 
 /// Accepts calls of other hosts for ever.
 pub async fn serve(shared: Arc<Shared>) -> Result<(), DaemonError> {
-    let address = shared.cfg.peer_address;
+    let address = shared.cfg.peer_listen();
     let listener =
         TcpListener::bind(address).await.map_err(|source| DaemonError::Bind { address, source })?;
     tokio::spawn(async move {
--- a/crates/daemon/src/peer/udp.rs
+++ b/crates/daemon/src/peer/udp.rs
@@ -26,7 +26,7 @@
 impl Socket {
     /// Binds the peer address of the settings.
     pub async fn bind(shared: Arc<Shared>) -> Result<Socket, DaemonError> {
-        let address = shared.cfg.peer_address;
+        let address = shared.cfg.peer_listen();
         let socket = UdpSocket::bind(address)
             .await
             .map_err(|source| DaemonError::Bind { address, source })?;
--- a/crates/standins/src/fleet.rs
+++ b/crates/standins/src/fleet.rs
@@ -13,6 +13,7 @@
 
 use crate::{
     backend::{Backend, Behaviour},
+    forwarder::{Forwarder, Mode},
     platform::Platform,
     process::{HostOptions, HostProcess, binary, eventually},
 };
@@ -23,6 +24,9 @@
 /// Time for the buckets of a new seat to hold some tokens.
 const FILL_TIME: Duration = Duration::from_millis(500);
 
+/// Lines of a host's log that are shown when a fleet does not start.
+const LOG_LINES: usize = 12;
+
 /// What to start.
 #[derive(Clone, Debug)]
 pub struct FleetOptions {
@@ -34,6 +38,8 @@
     pub service_time: Duration,
     /// Lines added to the settings of each host.
     pub settings: String,
+    /// Whether what goes to hosts and from them to the store passes forwarders.
+    pub forwarded: bool,
 }
 
 impl Default for FleetOptions {
@@ -43,10 +49,31 @@
             hosts: Vec::new(),
             service_time: Duration::from_millis(5),
             settings: String::new(),
+            forwarded: false,
         }
     }
 }
 
+/// What stands between one host and the others.
+pub struct Link {
+    /// Before the host, for other hosts.
+    pub peer: Forwarder,
+    /// Before the store, for this host.
+    pub store: Forwarder,
+}
+
+impl Link {
+    async fn start(host: &mut HostOptions, platform: SocketAddr) -> std::io::Result<Link> {
+        let listen = host.peer;
+        let peer = Forwarder::start(listen).await?;
+        let store = Forwarder::start(platform).await?;
+        host.listen = Some(listen);
+        host.peer = peer.address;
+        host.store = format!("http://{}", store.address);
+        Ok(Link { peer, store })
+    }
+}
+
 /// A running fleet; everything ends when it is dropped.
 pub struct Fleet {
     /// The platform.
@@ -55,6 +82,8 @@
     pub backends: HashMap<String, Backend>,
     /// Hosts in the order of the options.
     pub hosts: Vec<HostProcess>,
+    /// Forwarders before the hosts, in the same order, if there are any.
+    pub links: Vec<Link>,
     /// The declaration with the true addresses.
     pub declaration: String,
     /// Folder for settings, logs and declarations.
@@ -68,7 +97,7 @@
         let declaration = fleet.declaration.clone();
         fleet.apply(&declaration)?;
         if !fleet.ready(READY_LIMIT).await {
-            return Err("not ready in time".into());
+            return Err(format!("not ready in time:\n{}", fleet.describe().await));
         }
         // The buckets of a new seat are empty at first.
         tokio::time::sleep(FILL_TIME).await;
@@ -99,6 +128,13 @@
             .iter()
             .map(|(name, domain)| HostOptions::new(name, domain, &platform.url()))
             .collect();
+        let mut links = Vec::new();
+        if cfg.forwarded {
+            for host in &mut all {
+                let link = Link::start(host, platform.address).await;
+                links.push(link.map_err(|e| e.to_string())?);
+            }
+        }
         let seeds: Vec<SocketAddr> = all.iter().map(|h| h.peer).collect();
         for host in &mut all {
             host.seeds.clone_from(&seeds);
@@ -108,7 +144,32 @@
             .into_iter()
             .map(|host| HostProcess::start(folder, host).map_err(|e| e.to_string()))
             .collect::<Result<_, _>>()?;
-        Ok(Fleet { platform, backends, hosts, declaration, folder: folder.to_owned() })
+        Ok(Fleet { platform, backends, hosts, links, declaration, folder: folder.to_owned() })
+    }
+
+    /// Cuts the hosts of a failure domain off from all others and from the store, or joins them.
+    pub fn cut(&self, domain: &str, is_cut: bool) {
+        let mode = if is_cut { Mode::Drop } else { Mode::Pass };
+        let inside = |n: usize| self.hosts[n].cfg.domain == domain;
+        let sources: Vec<SocketAddr> = self
+            .hosts
+            .iter()
+            .filter(|h| h.cfg.domain == domain)
+            .filter_map(|h| h.cfg.listen)
+            .collect();
+        let outside: Vec<SocketAddr> = self
+            .hosts
+            .iter()
+            .filter(|h| h.cfg.domain != domain)
+            .filter_map(|h| h.cfg.listen)
+            .collect();
+        for (n, link) in self.links.iter().enumerate() {
+            let dropped = if inside(n) { &outside } else { &sources };
+            link.peer.drop_from(if is_cut { dropped } else { &[] });
+            if inside(n) {
+                link.store.set(mode);
+            }
+        }
     }
 
     /// Runs the operators' tool against the fleet's store.
@@ -133,6 +194,19 @@
         }
     }
 
+    /// What each host says of itself, with the end of its log.
+    async fn describe(&self) -> String {
+        let http = reqwest::Client::new();
+        let mut text = String::new();
+        for host in &self.hosts {
+            let status = status(&http, host.cfg.admin).await;
+            let log = fs::read_to_string(&host.log).unwrap_or_default();
+            let last: Vec<_> = log.lines().rev().take(LOG_LINES).collect();
+            text.push_str(&format!("{}: {status:?}\n{}\n", host.cfg.name, last.join("\n")));
+        }
+        text
+    }
+
     /// Waits until every host is ready and knows every other one.
     pub async fn ready(&self, limit: Duration) -> bool {
         let http = reqwest::Client::new();
--- a/crates/standins/src/forwarder/mod.rs
+++ b/crates/standins/src/forwarder/mod.rs
@@ -3,7 +3,7 @@
 use std::{
     net::SocketAddr,
     sync::{
-        Arc,
+        Arc, Mutex, PoisonError,
         atomic::{AtomicU8, Ordering},
     },
 };
@@ -29,6 +29,7 @@
     /// Address to send to.
     pub address: SocketAddr,
     mode: Arc<AtomicU8>,
+    dropped: Arc<Mutex<Vec<SocketAddr>>>,
 }
 
 impl Forwarder {
@@ -38,9 +39,15 @@
         let address = listener.local_addr()?;
         let socket = UdpSocket::bind(address).await?;
         let mode = Arc::new(AtomicU8::new(Mode::Pass as u8));
-        tokio::spawn(forward_udp(socket, target, Arc::clone(&mode)));
+        let dropped = Arc::default();
+        tokio::spawn(forward_udp(socket, target, Arc::clone(&mode), Arc::clone(&dropped)));
         tokio::spawn(accept(listener, target, Arc::clone(&mode)));
-        Ok(Forwarder { address, mode })
+        Ok(Forwarder { address, mode, dropped })
+    }
+
+    /// Drops datagrams that come from these addresses.
+    pub fn drop_from(&self, sources: &[SocketAddr]) {
+        *self.dropped.lock().unwrap_or_else(PoisonError::into_inner) = sources.to_vec();
     }
 
     /// Sets what happens to bytes that pass, on open connections too.
@@ -53,10 +60,16 @@
     mode.load(Ordering::Relaxed) == Mode::Pass as u8
 }
 
-async fn forward_udp(socket: UdpSocket, target: SocketAddr, mode: Arc<AtomicU8>) {
+async fn forward_udp(
+    socket: UdpSocket,
+    target: SocketAddr,
+    mode: Arc<AtomicU8>,
+    dropped: Arc<Mutex<Vec<SocketAddr>>>,
+) {
     let mut buf = vec![0; 65_536];
-    while let Ok((len, _)) = socket.recv_from(&mut buf).await {
-        if passes(&mode) {
+    while let Ok((len, from)) = socket.recv_from(&mut buf).await {
+        let is_dropped = dropped.lock().unwrap_or_else(PoisonError::into_inner).contains(&from);
+        if passes(&mode) && !is_dropped {
             let _ = socket.send_to(&buf[..len], target).await;
         }
     }
--- a/crates/standins/src/platform/http.rs
+++ b/crates/standins/src/platform/http.rs
@@ -75,8 +75,12 @@
         self.state.changed.notify_waiters();
         let lost = {
             let mut switches = self.state.switches();
-            let lost = switches.lose_answers > 0;
-            switches.lose_answers = switches.lose_answers.saturating_sub(1);
+            let prefix = switches.lose_prefix.as_bytes();
+            let mut puts = req.success.iter().filter_map(|op| op.put.as_ref());
+            let lost = switches.lose_answers > 0 && puts.any(|p| p.key.starts_with(prefix));
+            if lost {
+                switches.lose_answers -= 1;
+            }
             lost
         };
         match done {
--- a/crates/standins/src/platform/mod.rs
+++ b/crates/standins/src/platform/mod.rs
@@ -23,6 +23,8 @@
     pub delay: Duration,
     /// Answers of this many coming writes are lost after the write took effect.
     pub lose_answers: u32,
+    /// Only answers of writes to keys that start with this are lost.
+    pub lose_prefix: String,
     /// Calls counted so far; a waiting watch counts as one.
     pub reads: u64,
     /// Writes counted so far.
--- a/crates/standins/src/process.rs
+++ b/crates/standins/src/process.rs
@@ -26,6 +26,8 @@
     pub seeds: Vec<SocketAddr>,
     /// Peer address.
     pub peer: SocketAddr,
+    /// Address that it listens at for other hosts, when it differs.
+    pub listen: Option<SocketAddr>,
     /// Address for callers.
     pub caller: SocketAddr,
     /// Address for operators.
@@ -43,6 +45,7 @@
             store: store.to_owned(),
             seeds: Vec::new(),
             peer: free_address(),
+            listen: None,
             caller: free_address(),
             admin: free_address(),
             extra: String::new(),
@@ -51,9 +54,10 @@
 
     fn ini(&self) -> String {
         let seeds: Vec<_> = self.seeds.iter().map(SocketAddr::to_string).collect();
+        let listen = self.listen.map(|a| format!("peer_listen = {a}\n")).unwrap_or_default();
         format!(
             "[host]\nname = {}\ndomain = {}\ncaller_address = {}\npeer_address = {}\n\
-             admin_address = {}\n[fleet]\nsecret = {FLEET_SECRET}\nseeds = {}\n\
+             admin_address = {}\n{listen}[fleet]\nsecret = {FLEET_SECRET}\nseeds = {}\n\
              [platform]\nstore = {}\n{}",
             self.name,
             self.domain,
