--- a/crates/core/src/traffic/mod.rs
+++ b/crates/core/src/traffic/mod.rs
@@ -1,111 +1,35 @@
 //! The request path: every decision between a request's arrival and its answer.
 
 mod admit;
+mod flight;
+mod step;
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use slotmap::{SlotMap, new_key_type};
+use slotmap::SlotMap;
 
-pub use self::admit::{Admitted, Request};
+use self::flight::{Flight, Stage};
+pub use self::{
+    admit::{Admitted, Request},
+    flight::FlightKey,
+    step::{Outbox, Outcome, Step},
+};
 use crate::{
     control::PeerMsg,
-    crash::Fingerprint,
-    event::Event,
     once::{self, RequestId},
     rate::Buckets,
     result::{Code, Execution},
     route::Balancer,
     time::Instant,
     view::View,
-    world::{Repeat, RouteKey, ServerKey, WorkspaceKey},
+    world::Repeat,
 };
 
-new_key_type! {
-    /// Key of a request in flight.
-    pub struct FlightKey;
-}
-
 /// Tries of an idempotent request, the first one included.
 pub const MAX_TRIES: usize = 2;
 /// Time between two calls of [`Traffic::tick`].
 pub const TICK_PERIOD: Duration = Duration::from_millis(50);
 
-/// What to do next for a request.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Step {
-    /// Send the request to a backend server and report the outcome to [`Traffic::finish`].
-    Send {
-        /// The request in flight.
-        flight: FlightKey,
-        /// Address of the backend server.
-        address: SocketAddr,
-        /// Time that is left for the answer.
-        timeout: Duration,
-    },
-    /// Wait until the flight is woken or the time has come, then call [`Traffic::resume`].
-    Park {
-        /// The request in flight.
-        flight: FlightKey,
-        /// When to stop waiting.
-        until: Instant,
-    },
-    /// Answer the caller with this code; with `Code::Done`, the backend server's answer goes along.
-    Reply(Code),
-}
-
-/// How one try to reach a backend server ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Outcome {
-    /// A whole answer with this status.
-    Answered(u16),
-    /// No connection was made: no byte was sent.
-    ConnectFailed,
-    /// The connection was lost after a byte may have been sent.
-    ConnectionLost,
-    /// No answer within the time given.
-    TimedOut,
-    /// The answer was incomplete or did not match.
-    BadAnswer,
-}
-
-/// What the request path wants done besides the step that a call returns.
-#[derive(Clone, Debug, Default)]
-pub struct Outbox {
-    /// Parked flights that should be resumed.
-    pub wakes: Vec<FlightKey>,
-    /// Messages to other hosts.
-    pub sends: Vec<(SocketAddr, PeerMsg)>,
-    /// Log events.
-    pub events: Vec<Event>,
-}
-
-/// How far a request has come.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Stage {
-    /// It needs a token of its workspace.
-    Admission,
-    /// It needs a backend server.
-    Choice,
-    /// It was sent to this backend server.
-    Sent(ServerKey),
-}
-
-/// A request that has not been answered.
-#[derive(Clone, Debug)]
-struct Flight {
-    view: Arc<View>,
-    route: RouteKey,
-    workspace: Option<WorkspaceKey>,
-    deadline: Instant,
-    id: Option<RequestId>,
-    #[expect(dead_code, reason = "read when backend servers die")]
-    fingerprint: Fingerprint,
-    tried: Vec<ServerKey>,
-    /// What is answered when no further server can be tried.
-    otherwise: Code,
-    stage: Stage,
-}
-
 /// State of the request path of one host.
 #[derive(Clone, Debug)]
 pub struct Traffic {
