--- a/crates/core/src/control/mod.rs
+++ b/crates/core/src/control/mod.rs
@@ -194,6 +194,8 @@
             revision: self.root.as_ref().map_or(0, |(r, _)| r.revision),
             world: Arc::clone(&self.world),
             seat: self.root.as_ref().and_then(|(r, _)| r.seat_of(&self.me)),
+            seats: self.root.as_ref().map(|(r, _)| Arc::new(r.seats.clone())).unwrap_or_default(),
+            accepted: self.root.as_ref().map_or(0, |(r, _)| r.revision),
             hosts,
             stopping: self.stopping,
         };
--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -68,6 +68,8 @@
     MemberSilent = 41, Warn;
     /// A message from another host was rejected.
     MessageRejected = 50, Warn;
+    /// An answer of a backend server belongs to another try and was dropped.
+    CrossedAnswer = 65, Warn;
     /// A broken invariant was found; the part concerned stops serving.
     InvariantBroken = 90, Error;
 }
--- a/crates/core/src/once/mod.rs
+++ b/crates/core/src/once/mod.rs
@@ -1,100 +1,71 @@
 //! At most once: the right to run a request belongs to one life of one host.
 
-use std::{collections::HashMap, fmt, str::FromStr};
+pub mod clock;
+pub mod id;
+pub mod owner;
+pub mod table;
 
 use serde::{Deserialize, Serialize};
 
-use crate::{host::Incarnation, time::Instant};
+pub use self::{
+    clock::Clock,
+    id::{AnyId, CallerId, ID_LIFE, IdError, IdSecret, RequestId, RunKey},
+    owner::{Owner, Takeover},
+    table::{Begin, Limits, Table},
+};
+use crate::{host::Incarnation, result::Code, time::UnixMillis, world::KeyDigest};
 
-/// Messages between hosts about request ids.
+/// Messages between hosts about request ids; tries are passed on by calls, see [`PassedRequest`].
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum OnceMsg {
-    /// Asks the owner of an id what became of it.
-    Query {
-        /// The id.
-        id: RequestId,
-    },
-}
+pub enum OnceMsg {}
 
-/// Id of a request, given out by a look-up.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
-pub struct RequestId {
-    /// The life of the host that may run the request.
-    pub owner: Incarnation,
-    /// Random number that tells requests of one owner apart.
-    pub nonce: u64,
+/// A whole answer of a backend server, kept for resends.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Answer {
+    /// Status code.
+    pub status: u16,
+    /// Names and values of the headers.
+    pub headers: Vec<(String, Vec<u8>)>,
+    /// Body.
+    pub body: Vec<u8>,
 }
 
-impl fmt::Display for RequestId {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{}-{:016x}", self.owner, self.nonce)
+impl Answer {
+    /// Memory that the answer takes, in bytes.
+    pub fn size(&self) -> usize {
+        let headers = self.headers.iter().map(|(name, value)| name.len() + value.len());
+        size_of::<Answer>() + self.body.len() + headers.sum::<usize>()
     }
 }
 
-/// A text that is not a request id.
-#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
-#[error("'{0}' is not a request id.")]
-pub struct BadRequestId(String);
-
-impl FromStr for RequestId {
-    type Err = BadRequestId;
-
-    fn from_str(text: &str) -> Result<Self, BadRequestId> {
-        let bad = || BadRequestId(text.to_owned());
-        let (owner, nonce) = text.split_once('-').ok_or_else(bad)?;
-        let hex = |t: &str| u64::from_str_radix(t, 16).map_err(|_| bad());
-        Ok(RequestId { owner: Incarnation(hex(owner)?), nonce: hex(nonce)? })
-    }
-}
-
-/// What the owner knows of a request id.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Begin {
-    /// This try may run; it is the only one.
-    Run,
-    /// An earlier try has not finished.
-    Running,
-    /// An earlier try has finished or may have run.
-    Ended,
-    /// The memory is full.
-    Full,
-}
-
-/// State of one request id.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum State {
-    Running,
-    Ended,
-}
-
-/// Largest number of request ids that a host remembers.
-pub const MAX_IDS: usize = 200_000;
-
-/// The request ids that this life of the host owns.
-#[derive(Clone, Debug, Default)]
-pub struct Table {
-    ids: HashMap<RequestId, (State, Instant)>,
+/// A request that an entry host passes to the owner of its id.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PassedRequest {
+    /// The life that owns the id.
+    pub owner: Incarnation,
+    /// Name of the route.
+    pub route: String,
+    /// Digest of the caller's key; the key itself stays on the entry host.
+    pub key: Option<KeyDigest>,
+    /// The request id.
+    pub id: String,
+    /// Time that is left for the answer, in milliseconds.
+    pub deadline: UnixMillis,
+    /// Method.
+    pub method: String,
+    /// Path after the route, with the query.
+    pub path_and_query: String,
+    /// Names and values of the headers that are passed on.
+    pub headers: Vec<(String, Vec<u8>)>,
+    /// Body.
+    pub body: Vec<u8>,
 }
 
-impl Table {
-    /// Asks for the right to run `id`.
-    pub fn begin(&mut self, now: Instant, id: RequestId) -> Begin {
-        match self.ids.get(&id) {
-            Some((State::Running, _)) => return Begin::Running,
-            Some((State::Ended, _)) => return Begin::Ended,
-            None if self.ids.len() >= MAX_IDS => return Begin::Full,
-            None => {}
-        }
-        self.ids.insert(id, (State::Running, now));
-        Begin::Run
-    }
-
-    /// Notes the end of the try; a try of which no byte was sent leaves the id as if never used.
-    pub fn end(&mut self, now: Instant, id: RequestId, sent: bool) {
-        if sent {
-            self.ids.insert(id, (State::Ended, now));
-        } else {
-            self.ids.remove(&id);
-        }
-    }
+/// The owner's answer to a request that was passed to it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum PassedReply {
+    /// Another life of the host, or a host that does not own the id.
+    NotOwner,
+    /// The request ended with this code; with `Code::Done` the answer goes along.
+    Ended(Code, Option<Answer>),
 }
--- a/crates/core/src/peer.rs
+++ b/crates/core/src/peer.rs
@@ -2,7 +2,10 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::config::{ChunkHash, Revision, Root, chunk::Chunk};
+use crate::{
+    config::{ChunkHash, Revision, Root, chunk::Chunk},
+    once::{PassedReply, PassedRequest},
+};
 
 /// A question to another host.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -11,6 +14,8 @@
     Root(Revision),
     /// Chunks of the declaration.
     Chunks(Vec<ChunkHash>),
+    /// A request whose id the other host owns.
+    Run(Box<PassedRequest>),
 }
 
 /// An answer to a question.
@@ -20,6 +25,8 @@
     Root(Option<Root>),
     /// The chunks that the host has.
     Chunks(Vec<Chunk>),
+    /// How the request ended.
+    Run(PassedReply),
     /// The host cannot answer.
     Refused,
 }
--- a/crates/core/src/result.rs
+++ b/crates/core/src/result.rs
@@ -81,7 +81,8 @@
     RequestIdExpired = 113, Unknown, 410;
     /// The memory for request ids is full.
     RequestIdsFull = 114, NotRun, 503;
-    /// The owner of the request id cannot be reached and has not seen this try.
+    /// The owner of the request id cannot be reached; this first try has not reached any host that
+    /// may run it.
     OwnerUnreachable = 115, NotRun, 503;
     /// The request is suspected to crash backend servers and is held back.
     Quarantined = 116, NotRun, 422;
@@ -89,6 +90,8 @@
     Stopping = 117, NotRun, 503;
     /// Too many requests wait for a backend server.
     QueueFull = 118, NotRun, 503;
+    /// The request id was used before with another body.
+    RequestIdReused = 121, NotRun, 422;
     /// The deadline passed after the request was sent on.
     DeadlineAfterStart = 201, Unknown, 504;
     /// The connection to the backend server was lost after the request was sent on.
@@ -99,6 +102,12 @@
     BadAnswer = 204, Unknown, 502;
     /// An earlier try of the same request id has not finished.
     StillRunning = 205, Unknown, 409;
+    /// The request ran earlier and was answered; the answer is no longer kept.
+    AnswerNotKept = 206, Done, 410;
+    /// This try was not run; whether an earlier try of the same request id ran is not known.
+    EarlierTryUnknown = 207, Unknown, 503;
+    /// The owner of the request id has not answered in time.
+    OwnerSilent = 208, Unknown, 504;
     /// The declaration has faults and was not applied.
     DeclarationInvalid = 401, NotRun, 400;
     /// Another apply came first.
--- a/crates/core/src/traffic/admit.rs
+++ b/crates/core/src/traffic/admit.rs
@@ -40,18 +40,19 @@
     pub deadline: Duration,
 }
 
-/// Checks route, key and deadline of a request.
-pub fn admit<'v>(view: &'v View, req: &Request<'_>) -> Result<Admitted<'v>, Code> {
-    if view.stopping {
-        return Err(Code::Stopping);
-    }
+/// Checks route, key and deadline of a request; `key` is the digest of the caller's key.
+pub fn admit<'v>(
+    view: &'v View,
+    req: &Request<'_>,
+    key: Option<KeyDigest>,
+) -> Result<Admitted<'v>, Code> {
     if view.revision == 0 {
         return Err(Code::NoConfiguration);
     }
     let (route_key, route) = view.world.route(req.route).ok_or(Code::UnknownRoute)?;
     let workspace_key = match route.access {
         Access::Open => None,
-        Access::Keyed => Some(authenticate(view, req.key.ok_or(Code::KeyMissing)?)?),
+        Access::Keyed => Some(authenticate(view, &key.ok_or(Code::KeyMissing)?)?),
     };
     if let Some(workspace) = workspace_key.map(|w| &view.world.workspaces[w])
         && !workspace.routes.is_empty()
@@ -66,10 +67,14 @@
     Ok(Admitted { route, route_key, workspace_key, deadline })
 }
 
-fn authenticate(view: &View, key: &[u8]) -> Result<WorkspaceKey, Code> {
-    let digest: KeyDigest = Sha256::digest(key).into();
-    let owner = *view.world.key_owners.get(&digest).ok_or(Code::KeyUnknown)?;
+/// Digest of the key that a request carries.
+pub fn digest(req: &Request<'_>) -> Option<KeyDigest> {
+    req.key.map(|key| Sha256::digest(key).into())
+}
+
+fn authenticate(view: &View, digest: &KeyDigest) -> Result<WorkspaceKey, Code> {
+    let owner = *view.world.key_owners.get(digest).ok_or(Code::KeyUnknown)?;
     let workspace = &view.world.workspaces[owner];
-    let known = workspace.keys.iter().any(|k| bool::from(k.ct_eq(&digest)));
+    let known = workspace.keys.iter().any(|k| bool::from(k.ct_eq(digest)));
     if known { Ok(owner) } else { Err(Code::KeyUnknown) }
 }
--- a/crates/core/src/traffic/flight.rs
+++ b/crates/core/src/traffic/flight.rs
@@ -1,14 +1,15 @@
 //! A request in flight.
 
-use std::sync::Arc;
+use std::{net::SocketAddr, sync::Arc};
 
 use slotmap::new_key_type;
 
 use crate::{
     crash::Fingerprint,
-    once::RequestId,
+    host::Incarnation,
+    once::{Answer, RunKey},
     result::Code,
-    time::Instant,
+    time::{Instant, UnixMillis},
     view::View,
     world::{RouteKey, ServerKey, WorkspaceKey},
 };
@@ -21,6 +22,17 @@
 /// How far a request has come.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Stage {
+    /// It waits for the run of an earlier try.
+    Waiting,
+    /// It was passed to the owner of its id.
+    Passed {
+        /// The life that owns it.
+        owner: Incarnation,
+        /// Address of its host.
+        to: SocketAddr,
+        /// How often.
+        times: usize,
+    },
     /// It needs a token of its workspace.
     Admission,
     /// It needs a backend server.
@@ -29,6 +41,17 @@
     Sent(ServerKey),
 }
 
+/// The id of a request that runs at most once.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Once {
+    pub(super) key: RunKey,
+    pub(super) end: UnixMillis,
+    /// The caller says that it has sent no earlier try of the id.
+    pub(super) first_try: bool,
+    /// Whether this host has given the request the right to run.
+    pub(super) holds: bool,
+}
+
 /// A request that has not been answered.
 #[derive(Clone, Debug)]
 pub(super) struct Flight {
@@ -36,8 +59,10 @@
     pub(super) route: RouteKey,
     pub(super) workspace: Option<WorkspaceKey>,
     pub(super) deadline: Instant,
-    pub(super) id: Option<RequestId>,
-    #[expect(dead_code, reason = "read when backend servers die")]
+    /// The right to run at most once that the request needs or holds.
+    pub(super) once: Option<Once>,
+    /// The whole answer, when it is kept for resends.
+    pub(super) answer: Option<Arc<Answer>>,
     pub(super) fingerprint: Fingerprint,
     pub(super) tried: Vec<ServerKey>,
     /// What is answered when no further server can be tried.
--- a/crates/core/src/traffic/mod.rs
+++ b/crates/core/src/traffic/mod.rs
@@ -2,6 +2,7 @@
 
 mod admit;
 mod flight;
+mod once;
 mod step;
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
@@ -12,15 +13,15 @@
 pub use self::{
     admit::{Admitted, Request},
     flight::FlightKey,
-    step::{Outbox, Outcome, Step},
+    step::{Origin, Outbox, Outcome, Passed, PassedFrom, Step},
 };
 use crate::{
     control::PeerMsg,
-    once::{self, RequestId},
+    once::{Answer, Clock, IdSecret, Table, Takeover},
     rate::Buckets,
     result::{Code, Execution},
     route::Balancer,
-    time::Instant,
+    time::{Instant, UnixMillis},
     view::View,
     world::Repeat,
 };
@@ -35,7 +36,10 @@
 pub struct Traffic {
     view: Arc<View>,
     rates: Buckets,
-    once: once::Table,
+    clock: Clock,
+    id_secret: IdSecret,
+    once: Table,
+    takeover: Takeover,
     balancer: Balancer,
     flights: SlotMap<FlightKey, Flight>,
     outbox: Outbox,
@@ -47,7 +51,10 @@
         Traffic {
             view,
             rates: Buckets::default(),
-            once: once::Table::default(),
+            clock: Clock::default(),
+            id_secret: IdSecret::default(),
+            once: Table::default(),
+            takeover: Takeover::default(),
             balancer: Balancer::default(),
             flights: SlotMap::default(),
             outbox: Outbox::default(),
@@ -58,9 +65,21 @@
     pub fn install(&mut self, now: Instant, view: Arc<View>) {
         self.rates.install(now, &view);
         self.balancer.install(&view);
+        self.takeover.install(self.clock.unix_at(now), &view);
         self.view = view;
     }
 
+    /// Sets the secret that request ids are authenticated with and the bounds on remembering them.
+    pub fn configure_once(&mut self, secret: IdSecret, limits: crate::once::Limits) {
+        self.id_secret = secret;
+        self.once = Table::new(limits);
+    }
+
+    /// Sets the wall clock from a reading of both clocks.
+    pub fn set_clock(&mut self, now: Instant, unix: UnixMillis) {
+        self.clock.set(now, unix);
+    }
+
     /// Takes in a message of another host.
     pub fn hear(&mut self, _now: Instant, _from: SocketAddr, _msg: &PeerMsg) {}
 
@@ -77,37 +96,46 @@
         self.flights.len()
     }
 
-    /// Decides on a request that has arrived.
+    /// Decides on a request of a caller that has arrived.
     pub fn begin(&mut self, now: Instant, req: &Request<'_>) -> Step {
+        self.begin_from(now, req, &Origin::default())
+    }
+
+    /// Decides on a request that has arrived from a caller or from another host.
+    pub fn begin_from(&mut self, now: Instant, req: &Request<'_>, origin: &Origin) -> Step {
         let view = Arc::clone(&self.view);
-        let admitted = match admit::admit(&view, req) {
+        let key = origin.passed.map_or_else(|| admit::digest(req), |p| p.key);
+        let admitted = match admit::admit(&view, req, key) {
             Ok(admitted) => admitted,
-            Err(code) => return Step::Reply(code),
-        };
-        let id = match admitted.route.repeat {
-            Repeat::Idempotent => None,
-            Repeat::AtMostOnce => match self.begin_once(now, req, &view) {
-                Ok(id) => Some(id),
-                Err(code) => return Step::Reply(code),
-            },
+            Err(code) => return Step::Reply(once::at_the_door(code, req, origin)),
         };
         let flight = Flight {
             route: admitted.route_key,
             workspace: admitted.workspace_key,
             deadline: now + admitted.deadline,
-            id,
+            once: None,
+            answer: None,
             fingerprint: req.fingerprint,
             tried: Vec::new(),
             otherwise: Code::NoServer,
             stage: Stage::Admission,
             view: Arc::clone(&view),
         };
+        if admitted.route.repeat == Repeat::AtMostOnce {
+            return self.begin_once(now, req, origin, flight);
+        }
+        if view.stopping {
+            return Step::Reply(Code::Stopping);
+        }
         let flight = self.flights.insert(flight);
         self.advance(now, flight)
     }
 
     /// Goes on with a parked request.
     pub fn resume(&mut self, now: Instant, flight: FlightKey) -> Step {
+        if self.flights.get(flight).is_some_and(|f| f.stage == Stage::Waiting) {
+            return self.run_once(now, flight);
+        }
         self.advance(now, flight)
     }
 
@@ -128,7 +156,7 @@
         state.tried.push(server);
         state.otherwise = code;
         state.stage = Stage::Choice;
-        let again = !sent || state.id.is_none();
+        let again = !sent || state.once.is_none();
         if code == Code::Done || !again || state.tried.len() >= MAX_TRIES {
             return self.end(now, flight, code, sent);
         }
@@ -173,31 +201,22 @@
         Step::Send { flight, address: state.view.world.servers[server].address, timeout }
     }
 
+    /// Keeps the whole answer of a request that runs at most once, for its resends.
+    pub fn keep(&mut self, flight: FlightKey, answer: &Arc<Answer>) {
+        if let Some(state) = self.flights.get_mut(flight) {
+            state.answer = state.once.map(|_| Arc::clone(answer));
+        }
+    }
+
     /// Ends a request; `sent` says whether a byte of it may have left this system.
-    fn end(&mut self, now: Instant, flight: FlightKey, code: Code, sent: bool) -> Step {
+    fn end(&mut self, _now: Instant, flight: FlightKey, code: Code, sent: bool) -> Step {
         if let Some(state) = self.flights.remove(flight)
-            && let Some(id) = state.id
+            && let Some(once) = state.once
+            && once.holds
         {
-            self.once.end(now, id, sent);
+            let waiters = self.once.end(once.key, sent, code, state.answer);
+            self.outbox.wakes.extend(waiters);
         }
         Step::Reply(code)
     }
-
-    fn begin_once(
-        &mut self,
-        now: Instant,
-        req: &Request<'_>,
-        view: &View,
-    ) -> Result<RequestId, Code> {
-        let id: RequestId = req.id.and_then(|t| t.parse().ok()).ok_or(Code::BadRequestId)?;
-        if id.owner != view.me.incarnation {
-            return Err(Code::OwnerGone);
-        }
-        match self.once.begin(now, id) {
-            once::Begin::Run => Ok(id),
-            once::Begin::Running => Err(Code::StillRunning),
-            once::Begin::Ended => Err(Code::OwnerGone),
-            once::Begin::Full => Err(Code::RequestIdsFull),
-        }
-    }
 }
--- a/crates/core/src/view.rs
+++ b/crates/core/src/view.rs
@@ -1,9 +1,9 @@
 //! What the control thread publishes for the traffic threads.
 
-use std::{net::SocketAddr, sync::Arc};
+use std::{collections::BTreeMap, net::SocketAddr, sync::Arc};
 
 use crate::{
-    config::Revision,
+    config::{Revision, root::SeatHolder},
     host::{HostInfo, Incarnation},
     world::World,
 };
@@ -36,6 +36,10 @@
     pub world: Arc<World>,
     /// The seat that this host holds in its failure domain.
     pub seat: Option<u16>,
+    /// Holders of the seats of each failure domain, by name of the domain.
+    pub seats: Arc<BTreeMap<String, Vec<Option<SeatHolder>>>>,
+    /// The highest revision that is known to be accepted: no host acts on an older one.
+    pub accepted: Revision,
     /// Hosts heard lately, this one included, in the order of their names.
     pub hosts: Vec<LiveHost>,
     /// Whether this host is stopping.
@@ -50,11 +54,18 @@
             revision: 0,
             world: Arc::default(),
             seat: None,
+            seats: Arc::default(),
+            accepted: 0,
             hosts: Vec::new(),
             stopping: false,
         }
     }
 
+    /// The holder of a seat.
+    pub fn seat_holder(&self, domain: &str, seat: u16) -> Option<&SeatHolder> {
+        self.seats.get(domain)?.get(usize::from(seat))?.as_ref()
+    }
+
     /// The live host with this life.
     pub fn host(&self, incarnation: Incarnation) -> Option<&LiveHost> {
         self.hosts.iter().find(|h| h.incarnation == incarnation)
--- /dev/null
+++ b/crates/core/tests/fleet/mod.rs
@@ -0,0 +1,133 @@
+//! Views and requests of a small fleet, as values, for the tests of the request path.
+#![allow(dead_code, reason = "each test file uses a part")]
+
+use std::{net::SocketAddr, sync::Arc};
+
+use jasminestage_core::{
+    config::root::SeatHolder,
+    host::{HostInfo, Incarnation},
+    once::{IdSecret, Limits},
+    time::Instant,
+    traffic::{Request, Traffic},
+    view::{LiveHost, View},
+    world,
+};
+use sha2::{Digest, Sha256};
+
+/// Secret of the fleet.
+pub const SECRET: IdSecret = IdSecret([7; 32]);
+/// Wall-clock time at the start of the hosts' clocks.
+pub const UNIX: u64 = 1_800_000_000_000;
+
+/// A declaration with one route of each kind, `servers` servers for each, and one seat in each of
+/// `domains` failure domains.
+pub fn declaration(domains: usize, servers: usize) -> String {
+    let mut text = "[region r]\n".to_owned();
+    for n in 0..domains {
+        text += &format!("[domain d{n}]\nregion = r\nseats = 1\n");
+    }
+    text += "[route book]\naccess = keyed\nrepeat = at-most-once\n\
+             [route read]\naccess = keyed\nrepeat = idempotent\n";
+    for (name, key) in [("w", "key"), ("x", "other")] {
+        let digest = hex::encode(Sha256::digest(key));
+        text += &format!("[workspace {name}]\nkeys = sha256:{digest}\nrate = 1000000\n");
+        text += "burst = 1000000\n";
+    }
+    for route in ["book", "read"] {
+        for n in 0..servers {
+            let port = if route == "book" { 1000 + n } else { 2000 + n };
+            text += &format!("[server {route}{n}]\nroute = {route}\nversion = v1\ndomain = d0\n");
+            text += &format!("address = 127.0.0.1:{port}\nslots = 9\n");
+        }
+    }
+    text
+}
+
+/// A host of the fleet: its number and its life.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Life {
+    pub number: usize,
+    pub incarnation: Incarnation,
+}
+
+/// Address of a host for other hosts.
+pub fn peer_address(number: usize) -> SocketAddr {
+    ([127, 0, 0, 1], 100 + number as u16).into()
+}
+
+fn info(life: Life) -> HostInfo {
+    HostInfo {
+        name: format!("h{}", life.number),
+        domain: format!("d{}", life.number),
+        caller_address: ([127, 0, 0, 1], 200 + life.number as u16).into(),
+        peer_address: peer_address(life.number),
+        incarnation: life.incarnation,
+    }
+}
+
+/// The view of `me`, which hears `heard`; `seats` are the holders by domain and their revision.
+pub fn view(
+    world: &Arc<world::World>,
+    me: Life,
+    heard: &[Life],
+    seats: &[(Life, u64)],
+    revision: u64,
+    accepted: u64,
+) -> View {
+    let me = info(me);
+    let hosts = heard.iter().map(|life| {
+        let host = info(*life);
+        LiveHost {
+            name: host.name,
+            domain: host.domain,
+            caller_address: host.caller_address,
+            peer_address: host.peer_address,
+            incarnation: host.incarnation,
+            taking: true,
+        }
+    });
+    let holders = seats.iter().map(|(life, since)| {
+        let host = info(*life);
+        let holder = SeatHolder { host: host.name, incarnation: life.incarnation, since: *since };
+        (host.domain, vec![Some(holder)])
+    });
+    let holds = seats.iter().any(|(life, _)| life.incarnation == me.incarnation);
+    View {
+        revision,
+        accepted,
+        world: Arc::clone(world),
+        seat: holds.then_some(0),
+        seats: Arc::new(holders.collect()),
+        hosts: hosts.collect(),
+        ..View::empty(me)
+    }
+}
+
+/// The request path of a host whose wall clock is `skew` milliseconds off.
+pub fn traffic(view: View, now: Instant, skew: i64) -> Traffic {
+    let view = Arc::new(view);
+    let mut traffic = Traffic::new(Arc::clone(&view));
+    traffic.configure_once(SECRET, Limits::default());
+    traffic.set_clock(now, (UNIX as i64 + skew) as u64 + now.as_micros() / 1000);
+    traffic.install(now, view);
+    traffic
+}
+
+/// A request for the route that runs at most once.
+pub fn booking<'a>(id: &'a str, key: &'a str) -> Request<'a> {
+    Request {
+        route: "book",
+        key: Some(key.as_bytes()),
+        id: Some(id),
+        deadline: None,
+        fingerprint: 1,
+    }
+}
+
+/// A UUID of version 7 made at `unix` milliseconds.
+pub fn uuid7(unix: u64, random: u64) -> String {
+    let value = u128::from(unix) << 80 | 7 << 76 | 2 << 62 | u128::from(random >> 2);
+    let hex = format!("{value:032x}");
+    let (a, b, c, d, e) = (&hex[..8], &hex[8..12], &hex[12..16], &hex[16..20], &hex[20..]);
+    format!("{a}-{b}-{c}-{d}-{e}")
+}
--- a/crates/core/tests/value_front_end.rs
+++ b/crates/core/tests/value_front_end.rs
@@ -5,7 +5,7 @@
 use jasminestage_core::{
     host::{HostInfo, Incarnation},
     lookup::{Query, look_up},
-    once::RequestId,
+    once::{IdSecret, RequestId},
     result::Code,
     time::Instant,
     traffic::{Outcome, Request, Step, Traffic},
@@ -64,8 +64,8 @@
     code: Code,
 }
 
-const ID: RequestId = RequestId { owner: ME, nonce: 1 };
-const FOREIGN: RequestId = RequestId { owner: Incarnation(8), nonce: 1 };
+const ID: RequestId = RequestId { owner: ME, nonce: 1, end: 100_000 };
+const FOREIGN: RequestId = RequestId { owner: Incarnation(8), nonce: 1, end: 100_000 };
 
 const CASES: &[Case] = &[
     Case {
@@ -148,7 +148,7 @@
         let view = Arc::new(view());
         let mut traffic = Traffic::new(Arc::clone(&view));
         traffic.install(Instant::ZERO, view);
-        let id = case.id.map(|id| id.to_string());
+        let id = case.id.map(|id| id.seal(&IdSecret::default()));
         let req = Request {
             route: case.route,
             key: case.key.map(str::as_bytes),
--- a/crates/daemon/src/clock.rs
+++ b/crates/daemon/src/clock.rs
@@ -9,7 +9,7 @@
     Instant::from_micros(t.tv_sec as u64 * 1_000_000 + t.tv_nsec as u64 / 1000)
 }
 
-/// Milliseconds since the Unix epoch, for the dates in declarations only.
+/// Milliseconds since the Unix epoch.
 pub fn unix_millis() -> UnixMillis {
     let t = clock_gettime(ClockId::Realtime);
     t.tv_sec as u64 * 1000 + t.tv_nsec as u64 / 1_000_000
--- a/crates/daemon/src/control.rs
+++ b/crates/daemon/src/control.rs
@@ -96,7 +96,6 @@
     mut sends: SendQueue,
 ) -> Result<(), DaemonError> {
     let socket = peer::udp::Socket::bind(Arc::clone(&shared)).await?;
-    peer::stream::serve(Arc::clone(&shared)).await?;
     let store = platform::client(&shared.cfg.platform);
     let timers = Timers::start();
     tokio::spawn(peer::udp::receive(socket.clone(), tx.clone()));
@@ -114,7 +113,10 @@
                 None
             }
             Some(()) = traffic_ticks.recv() => {
-                shared.decide(|traffic, now| traffic.tick(now));
+                shared.decide(|traffic, now| {
+                    traffic.set_clock(now, clock::unix_millis());
+                    traffic.tick(now);
+                });
                 None
             }
             Some((to, msg)) = sends.recv() => {
--- a/crates/daemon/src/front/backend.rs
+++ b/crates/daemon/src/front/backend.rs
@@ -1,15 +1,33 @@
 //! Calls to backend servers.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Duration,
+};
 
+use arc_swap::ArcSwap;
 use bytes::Bytes;
-use jasminestage_core::traffic::Outcome;
+use jasminestage_core::{
+    event::{Event, Kind},
+    traffic::Outcome,
+};
 use salvo::http::{HeaderMap, Method, StatusCode, header};
 
 use super::headers::{DEADLINE, TRY_ID};
+use crate::log;
 
 /// Longest time to make a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+/// Time after which an idle connection is closed.
+const IDLE_LIMIT: Duration = Duration::from_secs(10);
+/// Idle time after which the other end of a connection is probed.
+const KEEPALIVE: Duration = Duration::from_secs(5);
+/// Idle connections kept for one backend server.
+const MAX_IDLE: usize = 16;
 
 /// A request as it is passed on.
 pub struct Call {
@@ -21,6 +39,8 @@
     pub headers: HeaderMap,
     /// Body.
     pub body: Bytes,
+    /// Whether it runs at most once.
+    pub once: bool,
 }
 
 /// A whole answer of a backend server.
@@ -34,22 +54,45 @@
 }
 
 /// Connections to backend servers.
+///
+/// A request that runs at most once gets a new connection: whether a byte of it was sent is then
+/// known from the connection alone, and none is lost on a connection that has gone silent.
 pub struct Backends {
-    http: reqwest::Client,
+    pooled: ArcSwap<reqwest::Client>,
+    single: reqwest::Client,
+    /// Answers that were dropped because they belong to another try.
+    crossed: AtomicU64,
 }
 
 impl Default for Backends {
     fn default() -> Self {
-        let builder = reqwest::Client::builder()
-            .connect_timeout(CONNECT_TIMEOUT)
-            .redirect(reqwest::redirect::Policy::none())
-            .retry(reqwest::retry::never())
-            .no_proxy();
-        Backends { http: builder.build().expect("a client without TLS can be built") }
+        Backends {
+            pooled: ArcSwap::from_pointee(client(MAX_IDLE)),
+            single: client(0),
+            crossed: AtomicU64::new(0),
+        }
     }
 }
 
+fn client(max_idle: usize) -> reqwest::Client {
+    let builder = reqwest::Client::builder()
+        .connect_timeout(CONNECT_TIMEOUT)
+        .pool_max_idle_per_host(max_idle)
+        .pool_idle_timeout(IDLE_LIMIT)
+        .tcp_keepalive(KEEPALIVE)
+        .tcp_nodelay(true)
+        .redirect(reqwest::redirect::Policy::none())
+        .retry(reqwest::retry::never())
+        .no_proxy();
+    builder.build().expect("a client without TLS can be built")
+}
+
 impl Backends {
+    /// Answers that were dropped because they belong to another try.
+    pub fn crossed(&self) -> u64 {
+        self.crossed.load(Ordering::Relaxed)
+    }
+
     /// Sends a request once and waits for the whole answer.
     pub async fn call(
         &self,
@@ -58,8 +101,8 @@
         timeout: Duration,
     ) -> Result<Reply, Outcome> {
         let try_id = format!("{:016x}", rand::random::<u64>());
-        let req = self
-            .http
+        let http = if call.once { self.single.clone() } else { (**self.pooled.load()).clone() };
+        let req = http
             .request(call.method.clone(), format!("http://{address}{}", call.path_and_query))
             .headers(call.headers.clone())
             .header(TRY_ID, &try_id)
@@ -70,6 +113,7 @@
         let status = answer.status();
         let mut headers = answer.headers().clone();
         if headers.get(TRY_ID).is_some_and(|id| id.as_bytes() != try_id.as_bytes()) {
+            self.drop_crossed(address);
             return Err(Outcome::BadAnswer);
         }
         let body = answer.bytes().await.map_err(|e| outcome(&e))?;
@@ -78,6 +122,14 @@
         headers.remove(TRY_ID);
         Ok(Reply { status, headers, body })
     }
+
+    /// Counts an answer to another try. What else comes on its connection cannot be trusted, so
+    /// the pool is replaced.
+    fn drop_crossed(&self, address: SocketAddr) {
+        self.crossed.fetch_add(1, Ordering::Relaxed);
+        self.pooled.store(Arc::new(client(MAX_IDLE)));
+        log::write(&Event::new(Kind::CrossedAnswer, format!("from {address}")));
+    }
 }
 
 fn outcome(e: &reqwest::Error) -> Outcome {
--- a/crates/daemon/src/front/headers.rs
+++ b/crates/daemon/src/front/headers.rs
@@ -10,6 +10,8 @@
 pub const DEADLINE: &str = "jasminestage-deadline-ms";
 /// Id of a request that runs at most once.
 pub const REQUEST_ID: &str = "idempotency-key";
+/// Number of the caller's try of a request id; with `1` the caller says that it has sent no other.
+pub const ATTEMPT: &str = "jasminestage-attempt";
 /// Id of one try, sent to the backend server.
 pub const TRY_ID: &str = "x-request-id";
 
@@ -29,6 +31,7 @@
     "content-length",
     REQUEST_ID,
     DEADLINE,
+    ATTEMPT,
     TRY_ID,
 ];
 
--- a/crates/daemon/src/front/lookup.rs
+++ b/crates/daemon/src/front/lookup.rs
@@ -4,7 +4,7 @@
 
 use jasminestage_core::{
     lookup::{Query, look_up},
-    once::RequestId,
+    once::{ID_LIFE, RequestId},
     result::Code,
     world::Repeat,
 };
@@ -16,7 +16,7 @@
 use serde::Serialize;
 
 use super::refuse;
-use crate::shared::Shared;
+use crate::{clock, shared::Shared};
 
 /// Answers look-ups from the published view.
 pub struct LookUp {
@@ -56,7 +56,8 @@
         let once = view.world.route(route).is_some_and(|(_, r)| r.repeat == Repeat::AtMostOnce);
         let request_id = once.then(|| {
             let owner = answer.hosts[0].incarnation;
-            RequestId { owner, nonce: rand::random() }.to_string()
+            let end = clock::unix_millis() + ID_LIFE.as_millis() as u64;
+            RequestId { owner, nonce: rand::random(), end }.seal(&self.shared.id_secret)
         });
         let hosts = answer.hosts.iter().map(|h| HostBody {
             name: &h.name,
--- a/crates/daemon/src/front/mod.rs
+++ b/crates/daemon/src/front/mod.rs
@@ -1,10 +1,11 @@
 //! The HTTP front end for callers and the operators' supervisor.
 
 mod admin;
-mod backend;
+pub mod backend;
 mod headers;
 mod lookup;
 mod request;
+pub mod run;
 mod stop;
 
 use std::{net::SocketAddr, sync::Arc};
@@ -16,7 +17,7 @@
     http::{HeaderValue, Response, StatusCode},
 };
 
-use crate::{control::ControlTx, error::DaemonError, shared::Shared};
+use crate::{control::ControlTx, error::DaemonError, peer, shared::Shared};
 
 /// Serves callers until the process is asked to stop, then stops gracefully.
 pub fn run(shared: &Arc<Shared>, control: &ControlTx) -> Result<(), DaemonError> {
@@ -32,6 +33,7 @@
 async fn serve(shared: &Arc<Shared>, control: &ControlTx) -> Result<(), DaemonError> {
     let callers = bind(shared.cfg.caller_address).await?;
     let admin = bind(shared.cfg.admin_address).await?;
+    peer::stream::serve(Arc::clone(shared)).await?;
     let server = Server::new(callers);
     let handle = server.handle();
     let admin_server = Server::new(admin);
@@ -43,7 +45,7 @@
 
 fn caller_router(shared: &Arc<Shared>) -> Router {
     let look_up = lookup::LookUp { shared: Arc::clone(shared) };
-    let request = request::Forward::new(Arc::clone(shared));
+    let request = request::Forward { shared: Arc::clone(shared) };
     Router::new()
         .push(Router::with_path("v1/lookup").get(look_up))
         .push(Router::with_path("v1/routes/{route}/{**rest}").goal(request))
--- a/crates/daemon/src/front/request.rs
+++ b/crates/daemon/src/front/request.rs
@@ -2,22 +2,25 @@
 
 use std::{sync::Arc, time::Duration};
 
-use bytes::Bytes;
 use jasminestage_core::{
     crash::Fingerprint,
+    host::Incarnation,
+    once::PassedRequest,
     result::Code,
-    traffic::{self, FlightKey, Outcome, Step},
+    traffic::{self, Origin, Step},
+    world::Repeat,
 };
 use salvo::{
     Depot, FlowCtrl, Request, Response, async_trait,
     handler::Handler,
-    http::{HeaderMap, StatusCode, header},
+    http::{HeaderMap, header},
 };
 use sha2::{Digest, Sha256};
 
 use super::{
-    backend::{Backends, Call, Reply},
+    backend::Call,
     headers, mark, refuse,
+    run::{self, Ended},
 };
 use crate::shared::Shared;
 
@@ -26,28 +29,24 @@
 
 /// Admits requests and passes them on to backend servers.
 pub struct Forward {
-    shared: Arc<Shared>,
-    backends: Backends,
+    /// State of the process.
+    pub shared: Arc<Shared>,
 }
 
 impl Forward {
-    /// A handler with its own connections to backend servers.
-    pub fn new(shared: Arc<Shared>) -> Self {
-        Forward { shared, backends: Backends::default() }
-    }
-
-    async fn answer(&self, req: &mut Request) -> (Code, Option<Reply>) {
-        let Some(route) = req.param::<String>("route") else { return (Code::Malformed, None) };
+    async fn answer(&self, req: &mut Request) -> Ended {
+        let Some(route) = req.param::<String>("route") else { return Code::Malformed.into() };
         let max = self.shared.cfg.traffic.max_body_bytes;
         let Ok(body) = req.payload_with_max_size(max).await.cloned() else {
-            return (Code::TooLarge, None);
+            return Code::TooLarge.into();
         };
-        let Ok(deadline) = deadline(req.headers()) else { return (Code::Malformed, None) };
+        let Ok(deadline) = deadline(req.headers()) else { return Code::Malformed.into() };
         let call = Call {
             method: req.method().clone(),
             path_and_query: rest(req),
             headers: passed_on(req.headers()),
             body,
+            once: self.is_once(&route),
         };
         let request = traffic::Request {
             route: &route,
@@ -56,48 +55,29 @@
             deadline,
             fingerprint: fingerprint(&route, &call.body),
         };
-        let mut step = self.shared.decide(|traffic, now| traffic.begin(now, &request));
-        let mut reply = None;
-        let mut open = OpenFlight { shared: &self.shared, flight: None };
-        loop {
-            let (flight, address, timeout) = match step {
-                Step::Send { flight, address, timeout } => (flight, address, timeout),
-                Step::Park { flight, until } => {
-                    open.flight = Some(flight);
-                    self.shared.parked(flight, until).await;
-                    step = self.shared.decide(|traffic, now| traffic.resume(now, flight));
-                    continue;
-                }
-                Step::Reply(code) => {
-                    open.flight = None;
-                    return (code, reply);
-                }
-            };
-            open.flight = Some(flight);
-            let outcome = match self.backends.call(address, &call, timeout).await {
-                Ok(answer) => {
-                    let status = answer.status.as_u16();
-                    reply = Some(answer);
-                    Outcome::Answered(status)
-                }
-                Err(outcome) => outcome,
-            };
-            step = self.shared.decide(|traffic, now| traffic.finish(now, flight, outcome));
+        let first_try = text(req.headers(), headers::ATTEMPT) == Some("1");
+        let origin = Origin { first_try, passed: None };
+        let step = self.shared.decide(|traffic, now| traffic.begin_from(now, &request, &origin));
+        if !call.once || matches!(step, Step::Reply(_)) {
+            return run::drive(&self.shared, &call, None, step).await;
         }
+        let pass = PassedRequest {
+            owner: Incarnation(0),
+            route: route.clone(),
+            key: request.key.map(|key| Sha256::digest(key).into()),
+            id: request.id.unwrap_or_default().to_owned(),
+            deadline: 0,
+            method: call.method.to_string(),
+            path_and_query: call.path_and_query.clone(),
+            headers: run::to_fields(&call.headers),
+            body: call.body.to_vec(),
+        };
+        run::to_its_end(Arc::clone(&self.shared), call, Some(pass), step).await
     }
-}
-
-/// Ends a flight when its caller goes away and the handler is dropped.
-struct OpenFlight<'a> {
-    shared: &'a Shared,
-    flight: Option<FlightKey>,
-}
 
-impl Drop for OpenFlight<'_> {
-    fn drop(&mut self) {
-        if let Some(flight) = self.flight {
-            self.shared.decide(|traffic, now| traffic.abandon(now, flight));
-        }
+    fn is_once(&self, route: &str) -> bool {
+        let view = self.shared.view.load();
+        view.world.route(route).is_some_and(|(_, r)| r.repeat == Repeat::AtMostOnce)
     }
 }
 
@@ -105,23 +85,17 @@
 impl Handler for Forward {
     async fn handle(&self, req: &mut Request, _: &mut Depot, res: &mut Response, _: &mut FlowCtrl) {
         match self.answer(req).await {
-            (Code::Done, Some(reply)) => {
+            Ended { code: Code::Done, reply: Some(reply) } => {
                 res.status_code(reply.status);
                 res.set_headers(reply.headers);
                 mark(res, Code::Done);
                 let _ = res.write_body(reply.body);
             }
-            (code, _) => refuse(res, code),
+            Ended { code, .. } => refuse(res, code),
         }
     }
 }
 
-impl Default for Reply {
-    fn default() -> Self {
-        Reply { status: StatusCode::OK, headers: HeaderMap::new(), body: Bytes::new() }
-    }
-}
-
 fn text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
     let value = headers.get(name)?.to_str().ok()?;
     (value.len() <= MAX_VALUE_BYTES).then_some(value)
@@ -151,7 +125,8 @@
     kept.map(|(name, value)| (name.clone(), value.clone())).collect()
 }
 
-fn fingerprint(route: &str, body: &[u8]) -> Fingerprint {
+/// Fingerprint of a request by its route and body.
+pub fn fingerprint(route: &str, body: &[u8]) -> Fingerprint {
     let hash = Sha256::new().chain_update(route).chain_update([0]).chain_update(body).finalize();
     let (first, _) = hash.split_at(8);
     first.iter().fold(0, |sum, byte| sum << 8 | u64::from(*byte))
--- /dev/null
+++ b/crates/daemon/src/front/run.rs
@@ -0,0 +1,192 @@
+//! From the first decision on a request to its end.
+
+use std::{sync::Arc, time::Duration};
+
+use jasminestage_core::{
+    once::{Answer, PassedReply, PassedRequest},
+    peer::{PeerCall, PeerReply},
+    result::Code,
+    traffic::{self, FlightKey, Origin, Outcome, Passed, PassedFrom, Step},
+};
+use salvo::http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode};
+
+use super::{
+    backend::{Call, Reply},
+    request::fingerprint,
+};
+use crate::{peer::stream::CallError, shared::Shared};
+
+/// How a request ended.
+pub struct Ended {
+    /// Result code.
+    pub code: Code,
+    /// The backend server's answer, with `Code::Done`.
+    pub reply: Option<Reply>,
+}
+
+impl From<Code> for Ended {
+    fn from(code: Code) -> Self {
+        Ended { code, reply: None }
+    }
+}
+
+/// Ends a flight when its caller goes away and the handler is dropped.
+struct OpenFlight<'a> {
+    shared: &'a Shared,
+    flight: Option<FlightKey>,
+}
+
+impl Drop for OpenFlight<'_> {
+    fn drop(&mut self) {
+        if let Some(flight) = self.flight {
+            self.shared.decide(|traffic, now| traffic.abandon(now, flight));
+        }
+    }
+}
+
+/// Carries out a request that runs at most once to its end, also when its caller goes away, so
+/// that a resend finds the answer.
+pub async fn to_its_end(
+    shared: Arc<Shared>,
+    call: Call,
+    pass: Option<PassedRequest>,
+    step: Step,
+) -> Ended {
+    let run = tokio::spawn(async move { drive(&shared, &call, pass, step).await });
+    run.await.unwrap_or_else(|_| Code::BadAnswer.into())
+}
+
+/// Carries out the steps of a request until it ends; `pass` is what the owner of its id is sent.
+pub async fn drive(
+    shared: &Shared,
+    call: &Call,
+    mut pass: Option<PassedRequest>,
+    mut step: Step,
+) -> Ended {
+    let mut reply = None;
+    let mut open = OpenFlight { shared, flight: None };
+    loop {
+        step = match step {
+            Step::Send { flight, address, timeout } => {
+                open.flight = Some(flight);
+                let answer = shared.backends.call(address, call, timeout).await;
+                let kept = answer.as_ref().ok().filter(|_| call.once).map(|a| Arc::new(kept(a)));
+                let outcome = match answer {
+                    Ok(answer) => {
+                        let status = answer.status.as_u16();
+                        reply = Some(answer);
+                        Outcome::Answered(status)
+                    }
+                    Err(outcome) => outcome,
+                };
+                shared.decide(|traffic, now| {
+                    if let Some(kept) = &kept {
+                        traffic.keep(flight, kept);
+                    }
+                    traffic.finish(now, flight, outcome)
+                })
+            }
+            Step::Pass { flight, owner, to, timeout, deadline, fresh } => {
+                open.flight = Some(flight);
+                let outcome = match &mut pass {
+                    Some(pass) => {
+                        pass.owner = owner;
+                        pass.deadline = deadline.as_millis() as u64;
+                        let call = PeerCall::Run(Box::new(pass.clone()));
+                        passed(shared.peers.call_once(shared, to, &call, timeout, fresh).await)
+                    }
+                    None => Passed::NotReached,
+                };
+                shared.decide(|traffic, now| traffic.passed(now, flight, outcome.clone()))
+            }
+            Step::Park { flight, until } => {
+                open.flight = Some(flight);
+                shared.parked(flight, until).await;
+                shared.decide(|traffic, now| traffic.resume(now, flight))
+            }
+            Step::Repeat(answer) => {
+                open.flight = None;
+                return Ended { code: Code::Done, reply: Some(reply_of(&answer)) };
+            }
+            Step::Reply(code) => {
+                open.flight = None;
+                return Ended { code, reply };
+            }
+        };
+    }
+}
+
+/// Answers a request that another host has passed on.
+pub async fn answer_passed(shared: &Arc<Shared>, pass: PassedRequest) -> PassedReply {
+    if pass.owner != shared.me.incarnation {
+        return PassedReply::NotOwner;
+    }
+    let Ok(method) = Method::from_bytes(pass.method.as_bytes()) else {
+        return PassedReply::Ended(Code::Malformed, None);
+    };
+    let request = traffic::Request {
+        route: &pass.route,
+        key: None,
+        id: Some(&pass.id),
+        deadline: Some(Duration::from_millis(pass.deadline)),
+        fingerprint: fingerprint(&pass.route, &pass.body),
+    };
+    let from = PassedFrom { owner: pass.owner, key: pass.key };
+    let origin = Origin { first_try: false, passed: Some(from) };
+    let step = shared.decide(|traffic, now| traffic.begin_from(now, &request, &origin));
+    let call = Call {
+        method,
+        path_and_query: pass.path_and_query,
+        headers: from_fields(&pass.headers),
+        body: pass.body.into(),
+        once: true,
+    };
+    let ended = to_its_end(Arc::clone(shared), call, None, step).await;
+    let answer = ended.reply.filter(|_| ended.code == Code::Done).map(|r| kept(&r));
+    PassedReply::Ended(ended.code, answer)
+}
+
+fn passed(reply: Result<PeerReply, CallError>) -> Passed {
+    match reply {
+        Ok(PeerReply::Run(PassedReply::Ended(code, answer))) => {
+            Passed::Ended(code, answer.map(Arc::new))
+        }
+        Ok(PeerReply::Run(PassedReply::NotOwner)) => Passed::NotOwner,
+        Err(CallError::Unreachable(_)) => Passed::NotReached,
+        Err(CallError::NoAnswer(_)) => Passed::TimedOut,
+        Ok(_) | Err(CallError::Connection(..) | CallError::Damaged(..)) => Passed::Lost,
+    }
+}
+
+/// Headers as names and values.
+pub fn to_fields(headers: &HeaderMap) -> Vec<(String, Vec<u8>)> {
+    headers.iter().map(|(name, value)| (name.to_string(), value.as_bytes().to_vec())).collect()
+}
+
+fn from_fields(fields: &[(String, Vec<u8>)]) -> HeaderMap {
+    let valid = fields.iter().filter_map(|(name, value)| {
+        let name = HeaderName::from_bytes(name.as_bytes()).ok()?;
+        Some((name, HeaderValue::from_bytes(value).ok()?))
+    });
+    let mut headers = HeaderMap::new();
+    for (name, value) in valid {
+        headers.append(name, value);
+    }
+    headers
+}
+
+fn kept(reply: &Reply) -> Answer {
+    Answer {
+        status: reply.status.as_u16(),
+        headers: to_fields(&reply.headers),
+        body: reply.body.to_vec(),
+    }
+}
+
+fn reply_of(answer: &Answer) -> Reply {
+    Reply {
+        status: StatusCode::from_u16(answer.status).unwrap_or(StatusCode::BAD_GATEWAY),
+        headers: from_fields(&answer.headers),
+        body: answer.body.clone().into(),
+    }
+}
--- a/crates/daemon/src/peer/stream.rs
+++ b/crates/daemon/src/peer/stream.rs
@@ -16,9 +16,11 @@
 use jasminestage_core::{
     event::{Event, Kind},
     peer::{PeerCall, PeerReply},
+    time::Instant,
 };
 use jasminestage_wire::{WireError, open, seal};
 use serde::{Serialize, de::DeserializeOwned};
+use socket2::{SockRef, TcpKeepalive};
 use thiserror::Error;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
@@ -26,7 +28,7 @@
 };
 
 use super::answer::answer;
-use crate::{error::DaemonError, log, shared::Shared};
+use crate::{clock, error::DaemonError, log, shared::Shared};
 
 /// Largest frame in bytes.
 const MAX_FRAME_BYTES: u32 = 72 * 1024 * 1024;
@@ -34,6 +36,10 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 /// Time after which an idle connection is closed by the answering side.
 const IDLE_LIMIT: Duration = Duration::from_secs(30);
+/// Time after which an idle connection is not used for another call.
+const REUSE_LIMIT: Duration = Duration::from_secs(10);
+/// Idle time after which the other end of a connection is probed.
+const KEEPALIVE: Duration = Duration::from_secs(5);
 /// Idle connections kept for one host.
 const MAX_IDLE: usize = 8;
 
@@ -60,6 +66,7 @@
     stream: TcpStream,
     nonce: Nonce,
     calls: u64,
+    used: Instant,
 }
 
 /// Connections to other hosts.
@@ -69,16 +76,37 @@
 }
 
 impl Peers {
-    /// Calls another host and waits for its answer.
+    /// Calls another host and waits for its answer. The call is made again on a new connection
+    /// when an idle one does not answer, so it must be safe to repeat.
     pub async fn call(
         &self,
         shared: &Shared,
         to: SocketAddr,
         call: &PeerCall,
         timeout: Duration,
+    ) -> Result<PeerReply, CallError> {
+        let first = self.call_once(shared, to, call, timeout / 2, false).await;
+        match first {
+            Err(CallError::NoAnswer(_) | CallError::Connection(..)) => {
+                self.call_once(shared, to, call, timeout / 2, true).await
+            }
+            other => other,
+        }
+    }
+
+    /// Calls another host at most once, on a new connection when `fresh`. A connection on which a
+    /// call fails or times out is never used again.
+    pub async fn call_once(
+        &self,
+        shared: &Shared,
+        to: SocketAddr,
+        call: &PeerCall,
+        timeout: Duration,
+        fresh: bool,
     ) -> Result<PeerReply, CallError> {
         let exchange = async {
-            let mut connection = match self.take(to) {
+            let idle = if fresh { None } else { self.take(to) };
+            let mut connection = match idle {
                 Some(connection) => connection,
                 None => connect(to).await?,
             };
@@ -93,22 +121,32 @@
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         let connections = idle.get_mut(&to)?;
         while let Some(connection) = connections.pop() {
-            if is_open(&connection.stream) {
+            if connection.is_usable() {
                 return Some(connection);
             }
         }
         None
     }
 
-    fn put(&self, to: SocketAddr, connection: Connection) {
+    fn put(&self, to: SocketAddr, mut connection: Connection) {
+        connection.used = clock::now();
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         let connections = idle.entry(to).or_default();
+        connections.retain(Connection::is_usable);
         if connections.len() < MAX_IDLE {
             connections.push(connection);
         }
     }
 }
 
+impl Connection {
+    /// Whether an idle connection is young, open and has received no bytes that nobody asked for.
+    fn is_usable(&self) -> bool {
+        let idle = clock::now().saturating_since(self.used);
+        idle < REUSE_LIMIT && is_open(&self.stream)
+    }
+}
+
 /// Whether an idle connection has neither ended nor received bytes that nobody asked for.
 fn is_open(stream: &TcpStream) -> bool {
     let read = stream.try_read(&mut [0]);
@@ -119,8 +157,10 @@
     let connecting = async {
         let mut stream = TcpStream::connect(to).await?;
         stream.set_nodelay(true)?;
+        let keepalive = TcpKeepalive::new().with_time(KEEPALIVE).with_interval(KEEPALIVE);
+        SockRef::from(&stream).set_tcp_keepalive(&keepalive)?;
         let nonce = stream.read_u128().await?;
-        Ok::<_, io::Error>(Connection { stream, nonce, calls: 0 })
+        Ok::<_, io::Error>(Connection { stream, nonce, calls: 0, used: clock::now() })
     };
     match tokio::time::timeout(CONNECT_TIMEOUT, connecting).await {
         Ok(Ok(connection)) => Ok(connection),
@@ -162,7 +202,7 @@
     Ok(())
 }
 
-async fn serve_connection(shared: &Shared, mut stream: TcpStream) -> Result<(), WireError> {
+async fn serve_connection(shared: &Arc<Shared>, mut stream: TcpStream) -> Result<(), WireError> {
     let nonce: Nonce = rand::random();
     if stream.set_nodelay(true).is_err() || stream.write_u128(nonce).await.is_err() {
         return Ok(());
--- a/crates/daemon/src/shared.rs
+++ b/crates/daemon/src/shared.rs
@@ -12,6 +12,7 @@
 use jasminestage_core::{
     control::PeerMsg,
     host::{HostInfo, Incarnation},
+    once::{IdSecret, Limits},
     time::Instant,
     traffic::{FlightKey, Traffic},
     view::View,
@@ -19,7 +20,10 @@
 use slotmap::SecondaryMap;
 use tokio::sync::{Notify, mpsc};
 
-use crate::{clock, log, options::Options, peer::stream::Peers};
+use crate::{clock, front::backend::Backends, log, options::Options, peer::stream::Peers};
+
+/// Purpose of the key that request ids are authenticated with.
+const ID_SECRET: &str = "request id";
 
 /// Settings, the published view and the state of the request path.
 pub struct Shared {
@@ -31,6 +35,10 @@
     pub view: ArcSwap<View>,
     /// Connections to other hosts.
     pub peers: Peers,
+    /// Connections to backend servers.
+    pub backends: Backends,
+    /// Secret that request ids are authenticated with.
+    pub id_secret: IdSecret,
     traffic: Mutex<Traffic>,
     parked: Mutex<SecondaryMap<FlightKey, Arc<Notify>>>,
     sends: mpsc::Sender<(SocketAddr, PeerMsg)>,
@@ -48,12 +56,18 @@
             incarnation: Incarnation(rand::random()),
         };
         let view = Arc::new(View::empty(me.clone()));
+        let id_secret = IdSecret(cfg.fleet_key.derive(ID_SECRET));
+        let mut traffic = Traffic::new(Arc::clone(&view));
+        traffic.configure_once(id_secret.clone(), Limits::default());
+        traffic.set_clock(clock::now(), clock::unix_millis());
         Shared {
             cfg,
             me,
-            view: ArcSwap::from(Arc::clone(&view)),
+            view: ArcSwap::from(view),
             peers: Peers::default(),
-            traffic: Mutex::new(Traffic::new(view)),
+            backends: Backends::default(),
+            id_secret,
+            traffic: Mutex::new(traffic),
             parked: Mutex::default(),
             sends,
             sequence: AtomicU64::new(1),
--- a/crates/wire/src/seal.rs
+++ b/crates/wire/src/seal.rs
@@ -30,6 +30,11 @@
         FleetKey(secret.as_bytes().to_vec())
     }
 
+    /// A key for another purpose than frames, named by `label`.
+    pub fn derive(&self, label: &str) -> [u8; 32] {
+        self.mac().chain_update(label).finalize().into_bytes().into()
+    }
+
     fn mac(&self) -> Hmac<Sha256> {
         Hmac::new_from_slice(&self.0).expect("HMAC takes keys of any length")
     }
