Hold back requests that crash their server, and leave time for a second try

Cause: a request that kills its server was sent again and again, and one silent connection cost an idempotent request its whole deadline. Change: a request in flight at a server's death is suspect; one host tries it once more, not beside another suspect; a whole answer clears it, a second death condemns it for a minute, doubling; other servers dying without it raise the bar to three. Hosts tell their failure domain and two hosts of each other one, twice each. The first try of an idempotent request ends at twice the latency objective, between a half and three quarters of the time left; the second uses a new connection. Status 503 of a server is tried once on another one (idempotent) or passed on (at most once).

--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -70,6 +70,8 @@
     MessageRejected = 50, Warn;
     /// An answer of a backend server belongs to another try and was dropped.
     CrossedAnswer = 65, Warn;
+    /// A request is held back because backend servers died while they ran it.
+    Quarantined = 85, Warn;
     /// A broken invariant was found; the part concerned stops serving.
     InvariantBroken = 90, Error;
 }
--- a/crates/core/src/traffic/flight.rs
+++ b/crates/core/src/traffic/flight.rs
@@ -1,9 +1,10 @@
 //! A request in flight.
 
-use std::{net::SocketAddr, sync::Arc};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use slotmap::new_key_type;
 
+use super::MAX_TRIES;
 use crate::{
     crash::Fingerprint,
     host::Incarnation,
@@ -69,3 +70,15 @@
     pub(super) otherwise: Code,
     pub(super) stage: Stage,
 }
+
+impl Flight {
+    /// Time for the next try when `left` is left: an idempotent request keeps some for a second
+    /// one, so that a connection gone silent does not cost the answer.
+    pub(super) fn try_timeout(&self, left: Duration) -> Duration {
+        if self.once.is_some() || self.tried.len() + 1 >= MAX_TRIES {
+            return left;
+        }
+        let expected = self.view.world.routes[self.route].latency * 2;
+        expected.clamp(left / 2, left * 3 / 4)
+    }
+}
--- a/crates/core/src/traffic/mod.rs
+++ b/crates/core/src/traffic/mod.rs
@@ -1,11 +1,12 @@
 //! The request path: every decision between a request's arrival and its answer.
 
 mod admit;
+mod crash;
 mod flight;
 mod once;
 mod step;
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{collections::VecDeque, net::SocketAddr, sync::Arc, time::Duration};
 
 use slotmap::SlotMap;
 
@@ -17,6 +18,7 @@
 };
 use crate::{
     control::PeerMsg,
+    crash::Suspects,
     once::{Answer, Clock, IdSecret, Table, Takeover},
     rate::Buckets,
     result::{Code, Execution},
@@ -26,6 +28,8 @@
     world::Repeat,
 };
 
+/// Status with which a backend server sheds a request that it has not run.
+const SHED_STATUS: u16 = 503;
 /// Tries of an idempotent request, the first one included.
 pub const MAX_TRIES: usize = 2;
 /// Time between two calls of [`Traffic::tick`].
@@ -40,6 +44,8 @@
     id_secret: IdSecret,
     once: Table,
     takeover: Takeover,
+    suspects: Suspects,
+    repeats: VecDeque<(Instant, SocketAddr, PeerMsg)>,
     balancer: Balancer,
     flights: SlotMap<FlightKey, Flight>,
     outbox: Outbox,
@@ -55,6 +61,8 @@
             id_secret: IdSecret::default(),
             once: Table::default(),
             takeover: Takeover::default(),
+            suspects: Suspects::default(),
+            repeats: VecDeque::new(),
             balancer: Balancer::default(),
             flights: SlotMap::default(),
             outbox: Outbox::default(),
@@ -81,10 +89,17 @@
     }
 
     /// Takes in a message of another host.
-    pub fn hear(&mut self, _now: Instant, _from: SocketAddr, _msg: &PeerMsg) {}
+    pub fn hear(&mut self, now: Instant, _from: SocketAddr, msg: &PeerMsg) {
+        if let PeerMsg::Crash(msg) = msg {
+            self.hear_crash(now, msg);
+        }
+    }
 
     /// Does what is due; called every [`TICK_PERIOD`].
-    pub fn tick(&mut self, _now: Instant) {}
+    pub fn tick(&mut self, now: Instant) {
+        self.once.expire(self.clock.unix_at(now));
+        self.tick_crash(now);
+    }
 
     /// Takes what is to be done besides the steps returned.
     pub fn take_outbox(&mut self) -> Outbox {
@@ -156,8 +171,15 @@
         state.tried.push(server);
         state.otherwise = code;
         state.stage = Stage::Choice;
-        let again = !sent || state.once.is_none();
-        if code == Code::Done || !again || state.tried.len() >= MAX_TRIES {
+        let (once, tries) = (state.once.is_some(), state.tried.len());
+        match outcome {
+            Outcome::Answered(_) => self.note_survival(now, flight),
+            Outcome::ConnectionLost => self.note_death(now, flight, server),
+            _ => {}
+        }
+        let shed = outcome == Outcome::Answered(SHED_STATUS) && !once;
+        let again = !sent || !once;
+        if (code == Code::Done && !shed) || !again || tries >= MAX_TRIES {
             return self.end(now, flight, code, sent);
         }
         self.advance(now, flight)
@@ -186,10 +208,23 @@
             }
             state.stage = Stage::Choice;
         }
-        let timeout = state.deadline.saturating_since(now);
+        if let Some(step) = self.hold_suspect(now, flight) {
+            return step;
+        }
+        let mut not = self.servers_of_suspects(flight);
+        let Some(state) = self.flights.get_mut(flight) else {
+            return Step::Reply(Code::BadAnswer);
+        };
+        let left = state.deadline.saturating_since(now);
         let chosen = match state.stage {
-            Stage::Choice if !timeout.is_zero() => {
-                self.balancer.choose(&state.view, state.route, &state.tried)
+            Stage::Choice if !left.is_zero() => {
+                not.extend(&state.tried);
+                // A connection may have gone silent where the server has not: a new one will do.
+                let silent = state.otherwise == Code::DeadlineAfterStart && state.once.is_none();
+                match self.balancer.choose(&state.view, state.route, &not) {
+                    None if silent => self.balancer.choose(&state.view, state.route, &[]),
+                    chosen => chosen,
+                }
             }
             _ => None,
         };
@@ -198,6 +233,7 @@
             return self.end(now, flight, code, sent);
         };
         state.stage = Stage::Sent(server);
+        let timeout = state.try_timeout(left);
         Step::Send { flight, address: state.view.world.servers[server].address, timeout }
     }
 
@@ -210,8 +246,9 @@
 
     /// Ends a request; `sent` says whether a byte of it may have left this system.
     fn end(&mut self, _now: Instant, flight: FlightKey, code: Code, sent: bool) -> Step {
-        if let Some(state) = self.flights.remove(flight)
-            && let Some(once) = state.once
+        let Some(state) = self.flights.remove(flight) else { return Step::Reply(code) };
+        self.outbox.wakes.extend(self.suspects.leave(state.fingerprint, flight));
+        if let Some(once) = state.once
             && once.holds
         {
             let waiters = self.once.end(once.key, sent, code, state.answer);
--- a/crates/core/src/traffic/once.rs
+++ b/crates/core/src/traffic/once.rs
@@ -87,6 +87,9 @@
         let begin = match known {
             Some(known) => known,
             None if stopping => return self.end(now, flight, Code::Stopping, false),
+            None if self.suspects.is_quarantined(now, fingerprint) => {
+                return self.end(now, flight, Code::Quarantined, false);
+            }
             None => self.once.begin(unix, once.key, once.end, fingerprint),
         };
         match begin {
--- a/crates/daemon/src/front/backend.rs
+++ b/crates/daemon/src/front/backend.rs
@@ -93,15 +93,16 @@
         self.crossed.load(Ordering::Relaxed)
     }
 
-    /// Sends a request once and waits for the whole answer.
+    /// Sends a request once, on a new connection when `fresh`, and waits for the whole answer.
     pub async fn call(
         &self,
         address: SocketAddr,
         call: &Call,
         timeout: Duration,
+        fresh: bool,
     ) -> Result<Reply, Outcome> {
         let try_id = format!("{:016x}", rand::random::<u64>());
-        let http = if call.once { self.single.clone() } else { (**self.pooled.load()).clone() };
+        let http = if fresh { self.single.clone() } else { (**self.pooled.load()).clone() };
         let req = http
             .request(call.method.clone(), format!("http://{address}{}", call.path_and_query))
             .headers(call.headers.clone())
--- a/crates/daemon/src/front/run.rs
+++ b/crates/daemon/src/front/run.rs
@@ -64,12 +64,16 @@
     mut step: Step,
 ) -> Ended {
     let mut reply = None;
+    let mut tries = 0;
     let mut open = OpenFlight { shared, flight: None };
     loop {
         step = match step {
             Step::Send { flight, address, timeout } => {
                 open.flight = Some(flight);
-                let answer = shared.backends.call(address, call, timeout).await;
+                tries += 1;
+                // A second try does not trust an idle connection.
+                let fresh = call.once || tries > 1;
+                let answer = shared.backends.call(address, call, timeout, fresh).await;
                 let kept = answer.as_ref().ok().filter(|_| call.once).map(|a| Arc::new(kept(a)));
                 let outcome = match answer {
                     Ok(answer) => {
