--- a/crates/core/src/control/mod.rs
+++ b/crates/core/src/control/mod.rs
@@ -195,6 +195,7 @@
             world: Arc::clone(&self.world),
             seat: self.root.as_ref().and_then(|(r, _)| r.seat_of(&self.me)),
             seats: self.root.as_ref().map(|(r, _)| Arc::new(r.seats.clone())).unwrap_or_default(),
+            // Acceptance is not followed yet: a change counts as accepted where it is in force.
             accepted: self.root.as_ref().map_or(0, |(r, _)| r.revision),
             hosts,
             stopping: self.stopping,
--- a/crates/core/src/once/owner.rs
+++ b/crates/core/src/once/owner.rs
@@ -67,13 +67,16 @@
 
 /// Since when this host may run callers' own ids.
 ///
-/// A host that takes a seat, or sees the declared seats change, runs none that was made before the
-/// change was accepted: an earlier owner may have run it. An earlier owner accepts no id further
-/// than `MAX_AHEAD` ahead of its clock and stops before the change is accepted.
+/// A host that takes a seat, or sees the declared seats change, runs none that was made before: an
+/// earlier owner may have run it. An earlier owner accepts no id further than `MAX_AHEAD` ahead of
+/// its clock, and it has stopped before the seat may be used or the change is accepted.
 #[derive(Clone, Debug, Default)]
 pub struct Takeover {
+    /// Whether the seat may be used now.
+    usable: bool,
     held: Option<SeatHolder>,
     seats: Vec<(String, u16)>,
+    /// The revision by which the declared seats changed.
     changed: Revision,
     floor: Option<UnixMillis>,
 }
@@ -81,14 +84,21 @@
 impl Takeover {
     /// Compares a new view with what was held before; `unix` is this host's clock.
     pub fn install(&mut self, unix: UnixMillis, view: &View) {
-        let held = view.seat.and_then(|n| view.seat_holder(&view.me.domain, n)).cloned();
+        let held = view.seat.and_then(|n| view.seat_holder(&view.me.domain, n));
+        self.usable = held.is_some();
+        if held.is_some() && held != self.held.as_ref() {
+            self.held = held.cloned();
+            self.floor = None;
+        }
         let mut seats: Vec<_> =
             view.world.domains.values().map(|d| (d.name.clone(), d.seats)).collect();
         seats.sort();
-        if held != self.held || seats != self.seats {
-            *self = Takeover { held, seats, changed: view.revision, floor: None };
+        if seats != self.seats {
+            self.seats = seats;
+            self.changed = view.revision;
+            self.floor = None;
         }
-        if self.floor.is_none() && self.held.is_some() && view.accepted >= self.changed {
+        if self.floor.is_none() && self.usable && view.accepted >= self.changed {
             self.floor = Some(unix + (MAX_AHEAD + CLOCK_ERROR).as_millis() as u64);
         }
     }
@@ -97,7 +107,7 @@
     pub fn may_run(&self, id: &AnyId) -> bool {
         match id {
             AnyId::Issued(_) => true,
-            AnyId::Own(id) => self.floor.is_some_and(|floor| id.made > floor),
+            AnyId::Own(id) => self.usable && self.floor.is_some_and(|floor| id.made > floor),
         }
     }
 }
--- a/crates/core/src/traffic/mod.rs
+++ b/crates/core/src/traffic/mod.rs
@@ -148,10 +148,15 @@
 
     /// Goes on with a parked request.
     pub fn resume(&mut self, now: Instant, flight: FlightKey) -> Step {
-        if self.flights.get(flight).is_some_and(|f| f.stage == Stage::Waiting) {
-            return self.run_once(now, flight);
+        match self.flights.get(flight).map(|f| f.stage) {
+            Some(Stage::Waiting) => self.run_once(now, flight),
+            // Only a parked flight is resumed; one that was sent ends as unknown.
+            Some(Stage::Sent(_) | Stage::Passed { .. }) => {
+                self.abandon(now, flight);
+                Step::Reply(Code::BadAnswer)
+            }
+            _ => self.advance(now, flight),
         }
-        self.advance(now, flight)
     }
 
     /// Decides what follows after a try.
--- a/crates/core/src/traffic/once.rs
+++ b/crates/core/src/traffic/once.rs
@@ -7,7 +7,7 @@
     flight::{Flight, Once, Stage},
 };
 use crate::{
-    once::{AnyId, Begin, Owner, RunKey, owner},
+    once::{AnyId, Begin, IdError, Owner, RunKey, owner},
     result::{Code, Execution},
     time::Instant,
 };
@@ -44,9 +44,14 @@
         mut flight: Flight,
     ) -> Step {
         let unix = self.clock.unix_at(now);
-        let read = req.id.and_then(|text| AnyId::read(text, &self.id_secret, unix).ok());
-        let (Some(text), Some(id)) = (req.id, read) else {
-            return Step::Reply(Code::BadRequestId);
+        let Some(text) = req.id else { return Step::Reply(Code::BadRequestId) };
+        let id = match AnyId::read(text, &self.id_secret, unix) {
+            Ok(id) => id,
+            // A host with another clock may have run it.
+            Err(IdError::Ahead(_)) if !origin.first_try => {
+                return Step::Reply(Code::EarlierTryUnknown);
+            }
+            Err(_) => return Step::Reply(Code::BadRequestId),
         };
         let workspace = flight.workspace.map_or("", |w| &flight.view.world.workspaces[w].name);
         let key = RunKey::new(workspace, req.route, text);
--- a/crates/core/src/view.rs
+++ b/crates/core/src/view.rs
@@ -38,7 +38,8 @@
     pub seat: Option<u16>,
     /// Holders of the seats of each failure domain, by name of the domain.
     pub seats: Arc<BTreeMap<String, Vec<Option<SeatHolder>>>>,
-    /// The highest revision that is known to be accepted: no host acts on an older one.
+    /// The highest revision that is known to be accepted: no host acts by a table of declared seats
+    /// that is older than it.
     pub accepted: Revision,
     /// Hosts heard lately, this one included, in the order of their names.
     pub hosts: Vec<LiveHost>,
