--- a/crates/standins/src/backend/http.rs
+++ b/crates/standins/src/backend/http.rs
@@ -3,7 +3,9 @@
 use std::sync::Arc;
 
 use salvo::{
-    Depot, FlowCtrl, Request, Response, Router, async_trait, handler::Handler, http::StatusCode,
+    Depot, FlowCtrl, Request, Response, Router, async_trait,
+    handler::Handler,
+    http::{HeaderValue, StatusCode},
     writing::Json,
 };
 
@@ -62,7 +64,9 @@
         if faulty && cfg.fail_every > 0 && number.is_multiple_of(u64::from(cfg.fail_every)) {
             res.status_code(StatusCode::INTERNAL_SERVER_ERROR);
         }
-        if let Some(id) = req.headers().get("x-request-id").cloned() {
+        if cfg.cross_answers {
+            res.headers_mut().insert("x-request-id", HeaderValue::from_static("another"));
+        } else if let Some(id) = req.headers().get("x-request-id").cloned() {
             res.headers_mut().insert("x-request-id", id);
         }
         res.render(Json(serde_json::json!({
--- a/crates/standins/src/backend/mod.rs
+++ b/crates/standins/src/backend/mod.rs
@@ -32,6 +32,8 @@
     pub fault_from_in_flight: u32,
     /// The server dies when it runs a request whose body contains this text.
     pub crash_on: Option<String>,
+    /// Answers carry the id of another request.
+    pub cross_answers: bool,
     /// New work is refused with status 503.
     pub draining: bool,
     /// Load that the report shows instead of the true one.
@@ -51,6 +53,7 @@
             fail_every: 0,
             fault_from_in_flight: 0,
             crash_on: None,
+            cross_answers: false,
             draining: false,
             reported_load: None,
             reported_healthy: true,
--- a/crates/standins/src/forwarder/mod.rs
+++ b/crates/standins/src/forwarder/mod.rs
@@ -4,7 +4,7 @@
     net::SocketAddr,
     sync::{
         Arc,
-        atomic::{AtomicU8, Ordering},
+        atomic::{AtomicU8, AtomicU64, Ordering},
     },
 };
 
@@ -29,6 +29,7 @@
     /// Address to send to.
     pub address: SocketAddr,
     mode: Arc<AtomicU8>,
+    gone_silent: Arc<AtomicU64>,
 }
 
 impl Forwarder {
@@ -39,14 +40,20 @@
         let socket = UdpSocket::bind(address).await?;
         let mode = Arc::new(AtomicU8::new(Mode::Pass as u8));
         tokio::spawn(forward_udp(socket, target, Arc::clone(&mode)));
-        tokio::spawn(accept(listener, target, Arc::clone(&mode)));
-        Ok(Forwarder { address, mode })
+        let gone_silent = Arc::new(AtomicU64::new(0));
+        tokio::spawn(accept(listener, target, Arc::clone(&mode), Arc::clone(&gone_silent)));
+        Ok(Forwarder { address, mode, gone_silent })
     }
 
     /// Sets what happens to bytes that pass, on open connections too.
     pub fn set(&self, mode: Mode) {
         self.mode.store(mode as u8, Ordering::Relaxed);
     }
+
+    /// Lets the connections that are open now go silent for good; new ones work.
+    pub fn silence_open(&self) {
+        self.gone_silent.fetch_add(1, Ordering::Relaxed);
+    }
 }
 
 fn passes(mode: &AtomicU8) -> bool {
@@ -62,14 +69,22 @@
     }
 }
 
-async fn accept(listener: TcpListener, target: SocketAddr, mode: Arc<AtomicU8>) {
+async fn accept(
+    listener: TcpListener,
+    target: SocketAddr,
+    mode: Arc<AtomicU8>,
+    gone_silent: Arc<AtomicU64>,
+) {
     while let Ok((near, _)) = listener.accept().await {
         let mode = Arc::clone(&mode);
+        let gone_silent = Arc::clone(&gone_silent);
+        let made = gone_silent.load(Ordering::Relaxed);
         tokio::spawn(async move {
             let Ok(far) = TcpStream::connect(target).await else { return };
             let (near_rx, near_tx) = near.into_split();
             let (far_rx, far_tx) = far.into_split();
-            tokio::join!(copy(near_rx, far_tx, &mode), copy(far_rx, near_tx, &mode));
+            let passes = || passes(&mode) && gone_silent.load(Ordering::Relaxed) == made;
+            tokio::join!(copy(near_rx, far_tx, passes), copy(far_rx, near_tx, passes));
         });
     }
 }
@@ -77,13 +92,15 @@
 async fn copy(
     mut rx: impl AsyncReadExt + Unpin,
     mut tx: impl AsyncWriteExt + Unpin,
-    mode: &AtomicU8,
+    passes: impl Fn() -> bool,
 ) {
     let mut buf = vec![0; 16_384];
     while let Ok(len @ 1..) = rx.read(&mut buf).await {
-        if passes(mode) && tx.write_all(&buf[..len]).await.is_err() {
+        if passes() && tx.write_all(&buf[..len]).await.is_err() {
             return;
         }
     }
-    let _ = tx.shutdown().await;
+    if passes() {
+        let _ = tx.shutdown().await;
+    }
 }
