Split slots by seat with loans, park requests, and follow recorded rollout steps

Cause: a host counted only its own requests on a backend server, so several hosts together could put more on it than it has slots, and a newly declared version got traffic at once. Change: each slot belongs to one seat; idle slots are lent with an end, first in the domain, then in the region, then by other regions out of what they can spare and their share of the link. Requests without a slot wait in a line that is fair between workspaces. Own observations eject and readmit servers. One budget pays for second tries and for overflow. The root record holds the share of each move; a controller writes steps by compare-and-swap and each host judges and stops alone.

--- a/crates/core/src/config/root.rs
+++ b/crates/core/src/config/root.rs
@@ -5,7 +5,10 @@
 use serde::{Deserialize, Serialize};
 
 use super::{ChunkHash, Revision};
-use crate::host::{HostInfo, Incarnation};
+use crate::{
+    host::{HostInfo, Incarnation},
+    rollout::Records,
+};
 
 /// Holder of a seat: one life of one host.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -29,6 +32,9 @@
     pub chunks: Vec<ChunkHash>,
     /// Holders of the seats of each failure domain, by name of the domain.
     pub seats: BTreeMap<String, Vec<Option<SeatHolder>>>,
+    /// Versions of the routes and steps of the moves between them.
+    #[serde(default)]
+    pub rollouts: Records,
 }
 
 impl Root {
@@ -64,6 +70,16 @@
             write_id: write_id.to_owned(),
             chunks,
             seats: self.seats.clone(),
+            rollouts: self.rollouts.clone(),
         }
     }
+
+    /// The next root, with other records of rollouts.
+    pub fn with_rollouts(&self, rollouts: Records, write_id: &str) -> Root {
+        let mut next = self.clone();
+        next.revision += 1;
+        next.write_id = write_id.to_owned();
+        next.rollouts = rollouts;
+        next
+    }
 }
--- a/crates/core/src/control/configuration.rs
+++ b/crates/core/src/control/configuration.rs
@@ -80,6 +80,9 @@
         self.chunks.retain(|hash, _| root.chunks.contains(hash));
         let detail = format!("revision {}", root.revision);
         fx.push(Effect::Log(Event::new(Kind::RevisionInForce, detail)));
+        let old = self.root.take().map(|(r, _)| r.rollouts).unwrap_or_default();
+        let changes = super::rollout::changes(&self.world, &old, &root.rollouts);
+        fx.extend(changes.into_iter().map(Effect::Log));
         self.root = Some((root, version));
         self.publish(now, fx);
         self.claim_seat(fx);
--- a/crates/core/src/control/mod.rs
+++ b/crates/core/src/control/mod.rs
@@ -1,6 +1,7 @@
 //! Control state of one host: configuration, membership and what follows from them.
 
 mod configuration;
+mod rollout;
 
 use std::{collections::BTreeMap, net::SocketAddr, sync::Arc};
 
@@ -14,9 +15,9 @@
     member::{Heard, Heartbeat, Members},
     once::OnceMsg,
     rate::RateMsg,
-    rollout::RolloutMsg,
+    rollout::{self as rollouts, RolloutMsg},
     route::RouteMsg,
-    time::Instant,
+    time::{Instant, UnixMillis},
     view::{LiveHost, View},
     world::World,
 };
@@ -67,6 +68,8 @@
     Chunks(&'a [Chunk]),
     /// Addresses of hosts from the platform's list.
     HostList(&'a [SocketAddr]),
+    /// The date now, for the times in declarations.
+    Date(UnixMillis),
     /// A graceful stop was asked for.
     Stop,
 }
@@ -110,6 +113,9 @@
     claimed: Option<u64>,
     store_up: bool,
     stopping: bool,
+    rollouts: rollouts::Controller,
+    date: Option<(Instant, UnixMillis)>,
+    wrote_rollouts: Option<Instant>,
 }
 
 impl Control {
@@ -127,6 +133,9 @@
             claimed: None,
             store_up: true,
             stopping: false,
+            rollouts: rollouts::Controller::default(),
+            date: None,
+            wrote_rollouts: None,
         }
     }
 
@@ -139,6 +148,7 @@
             Input::StoreFailed => self.see_store(false, fx),
             Input::Chunks(chunks) => self.see_chunks(now, chunks, fx),
             Input::HostList(addresses) => self.members.hints.extend(addresses),
+            Input::Date(date) => self.date = Some((now, date)),
             Input::Stop => {
                 self.stopping = true;
                 self.publish(now, fx);
@@ -166,9 +176,13 @@
             fx.push(Effect::Send { to, msg: PeerMsg::Heartbeat(beat.clone()) });
         }
         self.claim_seat(fx);
+        self.advance_rollouts(now, fx);
     }
 
     fn hear(&mut self, now: Instant, _from: SocketAddr, msg: &PeerMsg, fx: &mut Vec<Effect>) {
+        if let PeerMsg::Rollout(msg) = msg {
+            self.hear_rollout(msg);
+        }
         if let PeerMsg::Heartbeat(beat) = msg {
             match self.members.hear(now, beat) {
                 Heard::Joined => {
@@ -195,6 +209,9 @@
             world: Arc::clone(&self.world),
             seat: self.root.as_ref().and_then(|(r, _)| r.seat_of(&self.me)),
             hosts,
+            rollouts: Arc::new(
+                self.root.as_ref().map(|(r, _)| r.rollouts.clone()).unwrap_or_default(),
+            ),
             stopping: self.stopping,
         };
         fx.push(Effect::Publish(Arc::new(view)));
--- /dev/null
+++ b/crates/core/src/control/rollout.rs
@@ -0,0 +1,66 @@
+//! The rollout part of the control state: writing the next step.
+
+use std::time::Duration;
+
+use super::{Control, Effect};
+use crate::{
+    event::{Event, Kind},
+    rollout::{Records, RolloutMsg, State, host::CONTROLLERS},
+    time::{Instant, UnixMillis},
+    world::World,
+};
+
+/// Time after which a step whose write had no effect is written again.
+const WRITE_LIMIT: Duration = Duration::from_secs(1);
+
+impl Control {
+    /// Wall-clock time now, once the date was told.
+    fn date(&self, now: Instant) -> Option<UnixMillis> {
+        let (told, date) = self.date?;
+        Some(date + now.saturating_since(told).as_millis() as u64)
+    }
+
+    pub(super) fn hear_rollout(&mut self, msg: &RolloutMsg) {
+        self.rollouts.hear(msg);
+    }
+
+    /// Writes the next records of rollouts, if some are due and this host's turn has come.
+    pub(super) fn advance_rollouts(&mut self, now: Instant, fx: &mut Vec<Effect>) {
+        let (Some(date), Some((root, version))) = (self.date(now), &self.root) else { return };
+        let written = self.wrote_rollouts.is_some_and(|at| at + WRITE_LIMIT > now);
+        let live = self.members.iter().filter(|m| m.is_live(now) && !m.last.stopping);
+        let rank = live.filter(|m| m.last.host.name < self.me.name).count();
+        if rank >= CONTROLLERS || self.stopping || written {
+            return;
+        }
+        let mut events = Vec::new();
+        let next = self.rollouts.next(date, rank, &self.world, &root.rollouts, &mut events);
+        fx.extend(events.into_iter().map(Effect::Log));
+        let Some(next) = next else { return };
+        let write_id = format!("{}-{version}-rollout", self.me.incarnation);
+        let root = root.with_rollouts(next, &write_id);
+        fx.push(Effect::SwapRoot { version: *version, root });
+        self.wrote_rollouts = Some(now);
+    }
+}
+
+/// Events of what changed between two records.
+pub(super) fn changes(world: &World, old: &Records, new: &Records) -> Vec<Event> {
+    let mut events = Vec::new();
+    for movement in world.moves.values() {
+        let name = &movement.name;
+        let Some(record) = new.moves.get(name).filter(|r| old.moves.get(name) != Some(*r)) else {
+            continue;
+        };
+        let (kind, detail) = match record.state {
+            State::Running => {
+                let percent = f64::from(record.share) / 10_000.0;
+                (Kind::RolloutStep, format!("{name}: step {}, {percent}%", record.step))
+            }
+            State::Done => (Kind::RolloutDone, name.clone()),
+            State::TakenBack => (Kind::RolloutTakenBack, format!("{name}: {}", record.evidence)),
+        };
+        events.push(Event::new(kind, detail));
+    }
+    events
+}
--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -68,6 +68,18 @@
     MemberSilent = 41, Warn;
     /// A message from another host was rejected.
     MessageRejected = 50, Warn;
+    /// A backend server fails and gets no requests for a while.
+    ServerEjected = 70, Warn;
+    /// This host stops giving requests to the new version of a move.
+    RolloutStopped = 75, Warn;
+    /// A step of a move was recorded.
+    RolloutStep = 76, Info;
+    /// A move was taken back.
+    RolloutTakenBack = 77, Warn;
+    /// A move is done.
+    RolloutDone = 78, Info;
+    /// A move will not be done by its declared time.
+    RolloutLate = 79, Warn;
     /// A broken invariant was found; the part concerned stops serving.
     InvariantBroken = 90, Error;
 }
--- a/crates/core/src/route/mod.rs
+++ b/crates/core/src/route/mod.rs
@@ -1,68 +1,59 @@
-//! Choice of a backend server.
-
-use std::collections::HashMap;
+//! Choice of a backend server, slots and their loans.
+//!
+//! Every slot of a backend server belongs to one seat of the server's failure domain ([`share`]).
+//! A host uses the slots of its seat and lends idle ones to other hosts ([`loan`]): first inside
+//! its domain, then in its region, then to other regions out of what it can spare. So all hosts
+//! together never have more requests in flight on a server than it has slots.
+
+pub mod backend;
+pub mod balancer;
+pub mod budget;
+pub mod health;
+mod lend;
+pub mod loan;
+pub mod queue;
+pub mod share;
+
+use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 
-use crate::{
-    view::View,
-    world::{Duty, RouteKey, ServerKey},
-};
+pub use self::balancer::{BackendKey, Balancer, Choice, Want};
+use self::loan::AskId;
+use crate::host::Incarnation;
 
 /// Messages between hosts about backend servers.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum RouteMsg {
-    /// A backend server was seen to fail.
-    ServerFailed {
-        /// Name of the backend server.
-        server: String,
+    /// Asks for slots.
+    Ask {
+        /// Life of the host that asks.
+        borrower: Incarnation,
+        /// Number of the ask.
+        ask: AskId,
+        /// Name of the borrower's failure domain.
+        domain: String,
+        /// Name of the route.
+        route: String,
+        /// Slots wanted.
+        slots: u16,
+    },
+    /// Answers an ask; no slots is a refusal.
+    Lend {
+        /// Number of the ask.
+        ask: AskId,
+        /// Time after the ask in which every request on the slots must have ended.
+        span: Duration,
+        /// Slots by name of the backend server.
+        slots: Vec<(String, u16)>,
+        /// Bytes of answers that may cross the link for each slot.
+        bytes: u64,
+    },
+    /// Ends a loan before its time.
+    GiveBack {
+        /// Life of the host that borrowed.
+        borrower: Incarnation,
+        /// Number of the ask.
+        ask: AskId,
     },
-}
-
-/// What this host sees of its own requests to one backend server.
-#[derive(Clone, Debug, Default)]
-struct ServerState {
-    in_flight: u32,
-}
-
-/// Choice of backend servers by what this host sees.
-#[derive(Clone, Debug, Default)]
-pub struct Balancer {
-    servers: HashMap<String, ServerState>,
-}
-
-impl Balancer {
-    /// Forgets backend servers that are no longer declared.
-    pub fn install(&mut self, view: &View) {
-        let mut old = std::mem::take(&mut self.servers);
-        let states = view.world.servers.values().map(|s| {
-            let state = old.remove(&s.name).unwrap_or_default();
-            (s.name.clone(), state)
-        });
-        self.servers = states.collect();
-    }
-
-    /// The nearest backend server of a route with a free slot and the fewest requests in flight.
-    pub fn choose(&mut self, view: &View, route: RouteKey, not: &[ServerKey]) -> Option<ServerKey> {
-        let my_region = view.world.region_of(&view.me.domain);
-        let candidates = view.world.servers_of(route).filter(|(key, s)| {
-            let region = view.world.domains[s.domain].region;
-            s.duty == Duty::Serving && Some(region) == my_region && !not.contains(key)
-        });
-        let free = candidates.filter_map(|(key, s)| {
-            let in_flight = self.servers.get(&s.name)?.in_flight;
-            let far = view.world.domains[s.domain].name != view.me.domain;
-            (in_flight < u32::from(s.slots)).then_some((far, in_flight, &s.name, key))
-        });
-        let (_, _, name, key) = free.min()?;
-        self.servers.entry(name.clone()).or_default().in_flight += 1;
-        Some(key)
-    }
-
-    /// Gives back the slot of a request that has ended.
-    pub fn release(&mut self, server: &str) {
-        if let Some(state) = self.servers.get_mut(server) {
-            state.in_flight = state.in_flight.saturating_sub(1);
-        }
-    }
 }
--- a/crates/core/src/traffic/mod.rs
+++ b/crates/core/src/traffic/mod.rs
@@ -14,10 +14,10 @@
     once::{self, RequestId},
     rate::Buckets,
     result::{Code, Execution},
-    route::Balancer,
+    route::{BackendKey, Balancer, Choice, Want, health::Report},
     time::Instant,
     view::View,
-    world::{Repeat, RouteKey, ServerKey, WorkspaceKey},
+    world::{Repeat, RouteKey, WorkspaceKey},
 };
 
 new_key_type! {
@@ -25,6 +25,8 @@
     pub struct FlightKey;
 }
 
+/// Status of a backend server that is full.
+const SHED: u16 = 503;
 /// Tries of an idempotent request, the first one included.
 pub const MAX_TRIES: usize = 2;
 /// Time between two calls of [`Traffic::tick`].
@@ -87,7 +89,7 @@
     /// It needs a backend server.
     Choice,
     /// It was sent to this backend server.
-    Sent(ServerKey),
+    Sent(BackendKey),
 }
 
 /// A request that has not been answered.
@@ -100,7 +102,7 @@
     id: Option<RequestId>,
     #[expect(dead_code, reason = "read when backend servers die")]
     fingerprint: Fingerprint,
-    tried: Vec<ServerKey>,
+    tried: Vec<BackendKey>,
     /// What is answered when no further server can be tried.
     otherwise: Code,
     stage: Stage,
@@ -133,21 +135,44 @@
     /// Takes over a new view.
     pub fn install(&mut self, now: Instant, view: Arc<View>) {
         self.rates.install(now, &view);
-        self.balancer.install(&view);
+        self.balancer.install(now, &view);
         self.view = view;
     }
 
     /// Takes in a message of another host.
-    pub fn hear(&mut self, _now: Instant, _from: SocketAddr, _msg: &PeerMsg) {}
+    pub fn hear(&mut self, now: Instant, from: SocketAddr, msg: &PeerMsg) {
+        match msg {
+            PeerMsg::Route(msg) => self.balancer.hear(now, from, msg, &mut self.outbox),
+            PeerMsg::Rollout(msg) => self.balancer.rollouts.hear(msg, &mut self.outbox),
+            _ => {}
+        }
+    }
 
     /// Does what is due; called every [`TICK_PERIOD`].
-    pub fn tick(&mut self, _now: Instant) {}
+    pub fn tick(&mut self, now: Instant) {
+        self.balancer.tick(now, &mut self.outbox);
+    }
 
     /// Takes what is to be done besides the steps returned.
     pub fn take_outbox(&mut self) -> Outbox {
         std::mem::take(&mut self.outbox)
     }
 
+    /// The choice of backend servers, to look at.
+    pub fn balancer(&self) -> &Balancer {
+        &self.balancer
+    }
+
+    /// Takes in what a backend server reports of itself.
+    pub fn hear_report(&mut self, server: &str, report: Report) {
+        self.balancer.hear_report(server, report);
+    }
+
+    /// Counts the bytes of a try and its answer; called before [`Traffic::finish`].
+    pub fn carried(&mut self, flight: FlightKey, sent: u64, received: u64) {
+        self.balancer.carried(flight, sent, received);
+    }
+
     /// Requests in flight.
     pub fn in_flight(&self) -> usize {
         self.flights.len()
@@ -193,7 +218,7 @@
             return Step::Reply(Code::BadAnswer);
         };
         let Stage::Sent(server) = state.stage else { return Step::Reply(Code::BadAnswer) };
-        self.balancer.release(&state.view.world.servers[server].name);
+        self.balancer.finish(now, flight, outcome, &mut self.outbox);
         let (code, sent) = match outcome {
             Outcome::Answered(_) => (Code::Done, true),
             Outcome::ConnectFailed => (Code::NoServer, false),
@@ -205,6 +230,10 @@
         state.otherwise = code;
         state.stage = Stage::Choice;
         let again = !sent || state.id.is_none();
+        let shed = outcome == Outcome::Answered(SHED) && state.id.is_none();
+        if shed && state.tried.len() < MAX_TRIES {
+            return self.advance(now, flight);
+        }
         if code == Code::Done || !again || state.tried.len() >= MAX_TRIES {
             return self.end(now, flight, code, sent);
         }
@@ -214,11 +243,10 @@
     /// Ends a request whose caller has gone away.
     pub fn abandon(&mut self, now: Instant, flight: FlightKey) {
         let Some(state) = self.flights.get(flight) else { return };
-        let mut sent = state.otherwise.execution() != Execution::NotRun;
-        if let Stage::Sent(server) = state.stage {
-            self.balancer.release(&state.view.world.servers[server].name);
-            sent = true;
-        }
+        let sent = matches!(state.stage, Stage::Sent(_))
+            || state.otherwise.execution() != Execution::NotRun;
+        let route = &state.view.world.routes[state.route].name;
+        self.balancer.abandon(now, flight, route, &mut self.outbox);
         self.end(now, flight, Code::ConnectionLost, sent);
     }
 
@@ -234,19 +262,26 @@
             }
             state.stage = Stage::Choice;
         }
-        let timeout = state.deadline.saturating_since(now);
-        let chosen = match state.stage {
-            Stage::Choice if !timeout.is_zero() => {
-                self.balancer.choose(&state.view, state.route, &state.tried)
-            }
-            _ => None,
-        };
-        let Some(server) = chosen else {
-            let (code, sent) = (state.otherwise, state.otherwise.execution() != Execution::NotRun);
-            return self.end(now, flight, code, sent);
+        let world = &state.view.world;
+        let want = Want {
+            flight,
+            route: &world.routes[state.route].name,
+            workspace: state.workspace.map_or("", |w| &world.workspaces[w].name),
+            deadline: state.deadline,
+            tried: &state.tried,
         };
-        state.stage = Stage::Sent(server);
-        Step::Send { flight, address: state.view.world.servers[server].address, timeout }
+        match self.balancer.choose(now, &want, &mut self.outbox) {
+            Choice::Send(server, address) => {
+                state.stage = Stage::Sent(server);
+                let timeout = state.deadline.saturating_since(now);
+                Step::Send { flight, address, timeout }
+            }
+            Choice::Wait(until) => Step::Park { flight, until },
+            Choice::Refuse(code) => {
+                let code = if state.tried.is_empty() { code } else { state.otherwise };
+                self.end(now, flight, code, code.execution() != Execution::NotRun)
+            }
+        }
     }
 
     /// Ends a request; `sent` says whether a byte of it may have left this system.
--- a/crates/core/src/view.rs
+++ b/crates/core/src/view.rs
@@ -5,6 +5,7 @@
 use crate::{
     config::Revision,
     host::{HostInfo, Incarnation},
+    rollout::Records,
     world::World,
 };
 
@@ -38,6 +39,8 @@
     pub seat: Option<u16>,
     /// Hosts heard lately, this one included, in the order of their names.
     pub hosts: Vec<LiveHost>,
+    /// Recorded steps of the moves between versions.
+    pub rollouts: Arc<Records>,
     /// Whether this host is stopping.
     pub stopping: bool,
 }
@@ -51,6 +54,7 @@
             world: Arc::default(),
             seat: None,
             hosts: Vec::new(),
+            rollouts: Arc::default(),
             stopping: false,
         }
     }
--- a/crates/daemon/src/control.rs
+++ b/crates/daemon/src/control.rs
@@ -110,6 +110,7 @@
         let event = tokio::select! {
             event = rx.recv() => event,
             Some(()) = ticks.recv() => {
+                control.handle(clock::now(), Input::Date(clock::unix_millis()), &mut fx);
                 control.handle(clock::now(), Input::Tick, &mut fx);
                 None
             }
@@ -126,6 +127,9 @@
             Some(ControlEvent::Close) => break,
             Some(ControlEvent::Peer(from, msg)) if is_for_traffic(msg) => {
                 shared.decide(|traffic, now| traffic.hear(now, *from, msg));
+                if let PeerMsg::Rollout(_) = msg {
+                    control.handle(clock::now(), Input::Peer { from: *from, msg }, &mut fx);
+                }
             }
             Some(event) => control.handle(clock::now(), input(event), &mut fx),
             None => {}
@@ -140,7 +144,14 @@
 
 /// Whether a message concerns the request path rather than the control state.
 fn is_for_traffic(msg: &PeerMsg) -> bool {
-    matches!(msg, PeerMsg::Rate(_) | PeerMsg::Once(_) | PeerMsg::Route(_) | PeerMsg::Crash(_))
+    matches!(
+        msg,
+        PeerMsg::Rate(_)
+            | PeerMsg::Once(_)
+            | PeerMsg::Route(_)
+            | PeerMsg::Rollout(_)
+            | PeerMsg::Crash(_)
+    )
 }
 
 fn input(event: &ControlEvent) -> Input<'_> {
