--- a/crates/core/src/route/balancer.rs
+++ b/crates/core/src/route/balancer.rs
@@ -37,6 +37,14 @@
 const SLOW_FACTOR: f64 = 4.0;
 /// Time between two requests to a server that is held out as slow.
 const SLOW_TRIAL_PERIOD: Duration = Duration::from_millis(500);
+/// Weight of the newest sample in the mean of own requests.
+const MEAN_WEIGHT: f64 = 0.05;
+/// Part of the time left that a request waits for a slot at most, as a divisor.
+const WAIT_DIVISOR: u32 = 2;
+/// A request that waits keeps this many times the expected latency for its answer.
+const EXPECTED_FACTOR: u32 = 2;
+/// An answer that did not come within this many times the mean says that the server fails.
+const TIMEOUT_FACTOR: f64 = 4.0;
 /// Largest part of the servers of one version that may be held out, as a divisor.
 const HELD_OUT_DIVISOR: usize = 2;
 
@@ -78,8 +86,8 @@
 #[derive(Clone, Debug, Default)]
 pub(super) struct RouteState {
     pub queue: FairQueue,
-    /// Most own requests at one moment lately.
-    pub peak: f64,
+    /// Mean number of own requests, waiting ones included.
+    pub mean: f64,
     /// The next group of hosts to ask for slots.
     pub ring: u8,
     /// Asks under way.
@@ -100,6 +108,8 @@
     pub(super) names: HashMap<String, BackendKey>,
     pub(super) routes: BTreeMap<String, RouteState>,
     pub(super) rings: [Vec<SocketAddr>; 3],
+    /// Until when each waiting request waits.
+    waits: SecondaryMap<FlightKey, Instant>,
     pub(super) running: SecondaryMap<FlightKey, Running>,
     pub(super) lender: Lender,
     pub(super) asks: HashMap<AskId, (String, Ask)>,
@@ -264,11 +274,11 @@
             out.events.push(Event::new(Kind::InvariantBroken, detail));
         }
         self.rollouts.note_start(want.route, &self.backends[key].version, out);
+        self.waits.remove(want.flight);
         self.running.insert(want.flight, Running { backend: key, slot, started: now });
         if let Some(state) = self.routes.get_mut(want.route) {
             state.queue.remove(want.flight);
         }
-        self.note_peak(want.route);
         Choice::Send(key, address)
     }
 
@@ -280,21 +290,24 @@
         waiting: bool,
         out: &mut Outbox,
     ) -> Choice {
-        let expected = self.expected_latency(want.route);
-        let latest = want.deadline - expected;
+        let left = want.deadline.saturating_since(now);
+        let needed = self.expected_latency(want.route) * EXPECTED_FACTOR;
+        let limit = now + (left / WAIT_DIVISOR).min(left.saturating_sub(needed));
+        let latest = self.waits.get(want.flight).copied().unwrap_or(limit);
         let hopeless = !self.has_server(want.route);
         let Some(state) = self.routes.get_mut(want.route) else {
             return Choice::Refuse(Code::NoServer);
         };
         if now >= latest || hopeless {
             state.queue.remove(want.flight);
+            self.waits.remove(want.flight);
             return Choice::Refuse(Code::NoServer);
         }
         let in_line = waiting && !woken;
+        self.waits.insert(want.flight, latest);
         if !in_line && !state.queue.push(want.workspace, want.flight, woken) {
             return Choice::Refuse(Code::QueueFull);
         }
-        self.note_peak(want.route);
         self.ask(now, want.route, out);
         Choice::Wait(latest)
     }
@@ -371,6 +384,12 @@
         let took = now.saturating_since(run.started);
         let Some(backend) = self.backends.get_mut(run.backend) else { return };
         backend.release(now, run.slot);
+        let short = backend.health.latency().unwrap_or(ASSUMED_LATENCY) * TIMEOUT_FACTOR;
+        if outcome == Outcome::TimedOut && took.as_secs_f64() < short {
+            // The request began too late for its deadline; that says nothing of the server.
+            let route = backend.route.clone();
+            return self.wake(now, &route, out);
+        }
         let sample = sample(outcome);
         let cold = backend.health.is_cold(now);
         let eject = backend.health.see(now, sample, took);
@@ -380,6 +399,10 @@
             self.eject(now, run.backend, out);
         }
         self.wake(now, &route, out);
+        let idle = self.routes.get(&route).is_none_or(|s| s.queue.woken() == 0);
+        if idle && matches!(run.slot, Slot::Borrowed(_)) {
+            self.give_back(now, out);
+        }
     }
 
     fn eject(&mut self, now: Instant, key: BackendKey, out: &mut Outbox) {
@@ -408,6 +431,7 @@
         if let Some(state) = self.routes.get_mut(route) {
             state.queue.remove(flight);
         }
+        self.waits.remove(flight);
         self.wake(now, route, out);
     }
 
@@ -447,11 +471,13 @@
         servers.map(|b| usize::from(b.free_slots(now, now, far))).sum()
     }
 
-    fn note_peak(&mut self, route: &str) {
+    /// Takes the number of own requests into the mean.
+    pub(super) fn sample_load(&mut self, route: &str) {
         let taken: u16 =
             self.backends.values().filter(|b| b.route == route).map(|b| b.in_flight()).sum();
         if let Some(state) = self.routes.get_mut(route) {
-            state.peak = state.peak.max(f64::from(taken) + state.queue.len() as f64);
+            let load = f64::from(taken) + state.queue.len() as f64;
+            state.mean += MEAN_WEIGHT * (load - state.mean);
         }
     }
 
--- a/crates/core/src/route/lend.rs
+++ b/crates/core/src/route/lend.rs
@@ -1,6 +1,6 @@
 //! Asking for slots, lending them and giving them back.
 
-use std::net::SocketAddr;
+use std::{net::SocketAddr, time::Duration};
 
 use super::{
     RouteMsg,
@@ -17,13 +17,13 @@
 /// Groups of hosts to ask: the domain, the region, other regions.
 const RINGS: u8 = 3;
 /// Time after which an unanswered ask is given up.
-const ASK_LIMIT: std::time::Duration = std::time::Duration::from_millis(200);
+const ASK_LIMIT: Duration = Duration::from_millis(200);
 /// Time after which a loan that is not used is given back.
-const IDLE_LIMIT: std::time::Duration = std::time::Duration::from_millis(200);
+const IDLE_LIMIT: Duration = Duration::from_millis(200);
+/// Time in which a woken request takes the slot that was borrowed for it.
+const WAKE_TIME: Duration = Duration::from_millis(10);
 /// Part of the own slots that is never lent to other regions, as a divisor.
-const FAR_RESERVE_DIVISOR: u16 = 5;
-/// Factor of the peak of own requests at each tick.
-const PEAK_DECAY: f64 = 0.95;
+const FAR_RESERVE_DIVISOR: f64 = 5.0;
 
 impl Balancer {
     /// Takes in a message of another host.
@@ -111,12 +111,11 @@
             own += backend.own;
             lent += backend.lent;
         }
-        let needed = if self.stopping { 0 } else { state.peak.ceil() as u16 };
-        let reserve = match distance {
-            Distance::Far => own.div_ceil(FAR_RESERVE_DIVISOR),
-            _ => 0,
+        let kept = match distance {
+            Distance::Far if !self.stopping => state.mean + f64::from(own) / FAR_RESERVE_DIVISOR,
+            _ => 0.0,
         };
-        own.saturating_sub(lent + needed + reserve)
+        (f64::from(own) - f64::from(lent) - kept).max(0.0) as u16
     }
 
     fn own_of(&self, route: &str) -> impl Iterator<Item = &Backend> {
@@ -138,8 +137,16 @@
         for (name, count) in slots {
             let Some(key) = self.names.get(name) else { continue };
             let bytes = (bytes * u64::from(*count)) as i64;
-            let loan =
-                Borrowed { from, ask, until, slots: *count, used: 0, far, bytes, idle_since: now };
+            let loan = Borrowed {
+                from,
+                ask,
+                until,
+                slots: *count,
+                used: 0,
+                far,
+                bytes,
+                idle_since: now + WAKE_TIME,
+            };
             self.backends[*key].borrowed.push(loan);
         }
     }
@@ -217,11 +224,11 @@
         }
         let names: Vec<String> = self.routes.keys().cloned().collect();
         for name in &names {
-            if let Some(state) = self.routes.get_mut(name) {
-                state.peak *= PEAK_DECAY;
-                if state.asked + TICK_PERIOD <= now {
-                    state.ring = 0;
-                }
+            self.sample_load(name);
+            if let Some(state) = self.routes.get_mut(name)
+                && state.asked + TICK_PERIOD <= now
+            {
+                state.ring = 0;
             }
             self.wake(now, name, out);
             self.ask(now, name, out);
@@ -241,10 +248,15 @@
     }
 
     /// Gives back loans that are idle or over, once all of their slots are free.
-    fn give_back(&mut self, now: Instant, out: &mut Outbox) {
+    ///
+    /// A loan from this region is idle at once when no request waits; one from another region is
+    /// kept for a while, because to ask for it again takes long.
+    pub(super) fn give_back(&mut self, now: Instant, out: &mut Outbox) {
         let Some(me) = &self.me else { return };
-        let limit = if self.stopping { std::time::Duration::ZERO } else { IDLE_LIMIT };
-        let keep = |b: &Borrowed| b.used > 0 || (now < b.until && now < b.idle_since + limit);
+        let keep = |b: &Borrowed| {
+            let limit = if b.far && !self.stopping { IDLE_LIMIT } else { Duration::ZERO };
+            b.used > 0 || (now < b.until && now < b.idle_since + limit)
+        };
         let mut kept: Vec<AskId> = Vec::new();
         for backend in self.backends.values() {
             kept.extend(backend.borrowed.iter().filter(|b| keep(b)).map(|b| b.ask));
