--- a/crates/core/examples/sim/mod.rs
+++ b/crates/core/examples/sim/mod.rs
@@ -423,7 +423,7 @@
         let step = self.hosts[host].traffic.begin(self.now, &req);
         let flight = match step {
             Step::Send { flight, .. } | Step::Park { flight, .. } => Some(flight),
-            Step::Reply(_) => None,
+            Step::Reply(_) | Step::Repeat(_) | Step::Pass { .. } => None,
         };
         if let Some(flight) = flight {
             self.hosts[host].flights.insert(flight, self.now);
@@ -446,6 +446,7 @@
                 let wait = Some(self.next);
                 self.at(after, Happening::Resume { host, flight, wait });
             }
+            Step::Repeat(_) | Step::Pass { .. } => unreachable!("the route is idempotent"),
             Step::Reply(code) => *self.stats.by_code.entry(code.number()).or_default() += 1,
         }
     }
--- a/crates/core/src/route/balancer.rs
+++ b/crates/core/src/route/balancer.rs
@@ -59,8 +59,12 @@
     pub workspace: &'a str,
     /// When its answer is due.
     pub deadline: Instant,
-    /// Servers that it was sent to before.
-    pub tried: &'a [BackendKey],
+    /// Whether it was sent to a server before.
+    pub retry: bool,
+    /// Servers that it should not go to.
+    pub not: &'a [BackendKey],
+    /// Whether any server will do when there is no other.
+    pub any: bool,
 }
 
 /// What a request should do.
@@ -232,14 +236,14 @@
         let state = self.routes.entry(want.route.to_owned()).or_default();
         let woken = state.queue.come_back(want.flight);
         let waiting = woken || state.queue.holds(want.flight);
-        if want.tried.is_empty() && !waiting {
+        if !want.retry && !waiting {
             self.budget.deposit();
         }
         if now >= want.deadline {
             state.queue.remove(want.flight);
             return Choice::Refuse(Code::NoServer);
         }
-        let retry = !want.tried.is_empty();
+        let retry = want.retry;
         let open = state.queue.is_empty() && !waiting;
         let (queued, other) = (state.queue.woken(), woken || retry);
         if retry && !waiting && !self.budget.withdraw() {
@@ -322,7 +326,12 @@
     /// The best free slot of the versions that the request may use.
     fn pick(&mut self, now: Instant, want: &Want<'_>) -> Option<(BackendKey, Slot)> {
         let versions = self.rollouts.versions(want.route);
-        versions.iter().find_map(|version| self.pick_version(now, want, version))
+        let found = versions.iter().find_map(|version| self.pick_version(now, want, version));
+        if found.is_some() || !want.any {
+            return found;
+        }
+        let anywhere = Want { not: &[], any: false, ..*want };
+        versions.iter().find_map(|version| self.pick_version(now, &anywhere, version))
     }
 
     fn pick_version(
@@ -353,7 +362,7 @@
         let scored = kin.iter().enumerate().filter_map(|(n, key)| {
             let backend = &self.backends[*key];
             let due = self.slow_trials.get(*key).is_none_or(|t| *t + SLOW_TRIAL_PERIOD <= now);
-            if want.tried.contains(key) || (held.contains(key) && !due) {
+            if want.not.contains(key) || (held.contains(key) && !due) {
                 return None;
             }
             let slot = backend.free_slot(now, want.deadline, far)?;
@@ -435,6 +444,13 @@
         self.wake(now, route, out);
     }
 
+    /// Forgets a request that has ended while it waited.
+    pub fn forget(&mut self, flight: FlightKey) {
+        if self.waits.remove(flight).is_some() {
+            self.routes.values_mut().for_each(|s| s.queue.remove(flight));
+        }
+    }
+
     /// Counts what a request sent to its server and what came back, in bytes.
     pub fn carried(&mut self, flight: FlightKey, sent: u64, received: u64) {
         let Some(run) = self.running.get(flight) else { return };
