--- a/crates/core/src/traffic/crash.rs
+++ b/crates/core/src/traffic/crash.rs
@@ -8,9 +8,9 @@
     crash::{CrashMsg, Death, Verdict},
     event::{Event, Kind},
     result::{Code, Execution},
+    route::BackendKey,
     time::Instant,
     view::LiveHost,
-    world::ServerKey,
 };
 
 /// Hosts of each other failure domain that are told.
@@ -41,7 +41,7 @@
     }
 
     /// Servers on which a suspect is not tried: those that run another one.
-    pub(super) fn servers_of_suspects(&self, flight: FlightKey) -> Vec<ServerKey> {
+    pub(super) fn servers_of_suspects(&self, flight: FlightKey) -> Vec<BackendKey> {
         let fingerprint = self.flights.get(flight).map(|f| f.fingerprint);
         if !fingerprint.is_some_and(|f| self.suspects.is_suspect(f)) {
             return Vec::new();
@@ -59,11 +59,11 @@
     }
 
     /// Notes the death of a server with this flight on it.
-    pub(super) fn note_death(&mut self, now: Instant, flight: FlightKey, server: ServerKey) {
+    pub(super) fn note_death(&mut self, now: Instant, flight: FlightKey, server: BackendKey) {
         let Some(state) = self.flights.get(flight) else { return };
         let death = Death {
             fingerprint: state.fingerprint,
-            server: state.view.world.servers[server].name.clone(),
+            server: self.balancer.name(server).unwrap_or_default().to_owned(),
             seen_by: self.view.me.incarnation,
         };
         self.take_death(now, &death);
--- a/crates/core/src/view.rs
+++ b/crates/core/src/view.rs
@@ -5,6 +5,7 @@
 use crate::{
     config::{Revision, root::SeatHolder},
     host::{HostInfo, Incarnation},
+    rollout::Records,
     world::World,
 };
 
@@ -43,6 +44,8 @@
     pub accepted: Revision,
     /// Hosts heard lately, this one included, in the order of their names.
     pub hosts: Vec<LiveHost>,
+    /// Recorded steps of the moves between versions.
+    pub rollouts: Arc<Records>,
     /// Whether this host is stopping.
     pub stopping: bool,
 }
@@ -58,6 +61,7 @@
             seats: Arc::default(),
             accepted: 0,
             hosts: Vec::new(),
+            rollouts: Arc::default(),
             stopping: false,
         }
     }
