--- a/crates/core/src/config/root.rs
+++ b/crates/core/src/config/root.rs
@@ -6,7 +6,10 @@
 use serde_with::{DurationMilliSeconds, serde_as};
 
 use super::{ChunkHash, Revision, accept::is_majority};
-use crate::host::{HostInfo, Incarnation};
+use crate::{
+    host::{HostInfo, Incarnation},
+    rollout::Records,
+};
 
 /// Ids of past writes that the root record keeps, so that a lost answer can be resolved when later
 /// writes already stand above it.
@@ -15,6 +18,9 @@
 /// Seats by name of the failure domain.
 pub type SeatCounts = BTreeMap<String, u16>;
 
+/// Holders of the seats of each failure domain, by name of the domain.
+pub type Seats = BTreeMap<String, Vec<Option<SeatHolder>>>;
+
 /// Holder of a seat: one life of one host.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SeatHolder {
@@ -91,7 +97,10 @@
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     pub authority_before: Duration,
     /// Holders of the seats of each failure domain, by name of the domain.
-    pub seats: BTreeMap<String, Vec<Option<SeatHolder>>>,
+    pub seats: Seats,
+    /// Versions of the routes and steps of the moves between them.
+    #[serde(default)]
+    pub rollouts: Records,
 }
 
 impl Root {
@@ -242,4 +251,11 @@
         next.write_id = write_id.to_owned();
         next
     }
+
+    /// The next root, with other records of rollouts.
+    pub fn with_rollouts(&self, rollouts: Records, write_id: &str) -> Root {
+        let mut next = self.next(write_id);
+        next.rollouts = rollouts;
+        next
+    }
 }
--- a/crates/core/src/control/acks.rs
+++ b/crates/core/src/control/acks.rs
@@ -4,7 +4,7 @@
 
 use super::{Control, Effect};
 use crate::{
-    config::{DomainAck, Revision},
+    config::{Acceptance, Acks, DomainAck, Revision, Root, accept::Follow},
     host::Incarnation,
     time::Instant,
 };
@@ -14,11 +14,16 @@
 /// Time after which an unchanged record is written again.
 const REFRESH_PERIOD: Duration = Duration::from_secs(10);
 
-/// What was recorded.
+/// Ticks between two reads of the acknowledgements.
+const FOLLOW_TICKS: u64 = 2;
+
+/// What was recorded and what is followed.
 #[derive(Clone, Debug, Default)]
 pub(super) struct AckState {
     written: Option<(DomainAck, Instant)>,
     changed: Option<Instant>,
+    /// The revision whose acceptance is followed.
+    follow: Option<Follow>,
 }
 
 impl AckState {
@@ -50,6 +55,46 @@
         }
     }
 
+    /// Follows the newest revision for the whole domain until it is accepted.
+    pub(super) fn tick_acceptance(&mut self, now: Instant, fx: &mut Vec<Effect>) {
+        let is_first = self.members.rank(now, &self.me) == 0;
+        if self.accepted >= self.revision() || !is_first {
+            self.acks.follow = None;
+            return;
+        }
+        let is_over = self.acks.follow.as_ref().is_some_and(|f| f.revision() <= self.accepted);
+        if is_over || self.acks.follow.is_none() {
+            self.acks.follow = Some(Follow::new(self.revision()));
+        }
+        if self.ticks.is_multiple_of(FOLLOW_TICKS) {
+            fx.push(Effect::ReadAcks);
+        }
+    }
+
+    /// The root record and the acknowledgements were read.
+    pub(super) fn see_acks(
+        &mut self,
+        now: Instant,
+        root: &Root,
+        acks: &Acks,
+        fx: &mut Vec<Effect>,
+    ) {
+        self.confirm_seat(now, root, acks, fx);
+        let Some(follow) = &mut self.acks.follow else { return };
+        let revision = follow.revision();
+        if root.revision >= revision && follow.see(now, root, acks) == Acceptance::Accepted {
+            self.see_accepted(now, revision, fx);
+        }
+    }
+
+    /// A revision is known to be accepted, here or on another host.
+    pub(super) fn see_accepted(&mut self, now: Instant, revision: Revision, fx: &mut Vec<Effect>) {
+        if revision > self.accepted {
+            self.accepted = revision;
+            self.publish(now, fx);
+        }
+    }
+
     /// The revision in force on each life of a host that holds a seat of the domain or held it
     /// before a takeover.
     fn domain_ack(&self) -> DomainAck {
--- a/crates/core/src/control/authority.rs
+++ b/crates/core/src/control/authority.rs
@@ -74,6 +74,8 @@
         let far = far.filter(|d| d.revision == revision);
         let mut stamps: Vec<Instant> =
             near.filter_map(|m| m.echoed).chain(far.filter_map(|d| d.echoed)).collect();
+        // One host may hold a majority of the seats by itself.
+        stamps.push(now);
         stamps.retain(|at| Some(*at) > self.proof && *at <= now);
         stamps.sort_unstable();
         stamps.dedup();
--- a/crates/core/src/control/configuration.rs
+++ b/crates/core/src/control/configuration.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
 
-use super::{Control, Effect};
+use super::{Control, Effect, rollout};
 use crate::{
     config::{
         ChunkHash, Held, Revision, Root,
@@ -202,6 +202,11 @@
             self.chunks = self.chunks.iter().filter(|(h, _)| named(h)).map(clone_pair).collect();
         }
         self.log(Kind::RevisionInForce, format!("revision {}", root.revision), fx);
+        for change in rollout::changes(&self.world, &self.held.root.rollouts, &root.rollouts) {
+            fx.push(Effect::Log(change));
+        }
+        self.seats = Arc::new(root.seats.clone());
+        self.rollout_records = Arc::new(root.rollouts.clone());
         self.held = Arc::new(Held { root, chunks: self.chunks.clone() });
         self.prove_by_read(now, fx);
         self.see_seat(now, fx);
--- a/crates/core/src/control/membership.rs
+++ b/crates/core/src/control/membership.rs
@@ -81,6 +81,7 @@
             self.tick_acks(now, fx);
         }
         self.see_revision(now, beat.revision, beat.host.peer_address, fx);
+        self.see_accepted(now, beat.accepted, fx);
         self.prove_by_peer(now, beat.revision, beat.echo, fx);
     }
 
@@ -109,6 +110,7 @@
             self.tell_members(now, domain, fx);
         }
         self.see_revision(now, digest.revision, digest.host.peer_address, fx);
+        self.see_accepted(now, digest.accepted, fx);
         self.prove_by_peer(now, digest.revision, digest.echo, fx);
     }
 
@@ -137,6 +139,7 @@
             host: self.me.clone(),
             sequence: self.sequence,
             revision: self.revision(),
+            accepted: self.accepted,
             stopping: self.stopping,
             stamp: now,
             echo: member.and_then(|m| m.echo(self.proof)),
@@ -163,6 +166,7 @@
                 host: self.me.clone(),
                 sequence: self.sequence,
                 revision: self.revision(),
+                accepted: self.accepted,
                 stamp: now,
                 echo,
                 vouching,
@@ -244,7 +248,11 @@
             world: Arc::clone(&self.world),
             held: Arc::clone(&self.held),
             seat,
+            open_seat: self.confirmed_seat(),
             proof: self.proof.filter(|_| seat.is_some()),
+            seats: Arc::clone(&self.seats),
+            accepted: self.accepted,
+            rollouts: Arc::clone(&self.rollout_records),
             hosts,
             stopping: self.stopping,
         };
@@ -264,5 +272,5 @@
 }
 
 fn send(to: SocketAddr, msg: MemberMsg, fx: &mut Vec<Effect>) {
-    fx.push(Effect::Send { to, msg: PeerMsg::Member(msg) });
+    fx.push(Effect::Send { to, msg: PeerMsg::Member(Box::new(msg)) });
 }
--- a/crates/core/src/control/mod.rs
+++ b/crates/core/src/control/mod.rs
@@ -4,6 +4,7 @@
 mod authority;
 mod configuration;
 mod membership;
+mod rollout;
 mod seats;
 
 use std::{collections::BTreeMap, net::SocketAddr, sync::Arc};
@@ -12,7 +13,7 @@
 
 use self::{acks::AckState, configuration::Pending, seats::SeatState};
 use crate::{
-    config::{Acks, ChunkHash, Chunks, DomainAck, Held, Revision, Root, chunk::Chunk},
+    config::{Acks, ChunkHash, Chunks, DomainAck, Held, Revision, Root, chunk::Chunk, root::Seats},
     crash::CrashMsg,
     event::{Event, Kind},
     host::HostInfo,
@@ -20,9 +21,9 @@
     once::OnceMsg,
     peer::{PeerCall, PeerReply},
     rate::RateMsg,
-    rollout::RolloutMsg,
+    rollout::{self as rollouts, Records, RolloutMsg},
     route::RouteMsg,
-    time::Instant,
+    time::{Instant, UnixMillis},
     view::View,
     world::{BlockPart, World},
 };
@@ -31,7 +32,7 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum PeerMsg {
     /// Membership, and the proofs of authority that go with it.
-    Member(MemberMsg),
+    Member(Box<MemberMsg>),
     /// Rates.
     Rate(RateMsg),
     /// Request ids.
@@ -85,6 +86,8 @@
     AckFailed,
     /// Addresses of hosts from the platform's list.
     HostList(&'a [SocketAddr]),
+    /// The date now, for the times in declarations.
+    Date(UnixMillis),
     /// A graceful stop was asked for.
     Stop,
 }
@@ -135,6 +138,8 @@
     members: Members,
     fleet: Fleet,
     held: Arc<Held>,
+    seats: Arc<Seats>,
+    rollout_records: Arc<Records>,
     chunks: Chunks,
     pending: Option<Pending>,
     damaged: Revision,
@@ -147,6 +152,7 @@
     read_proof: Option<(Revision, Instant)>,
     seat: SeatState,
     acks: AckState,
+    accepted: Revision,
     started: Option<Instant>,
     sequence: u64,
     ticks: u64,
@@ -154,6 +160,9 @@
     watching: bool,
     store_up: bool,
     stopping: bool,
+    rollouts: rollouts::Controller,
+    date: Option<(Instant, UnixMillis)>,
+    wrote_rollouts: Option<Instant>,
 }
 
 impl Control {
@@ -166,6 +175,8 @@
             members: Members::default(),
             fleet: Fleet::default(),
             held: Arc::default(),
+            seats: Arc::default(),
+            rollout_records: Arc::default(),
             chunks: Chunks::default(),
             pending: None,
             damaged: 0,
@@ -178,6 +189,7 @@
             read_proof: None,
             seat: SeatState::default(),
             acks: AckState::default(),
+            accepted: 0,
             started: None,
             sequence: 0,
             ticks: 0,
@@ -185,6 +197,9 @@
             watching: false,
             store_up: true,
             stopping: false,
+            rollouts: rollouts::Controller::default(),
+            date: None,
+            wrote_rollouts: None,
         }
     }
 
@@ -199,6 +214,7 @@
         match input {
             Input::Tick => self.tick(now, fx),
             Input::Peer { from, msg: PeerMsg::Member(msg) } => self.hear(now, from, msg, fx),
+            Input::Peer { msg: PeerMsg::Rollout(msg), .. } => self.hear_rollout(msg),
             Input::Peer { .. } => {}
             Input::Root { root, asked } => self.see_store_root(now, root, asked, fx),
             Input::StoreFailed => self.see_store_failure(now, fx),
@@ -210,6 +226,7 @@
             Input::Acks { root, acks } => self.see_acks(now, root, acks, fx),
             Input::AckFailed => self.acks.forget(),
             Input::HostList(addresses) => self.listed = addresses.to_vec(),
+            Input::Date(date) => self.date = Some((now, date)),
             Input::Stop => self.stop(now, fx),
         }
         debug_assert!(self.proof.is_none_or(|p| p <= now), "a proof lies in the past");
@@ -230,6 +247,8 @@
         self.pass_news_on(now, fx);
         self.tick_seat(now, fx);
         self.tick_acks(now, fx);
+        self.tick_acceptance(now, fx);
+        self.advance_rollouts(now, fx);
     }
 
     fn stop(&mut self, now: Instant, fx: &mut Vec<Effect>) {
--- a/crates/core/src/control/seats.rs
+++ b/crates/core/src/control/seats.rs
@@ -38,13 +38,17 @@
 }
 
 impl Control {
-    /// The seat that this host holds and may use now.
-    pub(super) fn usable_seat(&self, now: Instant) -> Option<u16> {
+    /// The seat that this host holds by the revision in force.
+    pub(super) fn confirmed_seat(&self) -> Option<u16> {
         let root = &self.held.root;
         let (seat, holder) = root.seat_of(&self.me)?;
         let is_declared = root.seat_counts.get(&self.me.domain).is_some_and(|n| seat < *n);
-        let may = holder.is_confirmed() && is_declared && self.has_authority(now);
-        may.then_some(seat)
+        (holder.is_confirmed() && is_declared).then_some(seat)
+    }
+
+    /// The seat that this host holds and may use now.
+    pub(super) fn usable_seat(&self, now: Instant) -> Option<u16> {
+        self.confirmed_seat().filter(|_| self.has_authority(now))
     }
 
     fn has_authority(&self, now: Instant) -> bool {
@@ -156,7 +160,8 @@
         since.is_some_and(|since| now.saturating_since(since) > SEAT_SILENCE)
     }
 
-    pub(super) fn see_acks(
+    /// Confirms a takeover that is accepted or that the displaced holder has acknowledged.
+    pub(super) fn confirm_seat(
         &mut self,
         now: Instant,
         root: &Root,
--- a/crates/core/src/member/msg.rs
+++ b/crates/core/src/member/msg.rs
@@ -39,6 +39,8 @@
     pub sequence: u64,
     /// The revision in force on the host.
     pub revision: Revision,
+    /// The highest revision that the host knows to be accepted.
+    pub accepted: Revision,
     /// Whether the host is stopping.
     pub stopping: bool,
     /// The sender's clock, echoed by the receiver.
@@ -56,6 +58,8 @@
     pub sequence: u64,
     /// The revision in force on the delegate.
     pub revision: Revision,
+    /// The highest revision that the delegate knows to be accepted.
+    pub accepted: Revision,
     /// The sender's clock, echoed by the receiver.
     pub stamp: Instant,
     /// The receiver's stamps.
--- a/crates/core/src/traffic/admit.rs
+++ b/crates/core/src/traffic/admit.rs
@@ -41,16 +41,15 @@
     pub deadline: Duration,
 }
 
-/// Checks route, key, authority and deadline of a request; `proof` is the latest one.
+/// Checks route, key, authority and deadline of a request; `key` is the digest of the caller's key,
+/// `proof` the latest one.
 pub fn admit<'v>(
     view: &'v View,
     proof: Option<Instant>,
     now: Instant,
     req: &Request<'_>,
+    key: Option<KeyDigest>,
 ) -> Result<Admitted<'v>, Code> {
-    if view.stopping {
-        return Err(Code::Stopping);
-    }
     if view.revision == 0 {
         return Err(Code::NoConfiguration);
     }
@@ -58,9 +57,9 @@
     let workspace_key = match route.access {
         Access::Open => None,
         Access::Keyed => {
-            let key = req.key.ok_or(Code::KeyMissing)?;
+            let key = key.ok_or(Code::KeyMissing)?;
             check_authority(proof, now, route)?;
-            Some(authenticate(view, key)?)
+            Some(authenticate(view, &key)?)
         }
     };
     if let Some(workspace) = workspace_key.map(|w| &view.world.workspaces[w])
@@ -76,11 +75,15 @@
     Ok(Admitted { route, route_key, workspace_key, deadline })
 }
 
-fn authenticate(view: &View, key: &[u8]) -> Result<WorkspaceKey, Code> {
-    let digest: KeyDigest = Sha256::digest(key).into();
-    let owner = *view.world.key_owners.get(&digest).ok_or(Code::KeyUnknown)?;
+/// Digest of the key that a request carries.
+pub fn digest(req: &Request<'_>) -> Option<KeyDigest> {
+    req.key.map(|key| Sha256::digest(key).into())
+}
+
+fn authenticate(view: &View, digest: &KeyDigest) -> Result<WorkspaceKey, Code> {
+    let owner = *view.world.key_owners.get(digest).ok_or(Code::KeyUnknown)?;
     let workspace = &view.world.workspaces[owner];
-    let known = workspace.keys.iter().any(|k| bool::from(k.ct_eq(&digest)));
+    let known = workspace.keys.iter().any(|k| bool::from(k.ct_eq(digest)));
     if known { Ok(owner) } else { Err(Code::KeyUnknown) }
 }
 
--- a/crates/core/src/traffic/mod.rs
+++ b/crates/core/src/traffic/mod.rs
@@ -1,111 +1,40 @@
 //! The request path: every decision between a request's arrival and its answer.
 
 mod admit;
+mod crash;
+mod flight;
+mod once;
+mod step;
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{collections::VecDeque, net::SocketAddr, sync::Arc, time::Duration};
 
-use slotmap::{SlotMap, new_key_type};
+use slotmap::SlotMap;
 
-pub use self::admit::{Admitted, Request};
+use self::flight::{Flight, Stage};
+pub use self::{
+    admit::{Admitted, Request},
+    flight::FlightKey,
+    step::{Origin, Outbox, Outcome, Passed, PassedFrom, Step},
+};
 use crate::{
     control::PeerMsg,
-    crash::Fingerprint,
-    event::Event,
-    once::{self, RequestId},
+    crash::Suspects,
+    once::{Answer, Clock, IdSecret, Table, Takeover},
     rate::Buckets,
     result::{Code, Execution},
-    route::Balancer,
-    time::Instant,
+    route::{Balancer, Choice, Want, health::Report},
+    time::{Instant, UnixMillis},
     view::View,
-    world::{Repeat, RouteKey, ServerKey, WorkspaceKey},
+    world::Repeat,
 };
 
-new_key_type! {
-    /// Key of a request in flight.
-    pub struct FlightKey;
-}
-
+/// Status with which a backend server sheds a request that it has not run.
+const SHED_STATUS: u16 = 503;
 /// Tries of an idempotent request, the first one included.
 pub const MAX_TRIES: usize = 2;
 /// Time between two calls of [`Traffic::tick`].
 pub const TICK_PERIOD: Duration = Duration::from_millis(50);
 
-/// What to do next for a request.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Step {
-    /// Send the request to a backend server and report the outcome to [`Traffic::finish`].
-    Send {
-        /// The request in flight.
-        flight: FlightKey,
-        /// Address of the backend server.
-        address: SocketAddr,
-        /// Time that is left for the answer.
-        timeout: Duration,
-    },
-    /// Wait until the flight is woken or the time has come, then call [`Traffic::resume`].
-    Park {
-        /// The request in flight.
-        flight: FlightKey,
-        /// When to stop waiting.
-        until: Instant,
-    },
-    /// Answer the caller with this code; with `Code::Done`, the backend server's answer goes along.
-    Reply(Code),
-}
-
-/// How one try to reach a backend server ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Outcome {
-    /// A whole answer with this status.
-    Answered(u16),
-    /// No connection was made: no byte was sent.
-    ConnectFailed,
-    /// The connection was lost after a byte may have been sent.
-    ConnectionLost,
-    /// No answer within the time given.
-    TimedOut,
-    /// The answer was incomplete or did not match.
-    BadAnswer,
-}
-
-/// What the request path wants done besides the step that a call returns.
-#[derive(Clone, Debug, Default)]
-pub struct Outbox {
-    /// Parked flights that should be resumed.
-    pub wakes: Vec<FlightKey>,
-    /// Messages to other hosts.
-    pub sends: Vec<(SocketAddr, PeerMsg)>,
-    /// Log events.
-    pub events: Vec<Event>,
-}
-
-/// How far a request has come.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Stage {
-    /// It needs a token of its workspace.
-    Admission,
-    /// It needs a backend server.
-    Choice,
-    /// It was sent to this backend server.
-    Sent(ServerKey),
-}
-
-/// A request that has not been answered.
-#[derive(Clone, Debug)]
-struct Flight {
-    view: Arc<View>,
-    route: RouteKey,
-    workspace: Option<WorkspaceKey>,
-    deadline: Instant,
-    id: Option<RequestId>,
-    #[expect(dead_code, reason = "read when backend servers die")]
-    fingerprint: Fingerprint,
-    tried: Vec<ServerKey>,
-    /// What is answered when no further server can be tried.
-    otherwise: Code,
-    stage: Stage,
-}
-
 /// State of the request path of one host.
 #[derive(Clone, Debug)]
 pub struct Traffic {
@@ -113,7 +42,12 @@
     /// Instant at which the configuration in force was last proven to be the newest one.
     proof: Option<Instant>,
     rates: Buckets,
-    once: once::Table,
+    clock: Clock,
+    id_secret: IdSecret,
+    once: Table,
+    takeover: Takeover,
+    suspects: Suspects,
+    repeats: VecDeque<(Instant, SocketAddr, PeerMsg)>,
     balancer: Balancer,
     flights: SlotMap<FlightKey, Flight>,
     outbox: Outbox,
@@ -126,7 +60,12 @@
             proof: view.proof,
             view,
             rates: Buckets::default(),
-            once: once::Table::default(),
+            clock: Clock::default(),
+            id_secret: IdSecret::default(),
+            once: Table::default(),
+            takeover: Takeover::default(),
+            suspects: Suspects::default(),
+            repeats: VecDeque::new(),
             balancer: Balancer::default(),
             flights: SlotMap::default(),
             outbox: Outbox::default(),
@@ -136,7 +75,8 @@
     /// Takes over a new view.
     pub fn install(&mut self, now: Instant, view: Arc<View>) {
         self.rates.install(now, &view);
-        self.balancer.install(&view);
+        self.balancer.install(now, &view);
+        self.takeover.install(self.clock.unix_at(now), &view);
         self.proof = view.proof;
         self.view = view;
     }
@@ -148,54 +88,105 @@
         }
     }
 
+    /// Sets the secret that request ids are authenticated with and the bounds on remembering them.
+    pub fn configure_once(&mut self, secret: IdSecret, limits: crate::once::Limits) {
+        self.id_secret = secret;
+        self.once = Table::new(limits);
+    }
+
+    /// Sets the wall clock from a reading of both clocks.
+    pub fn set_clock(&mut self, now: Instant, unix: UnixMillis) {
+        self.clock.set(now, unix);
+    }
+
     /// Takes in a message of another host.
-    pub fn hear(&mut self, _now: Instant, _from: SocketAddr, _msg: &PeerMsg) {}
+    pub fn hear(&mut self, now: Instant, from: SocketAddr, msg: &PeerMsg) {
+        match msg {
+            PeerMsg::Route(msg) => self.balancer.hear(now, from, msg, &mut self.outbox),
+            PeerMsg::Rollout(msg) => self.balancer.rollouts.hear(msg, &mut self.outbox),
+            PeerMsg::Crash(msg) => self.hear_crash(now, msg),
+            _ => {}
+        }
+    }
 
     /// Does what is due; called every [`TICK_PERIOD`].
-    pub fn tick(&mut self, _now: Instant) {}
+    pub fn tick(&mut self, now: Instant) {
+        self.once.expire(self.clock.unix_at(now));
+        self.tick_crash(now);
+        self.balancer.tick(now, &mut self.outbox);
+    }
 
     /// Takes what is to be done besides the steps returned.
     pub fn take_outbox(&mut self) -> Outbox {
         std::mem::take(&mut self.outbox)
     }
 
+    /// The choice of backend servers, to look at.
+    pub fn balancer(&self) -> &Balancer {
+        &self.balancer
+    }
+
+    /// Takes in what a backend server reports of itself.
+    pub fn hear_report(&mut self, server: &str, report: Report) {
+        self.balancer.hear_report(server, report);
+    }
+
+    /// Counts the bytes of a try and its answer; called before [`Traffic::finish`].
+    pub fn carried(&mut self, flight: FlightKey, sent: u64, received: u64) {
+        self.balancer.carried(flight, sent, received);
+    }
+
     /// Requests in flight.
     pub fn in_flight(&self) -> usize {
         self.flights.len()
     }
 
-    /// Decides on a request that has arrived.
+    /// Decides on a request of a caller that has arrived.
     pub fn begin(&mut self, now: Instant, req: &Request<'_>) -> Step {
+        self.begin_from(now, req, &Origin::default())
+    }
+
+    /// Decides on a request that has arrived from a caller or from another host.
+    pub fn begin_from(&mut self, now: Instant, req: &Request<'_>, origin: &Origin) -> Step {
         let view = Arc::clone(&self.view);
-        let admitted = match admit::admit(&view, self.proof, now, req) {
+        let key = origin.passed.map_or_else(|| admit::digest(req), |p| p.key);
+        let admitted = match admit::admit(&view, self.proof, now, req, key) {
             Ok(admitted) => admitted,
-            Err(code) => return Step::Reply(code),
-        };
-        let id = match admitted.route.repeat {
-            Repeat::Idempotent => None,
-            Repeat::AtMostOnce => match self.begin_once(now, req, &view) {
-                Ok(id) => Some(id),
-                Err(code) => return Step::Reply(code),
-            },
+            Err(code) => return Step::Reply(once::at_the_door(code, req, origin)),
         };
         let flight = Flight {
             route: admitted.route_key,
             workspace: admitted.workspace_key,
             deadline: now + admitted.deadline,
-            id,
+            once: None,
+            answer: None,
             fingerprint: req.fingerprint,
             tried: Vec::new(),
             otherwise: Code::NoServer,
             stage: Stage::Admission,
             view: Arc::clone(&view),
         };
+        if admitted.route.repeat == Repeat::AtMostOnce {
+            return self.begin_once(now, req, origin, flight);
+        }
+        if view.stopping {
+            return Step::Reply(Code::Stopping);
+        }
         let flight = self.flights.insert(flight);
         self.advance(now, flight)
     }
 
     /// Goes on with a parked request.
     pub fn resume(&mut self, now: Instant, flight: FlightKey) -> Step {
-        self.advance(now, flight)
+        match self.flights.get(flight).map(|f| f.stage) {
+            Some(Stage::Waiting) => self.run_once(now, flight),
+            // Only a parked flight is resumed; one that was sent ends as unknown.
+            Some(Stage::Sent(_) | Stage::Passed { .. }) => {
+                self.abandon(now, flight);
+                Step::Reply(Code::BadAnswer)
+            }
+            _ => self.advance(now, flight),
+        }
     }
 
     /// Decides what follows after a try.
@@ -204,7 +195,7 @@
             return Step::Reply(Code::BadAnswer);
         };
         let Stage::Sent(server) = state.stage else { return Step::Reply(Code::BadAnswer) };
-        self.balancer.release(&state.view.world.servers[server].name);
+        self.balancer.finish(now, flight, outcome, &mut self.outbox);
         let (code, sent) = match outcome {
             Outcome::Answered(_) => (Code::Done, true),
             Outcome::ConnectFailed => (Code::NoServer, false),
@@ -212,11 +203,21 @@
             Outcome::TimedOut => (Code::DeadlineAfterStart, true),
             Outcome::BadAnswer => (Code::BadAnswer, true),
         };
+        // A byte may have left with an earlier try.
+        let earlier = state.otherwise;
+        let code = if !sent && earlier.execution() != Execution::NotRun { earlier } else { code };
         state.tried.push(server);
         state.otherwise = code;
         state.stage = Stage::Choice;
-        let again = !sent || state.id.is_none();
-        if code == Code::Done || !again || state.tried.len() >= MAX_TRIES {
+        let (once, tries) = (state.once.is_some(), state.tried.len());
+        match outcome {
+            Outcome::Answered(_) => self.note_survival(now, flight),
+            Outcome::ConnectionLost => self.note_death(now, flight, server),
+            _ => {}
+        }
+        let shed = outcome == Outcome::Answered(SHED_STATUS) && !once;
+        let again = !sent || !once;
+        if (code == Code::Done && !shed) || !again || tries >= MAX_TRIES {
             return self.end(now, flight, code, sent);
         }
         self.advance(now, flight)
@@ -225,11 +226,10 @@
     /// Ends a request whose caller has gone away.
     pub fn abandon(&mut self, now: Instant, flight: FlightKey) {
         let Some(state) = self.flights.get(flight) else { return };
-        let mut sent = state.otherwise.execution() != Execution::NotRun;
-        if let Stage::Sent(server) = state.stage {
-            self.balancer.release(&state.view.world.servers[server].name);
-            sent = true;
-        }
+        let sent = matches!(state.stage, Stage::Sent(_))
+            || state.otherwise.execution() != Execution::NotRun;
+        let route = &state.view.world.routes[state.route].name;
+        self.balancer.abandon(now, flight, route, &mut self.outbox);
         self.end(now, flight, Code::ConnectionLost, sent);
     }
 
@@ -247,50 +247,60 @@
         }
         let route = &state.view.world.routes[state.route];
         if let Err(code) = admit::check_authority(self.proof, now, route) {
-            let sent = state.otherwise.execution() != Execution::NotRun;
-            let code = if sent { state.otherwise } else { code };
-            return self.end(now, flight, code, sent);
+            let code = if state.tried.is_empty() { code } else { state.otherwise };
+            return self.end(now, flight, code, code.execution() != Execution::NotRun);
         }
-        let timeout = state.deadline.saturating_since(now);
-        let chosen = match state.stage {
-            Stage::Choice if !timeout.is_zero() => {
-                self.balancer.choose(&state.view, state.route, &state.tried)
-            }
-            _ => None,
+        if let Some(step) = self.hold_suspect(now, flight) {
+            return step;
+        }
+        let mut not = self.servers_of_suspects(flight);
+        let Some(state) = self.flights.get_mut(flight) else {
+            return Step::Reply(Code::BadAnswer);
         };
-        let Some(server) = chosen else {
-            let (code, sent) = (state.otherwise, state.otherwise.execution() != Execution::NotRun);
-            return self.end(now, flight, code, sent);
+        not.extend(&state.tried);
+        let world = &state.view.world;
+        let want = Want {
+            flight,
+            route: &world.routes[state.route].name,
+            workspace: state.workspace.map_or("", |w| &world.workspaces[w].name),
+            deadline: state.deadline,
+            retry: !state.tried.is_empty(),
+            not: &not,
+            // A connection may have gone silent where the server has not: a new one will do.
+            any: state.otherwise == Code::DeadlineAfterStart && state.once.is_none(),
         };
-        state.stage = Stage::Sent(server);
-        Step::Send { flight, address: state.view.world.servers[server].address, timeout }
+        match self.balancer.choose(now, &want, &mut self.outbox) {
+            Choice::Send(server, address) => {
+                let timeout = state.try_timeout(state.deadline.saturating_since(now));
+                state.stage = Stage::Sent(server);
+                Step::Send { flight, address, timeout }
+            }
+            Choice::Wait(until) => Step::Park { flight, until },
+            Choice::Refuse(code) => {
+                let code = if state.tried.is_empty() { code } else { state.otherwise };
+                self.end(now, flight, code, code.execution() != Execution::NotRun)
+            }
+        }
     }
 
-    /// Ends a request; `sent` says whether a byte of it may have left this system.
-    fn end(&mut self, now: Instant, flight: FlightKey, code: Code, sent: bool) -> Step {
-        if let Some(state) = self.flights.remove(flight)
-            && let Some(id) = state.id
-        {
-            self.once.end(now, id, sent);
+    /// Keeps the whole answer of a request that runs at most once, for its resends.
+    pub fn keep(&mut self, flight: FlightKey, answer: &Arc<Answer>) {
+        if let Some(state) = self.flights.get_mut(flight) {
+            state.answer = state.once.map(|_| Arc::clone(answer));
         }
-        Step::Reply(code)
     }
 
-    fn begin_once(
-        &mut self,
-        now: Instant,
-        req: &Request<'_>,
-        view: &View,
-    ) -> Result<RequestId, Code> {
-        let id: RequestId = req.id.and_then(|t| t.parse().ok()).ok_or(Code::BadRequestId)?;
-        if id.owner != view.me.incarnation {
-            return Err(Code::OwnerGone);
-        }
-        match self.once.begin(now, id) {
-            once::Begin::Run => Ok(id),
-            once::Begin::Running => Err(Code::StillRunning),
-            once::Begin::Ended => Err(Code::OwnerGone),
-            once::Begin::Full => Err(Code::RequestIdsFull),
+    /// Ends a request; `sent` says whether a byte of it may have left this system.
+    fn end(&mut self, _now: Instant, flight: FlightKey, code: Code, sent: bool) -> Step {
+        let Some(state) = self.flights.remove(flight) else { return Step::Reply(code) };
+        self.balancer.forget(flight);
+        self.outbox.wakes.extend(self.suspects.leave(state.fingerprint, flight));
+        if let Some(once) = state.once
+            && once.holds
+        {
+            let waiters = self.once.end(once.key, sent, code, state.answer);
+            self.outbox.wakes.extend(waiters);
         }
+        Step::Reply(code)
     }
 }
--- a/crates/core/src/view.rs
+++ b/crates/core/src/view.rs
@@ -3,8 +3,9 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use crate::{
-    config::{Held, Revision, SeatHolder},
+    config::{Held, Revision, SeatHolder, root::Seats},
     host::{HostInfo, Incarnation},
+    rollout::Records,
     time::Instant,
     world::World,
 };
@@ -37,13 +38,23 @@
     pub world: Arc<World>,
     /// The root record and the chunks of the declaration in force.
     pub held: Arc<Held>,
-    /// The seat that this host holds in its failure domain and may use.
+    /// The seat that this host holds in its failure domain and may use for keyed routes.
     pub seat: Option<u16>,
+    /// The seat that it holds by the revision in force, also while its authority has ended: open
+    /// routes go on by it.
+    pub open_seat: Option<u16>,
     /// Instant at which the revision was proven to be the newest one, none without a seat. Later
     /// proofs come by [`crate::traffic::Traffic::prove`].
     pub proof: Option<Instant>,
+    /// Holders of the seats of each failure domain, by name of the domain.
+    pub seats: Arc<Seats>,
+    /// The highest revision that is known to be accepted: no host acts by a table of declared seats
+    /// that is older than it.
+    pub accepted: Revision,
     /// Hosts heard lately, this one included, in the order of their names.
     pub hosts: Vec<LiveHost>,
+    /// Recorded steps of the moves between versions.
+    pub rollouts: Arc<Records>,
     /// Whether this host is stopping.
     pub stopping: bool,
 }
@@ -57,22 +68,26 @@
             world: Arc::default(),
             held: Arc::default(),
             seat: None,
+            open_seat: None,
             proof: None,
+            seats: Arc::default(),
+            accepted: 0,
             hosts: Vec::new(),
+            rollouts: Arc::default(),
             stopping: false,
         }
     }
 
-    /// The live host with this life.
-    pub fn host(&self, incarnation: Incarnation) -> Option<&LiveHost> {
-        self.hosts.iter().find(|h| h.incarnation == incarnation)
-    }
-
     /// The holder of a seat, as of the revision in force.
     ///
     /// A holder that is not confirmed may not use the seat yet: nobody may.
     pub fn seat_holder(&self, domain: &str, seat: u16) -> Option<&SeatHolder> {
-        self.held.root.holder(domain, seat)
+        self.seats.get(domain)?.get(usize::from(seat))?.as_ref()
+    }
+
+    /// The live host with this life.
+    pub fn host(&self, incarnation: Incarnation) -> Option<&LiveHost> {
+        self.hosts.iter().find(|h| h.incarnation == incarnation)
     }
 }
 
--- a/crates/core/src/world/mod.rs
+++ b/crates/core/src/world/mod.rs
@@ -227,10 +227,10 @@
         self.domains.values().map(|d| (d.name.clone(), d.seats)).collect()
     }
 
-    /// Longest authority of a keyed route.
+    /// Longest authority of a keyed route; the default one when there is none.
     pub fn longest_authority(&self) -> Duration {
         let keyed = self.routes.values().filter(|r| r.access == Access::Keyed);
-        keyed.map(|r| r.authority).max().unwrap_or_default()
+        keyed.map(|r| r.authority).max().unwrap_or(parse::DEFAULT_AUTHORITY)
     }
 
     /// Seats of all failure domains together.
--- a/crates/core/src/world/parse.rs
+++ b/crates/core/src/world/parse.rs
@@ -14,7 +14,7 @@
 /// Default deadline of a route.
 const DEFAULT_DEADLINE: Duration = Duration::from_secs(2);
 /// Default time for which a cut-off failure domain goes on serving keyed routes.
-const DEFAULT_AUTHORITY: Duration = Duration::from_secs(3);
+pub(super) const DEFAULT_AUTHORITY: Duration = Duration::from_secs(3);
 /// Default objective: share of requests answered in time.
 const DEFAULT_OBJECTIVE: u32 = 999_000;
 /// Default share that a move shifts in one step.
@@ -99,7 +99,7 @@
     let region = f.required("region", |t| {
         world.region_names.get(t).copied().ok_or("a declared region is allowed".to_owned())
     });
-    let seats = f.optional("seats", 2, fields::number(1, 1000)) as u16;
+    let seats = f.optional("seats", 2, fields::number(0, 1000)) as u16;
     let (Some(name), Some(region)) = (name, region) else { return };
     let key = world.domains.insert(Domain { name: name.clone(), region, seats });
     world.domain_names.insert(name, key);
--- a/crates/core/tests/config_net/mod.rs
+++ b/crates/core/tests/config_net/mod.rs
@@ -370,6 +370,7 @@
                 PeerReply::Root((held.root.revision > *than).then(|| held.root.clone()))
             }
             PeerCall::Chunks(wanted) => PeerReply::Chunks(held.find(wanted)),
+            PeerCall::Run(_) => PeerReply::Refused,
         };
         if self.passes(n, from) {
             let delay = self.delay();
--- a/crates/daemon/src/control.rs
+++ b/crates/daemon/src/control.rs
@@ -108,7 +108,6 @@
     mut sends: SendQueue,
 ) -> Result<(), DaemonError> {
     let socket = peer::udp::Socket::bind(Arc::clone(&shared)).await?;
-    peer::stream::serve(Arc::clone(&shared)).await?;
     let store = platform::client(&shared.cfg.platform);
     let timers = Timers::start();
     tokio::spawn(peer::udp::receive(socket.clone(), tx.clone()));
@@ -122,11 +121,15 @@
         let event = tokio::select! {
             event = rx.recv() => event,
             Some(()) = ticks.recv() => {
+                control.handle(clock::now(), Input::Date(clock::unix_millis()), &mut fx);
                 control.handle(clock::now(), Input::Tick, &mut fx);
                 None
             }
             Some(()) = traffic_ticks.recv() => {
-                shared.decide(|traffic, now| traffic.tick(now));
+                shared.decide(|traffic, now| {
+                    traffic.set_clock(now, clock::unix_millis());
+                    traffic.tick(now);
+                });
                 None
             }
             Some((to, msg)) = sends.recv() => {
@@ -138,6 +141,9 @@
             Some(ControlEvent::Close) => break,
             Some(ControlEvent::Peer(from, msg)) if is_for_traffic(msg) => {
                 shared.decide(|traffic, now| traffic.hear(now, *from, msg));
+                if let PeerMsg::Rollout(_) = msg {
+                    control.handle(clock::now(), Input::Peer { from: *from, msg }, &mut fx);
+                }
             }
             Some(event) => control.handle(clock::now(), input(event), &mut fx),
             None => {}
@@ -155,7 +161,14 @@
 
 /// Whether a message concerns the request path rather than the control state.
 fn is_for_traffic(msg: &PeerMsg) -> bool {
-    matches!(msg, PeerMsg::Rate(_) | PeerMsg::Once(_) | PeerMsg::Route(_) | PeerMsg::Crash(_))
+    matches!(
+        msg,
+        PeerMsg::Rate(_)
+            | PeerMsg::Once(_)
+            | PeerMsg::Route(_)
+            | PeerMsg::Rollout(_)
+            | PeerMsg::Crash(_)
+    )
 }
 
 fn input(event: &ControlEvent) -> Input<'_> {
--- a/crates/daemon/src/peer/answer.rs
+++ b/crates/daemon/src/peer/answer.rs
@@ -1,11 +1,13 @@
 //! Answers to the calls of other hosts.
 
+use std::sync::Arc;
+
 use jasminestage_core::peer::{PeerCall, PeerReply};
 
-use crate::shared::Shared;
+use crate::{front::run, shared::Shared};
 
 /// Answers one call.
-pub async fn answer(shared: &Shared, call: PeerCall) -> PeerReply {
+pub async fn answer(shared: &Arc<Shared>, call: PeerCall) -> PeerReply {
     match call {
         PeerCall::Root(than) => {
             let view = shared.view.load();
@@ -13,5 +15,6 @@
             PeerReply::Root((root.revision > than).then(|| root.clone()))
         }
         PeerCall::Chunks(wanted) => PeerReply::Chunks(shared.view.load().held.find(&wanted)),
+        PeerCall::Run(request) => PeerReply::Run(run::answer_passed(shared, *request).await),
     }
 }
--- a/crates/standins/src/fleet.rs
+++ b/crates/standins/src/fleet.rs
@@ -108,7 +108,7 @@
     pub async fn start_empty(folder: &Path, cfg: FleetOptions) -> Result<Fleet, String> {
         let platform = Platform::start().await;
         let world = world::parse(&cfg.declaration).map_err(|e| e.to_string())?;
-        let mut declaration = cfg.declaration;
+        let mut declaration = with_seats_for(&cfg.declaration, &cfg.hosts);
         let mut backends = HashMap::new();
         for server in world.servers.values() {
             let behaviour = Behaviour {
@@ -224,6 +224,27 @@
     }
 }
 
+/// The declaration with no more seats in a failure domain than it has hosts here: a majority of
+/// the declared seats must be held for anything to be accepted.
+fn with_seats_for(declaration: &str, hosts: &[(String, String)]) -> String {
+    let mut domain = "";
+    let mut text = String::with_capacity(declaration.len());
+    for line in declaration.lines() {
+        if let Some(heading) = line.strip_prefix('[') {
+            domain = heading.strip_prefix("domain ").map_or("", |h| h.trim_end_matches(']'));
+        }
+        let declared = line.strip_prefix("seats = ").and_then(|n| n.parse::<usize>().ok());
+        match declared.filter(|_| !domain.is_empty()) {
+            Some(declared) => {
+                let count = hosts.iter().filter(|(_, d)| d == domain).count();
+                text.push_str(&format!("seats = {}\n", declared.min(count)));
+            }
+            None => text.push_str(&format!("{line}\n")),
+        }
+    }
+    text
+}
+
 fn knows_all(status: &serde_json::Value, count: usize) -> bool {
     status["revision"].as_u64().is_some_and(|r| r > 0)
         && status["seat"].is_u64()
--- a/crates/standins/src/forwarder/mod.rs
+++ b/crates/standins/src/forwarder/mod.rs
@@ -4,7 +4,7 @@
     net::SocketAddr,
     sync::{
         Arc, Mutex, PoisonError,
-        atomic::{AtomicU8, Ordering},
+        atomic::{AtomicU8, AtomicU64, Ordering},
     },
 };
 
@@ -30,6 +30,7 @@
     pub address: SocketAddr,
     mode: Arc<AtomicU8>,
     dropped: Arc<Mutex<Vec<SocketAddr>>>,
+    gone_silent: Arc<AtomicU64>,
 }
 
 impl Forwarder {
@@ -41,8 +42,9 @@
         let mode = Arc::new(AtomicU8::new(Mode::Pass as u8));
         let dropped = Arc::default();
         tokio::spawn(forward_udp(socket, target, Arc::clone(&mode), Arc::clone(&dropped)));
-        tokio::spawn(accept(listener, target, Arc::clone(&mode)));
-        Ok(Forwarder { address, mode, dropped })
+        let gone_silent = Arc::new(AtomicU64::new(0));
+        tokio::spawn(accept(listener, target, Arc::clone(&mode), Arc::clone(&gone_silent)));
+        Ok(Forwarder { address, mode, dropped, gone_silent })
     }
 
     /// Drops datagrams that come from these addresses.
@@ -54,6 +56,11 @@
     pub fn set(&self, mode: Mode) {
         self.mode.store(mode as u8, Ordering::Relaxed);
     }
+
+    /// Lets the connections that are open now go silent for good; new ones work.
+    pub fn silence_open(&self) {
+        self.gone_silent.fetch_add(1, Ordering::Relaxed);
+    }
 }
 
 fn passes(mode: &AtomicU8) -> bool {
@@ -75,14 +82,22 @@
     }
 }
 
-async fn accept(listener: TcpListener, target: SocketAddr, mode: Arc<AtomicU8>) {
+async fn accept(
+    listener: TcpListener,
+    target: SocketAddr,
+    mode: Arc<AtomicU8>,
+    gone_silent: Arc<AtomicU64>,
+) {
     while let Ok((near, _)) = listener.accept().await {
         let mode = Arc::clone(&mode);
+        let gone_silent = Arc::clone(&gone_silent);
+        let made = gone_silent.load(Ordering::Relaxed);
         tokio::spawn(async move {
             let Ok(far) = TcpStream::connect(target).await else { return };
             let (near_rx, near_tx) = near.into_split();
             let (far_rx, far_tx) = far.into_split();
-            tokio::join!(copy(near_rx, far_tx, &mode), copy(far_rx, near_tx, &mode));
+            let passes = || passes(&mode) && gone_silent.load(Ordering::Relaxed) == made;
+            tokio::join!(copy(near_rx, far_tx, passes), copy(far_rx, near_tx, passes));
         });
     }
 }
@@ -90,13 +105,15 @@
 async fn copy(
     mut rx: impl AsyncReadExt + Unpin,
     mut tx: impl AsyncWriteExt + Unpin,
-    mode: &AtomicU8,
+    passes: impl Fn() -> bool,
 ) {
     let mut buf = vec![0; 16_384];
     while let Ok(len @ 1..) = rx.read(&mut buf).await {
-        if passes(mode) && tx.write_all(&buf[..len]).await.is_err() {
+        if passes() && tx.write_all(&buf[..len]).await.is_err() {
             return;
         }
     }
-    let _ = tx.shutdown().await;
+    if passes() {
+        let _ = tx.shutdown().await;
+    }
 }
--- a/crates/standins/src/serve.rs
+++ b/crates/standins/src/serve.rs
@@ -1,15 +1,15 @@
 //! Serving a router on an ephemeral port of the loopback address.
 
 use std::{
-    net::SocketAddr,
+    net::{SocketAddr, TcpListener, UdpSocket},
     sync::atomic::{AtomicU16, Ordering},
 };
 
-use salvo::{Listener, Router, Server, conn::Acceptor, conn::TcpListener, server::ServerHandle};
+use salvo::{Listener, Router, Server, conn, conn::Acceptor, server::ServerHandle};
 
 /// Starts to serve; port 0 takes any free port.
 pub async fn start(address: SocketAddr, router: Router) -> (SocketAddr, ServerHandle) {
-    let acceptor = TcpListener::new(address).bind().await;
+    let acceptor = conn::TcpListener::new(address).bind().await;
     let bound = acceptor.holdings()[0].local_addr.clone();
     let bound = bound.into_std().expect("the stand-in listens on an IP address");
     let server = Server::new(acceptor);
@@ -23,24 +23,20 @@
     SocketAddr::from(([127, 0, 0, 1], 0))
 }
 
-/// First port that is given out; ports for outgoing connections lie above the last one.
-const FIRST_PORT: u16 = 10_000;
-/// Last port that is given out.
-const LAST_PORT: u16 = 32_000;
+/// Ports below those that the system gives to outgoing connections.
+const PORTS: std::ops::Range<u16> = 10_000..32_000;
 
-/// An address for a process that is about to start, given out once by this process.
-///
-/// It lies on a loopback address of this process alone and below the ports of outgoing connections,
-/// so that no one else takes it before it is bound.
+/// An address that is free for TCP and UDP, given out once by this process. It lies on a loopback
+/// address of this process alone, so that no other one takes it before it is bound.
 pub fn free_address() -> SocketAddr {
-    static NEXT: AtomicU16 = AtomicU16::new(FIRST_PORT);
+    static NEXT: AtomicU16 = AtomicU16::new(PORTS.start);
     let [_, a, b, c] = std::process::id().to_be_bytes();
     let ip = [127, 64 | (a & 63), b, c];
     loop {
         let port = NEXT.fetch_add(1, Ordering::Relaxed);
-        assert!(port < LAST_PORT, "a test process uses less than {LAST_PORT} ports");
+        assert!(PORTS.contains(&port), "a test process uses few ports");
         let address = SocketAddr::from((ip, port));
-        if std::net::TcpListener::bind(address).is_ok() {
+        if TcpListener::bind(address).is_ok() && UdpSocket::bind(address).is_ok() {
             return address;
         }
     }
