Own rate and burst by homes, and move tokens by loans that end

Cause: an equal split over all seats leaves a small workspace with less than one token a host, so callers within the rate are refused.

Change: the seats that own a workspace's rate and burst (homes) follow from the declaration by rendezvous hashing; a small workspace has few. A host without tokens borrows from a home. The lender deducts before it answers and keeps the room of the loan until the borrower can no longer use it; a late, doubled or foreign answer is dropped. A change of limits counts the smallest share of all declarations that may be in force, and what it adds only after acceptance and the end of old loans.

Broken by hand, with what was seen: no deduction by the lender, a loan settled twice (bucket over its share in both tests); a doubled answer accepted, a late answer accepted, a raise used at once, only the newest declaration counted, a missed declaration ignored, authority not checked (rate_moves fails at the case of that name); no room reserved, room filled early (both tests fail). Not caught: a woken flight's token not kept for it, which costs fairness and breaks no bound.

--- /dev/null
+++ b/crates/core/src/rate/basis.rs
@@ -0,0 +1,106 @@
+//! Shares of a seat while a change of the declaration is on its way.
+//!
+//! Until a change is accepted, some holder may still act on an older declaration. A seat therefore
+//! uses the smallest of its shares in the last accepted declaration and in all later ones; what the
+//! change adds is used once the change is accepted, when every holder has left the older ones.
+
+use std::{collections::HashMap, net::SocketAddr, sync::Arc};
+
+use super::Share;
+use crate::{config::Revision, time::Instant, view::View, world::World};
+
+/// Declarations that are kept while they wait for acceptance.
+const MAX_PENDING: usize = 16;
+
+/// What the rates need to know of the configuration and the fleet.
+#[derive(Clone, Debug)]
+pub struct Standing {
+    /// Revision in force on this host.
+    pub revision: Revision,
+    /// Highest revision that is known to be accepted.
+    pub accepted: Revision,
+    /// Revision by which the declaration in force was applied.
+    pub declared: Revision,
+    /// Revision by which the declaration before it was applied.
+    pub declared_before: Revision,
+    /// The declaration in force.
+    pub world: Arc<World>,
+    /// Name of this host's failure domain.
+    pub domain: String,
+    /// The seat that this host may use.
+    pub seat: Option<u16>,
+    /// Until when this host may use what its seat owns.
+    pub usable_until: Instant,
+    /// Peer addresses of the other holders of seats, by name of the failure domain and seat.
+    pub holders: HashMap<(String, u16), SocketAddr>,
+}
+
+impl Standing {
+    /// What a view says of it.
+    pub fn of(view: &View) -> Self {
+        Standing {
+            revision: view.revision,
+            accepted: view.revision,
+            declared: view.revision,
+            declared_before: 0,
+            world: Arc::clone(&view.world),
+            domain: view.me.domain.clone(),
+            seat: view.seat,
+            usable_until: Instant::MAX,
+            holders: HashMap::new(),
+        }
+    }
+}
+
+/// The declarations that may be in force somewhere.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Basis {
+    entries: Vec<Entry>,
+    /// A declaration was missed: no share is known to be safe before this revision is accepted.
+    unknown_until: Option<Revision>,
+}
+
+#[derive(Clone, Debug)]
+struct Entry {
+    declared: Revision,
+    world: Arc<World>,
+}
+
+impl Basis {
+    /// Takes in the declaration in force and what is accepted.
+    pub fn note(&mut self, standing: &Standing) {
+        let Standing { declared, declared_before, accepted, .. } = *standing;
+        let last = self.entries.last().map(|e| e.declared);
+        if last != Some(declared) {
+            let missed = last.is_none_or(|last| last < declared_before);
+            if missed || self.entries.len() >= MAX_PENDING {
+                self.unknown_until = Some(declared);
+                self.entries.clear();
+            }
+            self.entries.push(Entry { declared, world: Arc::clone(&standing.world) });
+        }
+        let settled = self.entries.iter().rposition(|e| e.declared <= accepted).unwrap_or(0);
+        self.entries.drain(..settled);
+        if self.unknown_until.is_some_and(|revision| revision <= accepted) {
+            self.unknown_until = None;
+        }
+    }
+
+    /// What a seat owns of a workspace for certain.
+    pub fn share(&self, domain: &str, seat: u16, workspace: &str) -> Share {
+        if self.unknown_until.is_some() {
+            return Share::default();
+        }
+        let shares = self.entries.iter().map(|e| share_in(&e.world, domain, seat, workspace));
+        shares.reduce(Share::min).unwrap_or_default()
+    }
+}
+
+fn share_in(world: &World, domain: &str, seat: u16, workspace: &str) -> Share {
+    let found = || {
+        let domain = world.domain(domain)?;
+        let homes = world.homes_of(*world.workspace_names.get(workspace)?);
+        homes.iter().find(|h| h.domain == domain && h.seat == seat).map(|h| h.share)
+    };
+    found().unwrap_or_default()
+}
--- a/crates/core/src/rate/mod.rs
+++ b/crates/core/src/rate/mod.rs
@@ -1,90 +1,85 @@
 //! Rate and burst of workspaces: token buckets whose shares never add up to more than declared.
+//!
+//! The declared rate and burst of a workspace are split over its homes: seats of failure domains
+//! (see [`share`]). The holder of a home seat fills a bucket from the home's share and lends tokens
+//! to other hosts that ask. A loan has an end on the clock of each side, and its room in the bucket
+//! stays reserved until the borrower can no longer use it, so that tokens in buckets, in flight and
+//! on loan never add up to more than the burst.
 
-use std::collections::HashMap;
+mod basis;
+mod borrow;
+pub mod bucket;
+mod buckets;
+pub mod fair;
+mod pool;
+pub mod share;
+
+use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 
-use crate::{time::Instant, view::View};
+pub use self::{
+    basis::Standing,
+    buckets::{Buckets, Counters, Take},
+    share::{Home, Share, homes},
+};
+use crate::host::Incarnation;
 
 /// Tokens in millionths.
 pub type MicroTokens = u64;
 /// One token: the right to send one request.
 pub const TOKEN: MicroTokens = 1_000_000;
 
+/// Time from the question of a borrower to the end of the loan, on the borrower's clock.
+pub const LOAN_LIFETIME: Duration = Duration::from_millis(400);
+/// Time for which a lender keeps the room of a loan, on the lender's clock.
+pub const LOAN_HOLD: Duration = Duration::from_millis(420);
+/// Longest wait of a request for a token.
+pub const MAX_WAIT: Duration = Duration::from_millis(250);
+
+/// What became of a loan.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Settled {
+    /// Number of the question that the loan answered.
+    pub number: u64,
+    /// Tokens that were not used and are given back, in millionths.
+    pub unused: MicroTokens,
+}
+
 /// Messages between hosts about rates.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum RateMsg {
-    /// Asks for tokens of a workspace.
+    /// Asks the holder of a home for tokens of a workspace.
     Want {
+        /// The life of the host that asks.
+        asker: Incarnation,
+        /// Number of the question in this life.
+        number: u64,
         /// Name of the workspace.
         workspace: String,
         /// How many tokens, in millionths.
         tokens: MicroTokens,
+        /// Earlier loans of the same home that have ended.
+        settled: Vec<Settled>,
+    },
+    /// Answers a question; the lender has already deducted the tokens.
+    Grant {
+        /// The life of the host that asked.
+        asker: Incarnation,
+        /// Number of the question.
+        number: u64,
+        /// Tokens lent, in millionths.
+        tokens: MicroTokens,
+        /// Tokens that the home has left, in millionths.
+        left: MicroTokens,
+    },
+    /// Gives unused tokens back; the borrower has already deducted them.
+    Return {
+        /// The life of the host that asked.
+        asker: Incarnation,
+        /// Name of the workspace.
+        workspace: String,
+        /// The loans.
+        settled: Vec<Settled>,
     },
-}
-
-/// Token bucket of one workspace on one host.
-#[derive(Clone, Debug)]
-pub struct Bucket {
-    /// Tokens at the moment `filled`.
-    tokens: MicroTokens,
-    /// Most tokens that the bucket holds.
-    cap: MicroTokens,
-    /// Tokens in millionths added per second.
-    per_second: MicroTokens,
-    filled: Instant,
-}
-
-impl Bucket {
-    fn fill(&mut self, now: Instant) {
-        let micros = now.saturating_since(self.filled).as_micros() as u64;
-        let added = u128::from(micros) * u128::from(self.per_second) / 1_000_000;
-        if added > 0 {
-            self.tokens = self.tokens.saturating_add(added as u64).min(self.cap);
-            self.filled = now;
-        }
-    }
-
-    fn take(&mut self, now: Instant) -> bool {
-        self.fill(now);
-        let enough = self.tokens >= TOKEN;
-        if enough {
-            self.tokens -= TOKEN;
-        }
-        enough
-    }
-}
-
-/// Buckets of all workspaces on one host.
-#[derive(Clone, Debug, Default)]
-pub struct Buckets {
-    by_workspace: HashMap<String, Bucket>,
-}
-
-impl Buckets {
-    /// Sets the shares of this host from a new view. A new bucket starts empty.
-    pub fn install(&mut self, now: Instant, view: &View) {
-        let seats = u64::from(view.world.seats().max(1));
-        let part = u64::from(view.seat.is_some());
-        for workspace in view.world.workspaces.values() {
-            let cap = u64::from(workspace.burst) * TOKEN * part / seats;
-            let per_second = u64::from(workspace.rate) * TOKEN * part / seats;
-            let bucket = self.by_workspace.entry(workspace.name.clone()).or_insert(Bucket {
-                tokens: 0,
-                cap,
-                per_second,
-                filled: now,
-            });
-            bucket.fill(now);
-            bucket.cap = cap;
-            bucket.per_second = per_second;
-            bucket.tokens = bucket.tokens.min(cap);
-        }
-        self.by_workspace.retain(|name, _| view.world.workspace_names.contains_key(name));
-    }
-
-    /// Takes one token of a workspace.
-    pub fn take(&mut self, now: Instant, workspace: &str) -> bool {
-        self.by_workspace.get_mut(workspace).is_some_and(|b| b.take(now))
-    }
 }
--- a/crates/core/src/time.rs
+++ b/crates/core/src/time.rs
@@ -22,6 +22,9 @@
     /// The start of the clock.
     pub const ZERO: Instant = Instant(0);
 
+    /// The end of the clock.
+    pub const MAX: Instant = Instant(u64::MAX);
+
     /// An instant `micros` microseconds after the start of the clock.
     pub const fn from_micros(micros: u64) -> Self {
         Instant(micros)
--- a/crates/core/src/traffic/mod.rs
+++ b/crates/core/src/traffic/mod.rs
@@ -12,7 +12,7 @@
     crash::Fingerprint,
     event::Event,
     once::{self, RequestId},
-    rate::Buckets,
+    rate::{Buckets, Standing, Take},
     result::{Code, Execution},
     route::Balancer,
     time::Instant,
@@ -121,8 +121,8 @@
     /// The state of a host that has no configuration yet.
     pub fn new(view: Arc<View>) -> Self {
         Traffic {
+            rates: Buckets::new(view.me.incarnation),
             view,
-            rates: Buckets::default(),
             once: once::Table::default(),
             balancer: Balancer::default(),
             flights: SlotMap::default(),
@@ -132,19 +132,26 @@
 
     /// Takes over a new view.
     pub fn install(&mut self, now: Instant, view: Arc<View>) {
-        self.rates.install(now, &view);
+        self.rates.install(now, &Standing::of(&view));
         self.balancer.install(&view);
         self.view = view;
     }
 
     /// Takes in a message of another host.
-    pub fn hear(&mut self, _now: Instant, _from: SocketAddr, _msg: &PeerMsg) {}
+    pub fn hear(&mut self, now: Instant, from: SocketAddr, msg: &PeerMsg) {
+        if let PeerMsg::Rate(msg) = msg {
+            self.rates.hear(now, from, msg);
+        }
+    }
 
     /// Does what is due; called every [`TICK_PERIOD`].
-    pub fn tick(&mut self, _now: Instant) {}
+    pub fn tick(&mut self, now: Instant) {
+        self.rates.tick(now);
+    }
 
     /// Takes what is to be done besides the steps returned.
     pub fn take_outbox(&mut self) -> Outbox {
+        self.rates.drain_into(&mut self.outbox);
         std::mem::take(&mut self.outbox)
     }
 
@@ -229,10 +236,12 @@
         };
         if state.stage == Stage::Admission {
             let workspace = state.workspace.map(|w| &state.view.world.workspaces[w]);
-            if workspace.is_some_and(|w| !self.rates.take(now, &w.name)) {
-                return self.end(now, flight, Code::OverRate, false);
+            let deadline = state.deadline;
+            match workspace.map(|w| self.rates.take(now, flight, &w.name, deadline)) {
+                Some(Take::Wait(until)) => return Step::Park { flight, until },
+                Some(Take::Refused(code)) => return self.end(now, flight, code, false),
+                Some(Take::Taken) | None => state.stage = Stage::Choice,
             }
-            state.stage = Stage::Choice;
         }
         let timeout = state.deadline.saturating_since(now);
         let chosen = match state.stage {
@@ -251,9 +260,13 @@
 
     /// Ends a request; `sent` says whether a byte of it may have left this system.
     fn end(&mut self, now: Instant, flight: FlightKey, code: Code, sent: bool) -> Step {
-        if let Some(state) = self.flights.remove(flight)
-            && let Some(id) = state.id
+        let Some(state) = self.flights.remove(flight) else { return Step::Reply(code) };
+        if state.stage == Stage::Admission
+            && let Some(workspace) = state.workspace
         {
+            self.rates.forget(flight, &state.view.world.workspaces[workspace].name);
+        }
+        if let Some(id) = state.id {
             self.once.end(now, id, sent);
         }
         Step::Reply(code)
--- a/crates/core/src/world/mod.rs
+++ b/crates/core/src/world/mod.rs
@@ -7,14 +7,14 @@
 
 use std::{collections::HashMap, net::SocketAddr, time::Duration};
 
-use slotmap::{SlotMap, new_key_type};
+use slotmap::{SecondaryMap, SlotMap, new_key_type};
 
 pub use self::{
     blocks::ClientBlocks,
     check::{DeclarationError, Fault},
     parse::parse,
 };
-use crate::time::UnixMillis;
+use crate::{rate::Home, time::UnixMillis};
 
 new_key_type! {
     /// Key of a region.
@@ -191,6 +191,8 @@
     pub workspace_names: HashMap<String, WorkspaceKey>,
     /// Workspaces by the digest of a key.
     pub key_owners: HashMap<KeyDigest, WorkspaceKey>,
+    /// The seats that own the rate and burst of each workspace.
+    pub homes: SecondaryMap<WorkspaceKey, Vec<Home>>,
 }
 
 impl World {
@@ -215,9 +217,9 @@
         self.servers.iter().filter(move |(_, s)| s.route == route)
     }
 
-    /// Seats of all failure domains together.
-    pub fn seats(&self) -> u32 {
-        self.domains.values().map(|d| u32::from(d.seats)).sum()
+    /// The seats that own the rate and burst of a workspace.
+    pub fn homes_of(&self, workspace: WorkspaceKey) -> &[Home] {
+        self.homes.get(workspace).map_or(&[], Vec::as_slice)
     }
 
     /// Whether the declaration says that a host leaves.
--- a/crates/core/src/world/parse.rs
+++ b/crates/core/src/world/parse.rs
@@ -9,7 +9,10 @@
     Server, Workspace, World,
     fields::{self, Fields, WHOLE_PPM},
 };
-use crate::ini::{self, Section};
+use crate::{
+    ini::{self, Section},
+    rate,
+};
 
 /// Default limit on what one region sends to another, in bytes per second.
 const DEFAULT_LINK: u64 = 100_000_000;
@@ -63,6 +66,8 @@
     }
     world.blocks = read_blocks(&sections, &world, &mut faults);
     if faults.is_empty() {
+        world.homes =
+            world.workspaces.iter().map(|(key, w)| (key, rate::homes(&world, w))).collect();
         return Ok(world);
     }
     faults.sort_by_key(|f| f.line);
--- /dev/null
+++ b/crates/core/tests/rate_fleet/load.rs
@@ -0,0 +1,69 @@
+//! Arrivals of requests at the hosts of a fleet.
+
+use rand::seq::IndexedRandom;
+
+use super::fleet::{Fleet, poisson};
+
+/// Where the callers of a workspace go.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Callers {
+    /// Any host.
+    Even,
+    /// One host.
+    OneHost,
+    /// One host, another one in each run.
+    Shifting,
+    /// Any host of one region.
+    OneRegion,
+    /// The hosts that the look-up names: homes in the caller's region, else any host in it.
+    Steered,
+}
+
+/// Load of one workspace.
+#[derive(Clone, Copy, Debug)]
+pub struct Load {
+    pub tenant: usize,
+    /// Requests per second.
+    pub per_second: f64,
+    pub callers: Callers,
+}
+
+/// Runs the fleet under these loads until an instant.
+pub fn run(fleet: &mut Fleet, loads: &[Load], end: u64) {
+    let start = fleet.now;
+    let mut next: Vec<u64> =
+        loads.iter().map(|l| start + poisson(&mut fleet.rng, l.per_second)).collect();
+    let one: Vec<_> =
+        loads.iter().map(|_| fleet.serving().choose(&mut fleet.rng).copied()).collect();
+    while let Some((n, &at)) = next.iter().enumerate().min_by_key(|(_, at)| **at)
+        && at < end
+    {
+        fleet.run_until(at);
+        let shifting = loads[n].callers == Callers::Shifting;
+        let host = if shifting { one[n] } else { pick(fleet, &loads[n]) };
+        if let Some(host) = host {
+            fleet.arrive(host, loads[n].tenant);
+        }
+        next[n] = at + poisson(&mut fleet.rng, loads[n].per_second);
+    }
+    fleet.run_until(end);
+}
+
+fn pick(fleet: &mut Fleet, load: &Load) -> Option<usize> {
+    let serving = fleet.serving();
+    let region = |hosts: &[usize], fleet: &Fleet, r: usize| -> Vec<usize> {
+        hosts.iter().copied().filter(|h| fleet.region_of(*h) == r).collect()
+    };
+    let hosts = match load.callers {
+        Callers::Even | Callers::Shifting => serving,
+        Callers::OneHost => serving[..1].to_vec(),
+        Callers::OneRegion => region(&serving, fleet, 0),
+        Callers::Steered => {
+            let near = *serving.choose(&mut fleet.rng)?;
+            let near = fleet.region_of(near);
+            let homes = region(&fleet.home_hosts(load.tenant), fleet, near);
+            if homes.is_empty() { region(&serving, fleet, near) } else { homes }
+        }
+    };
+    hosts.choose(&mut fleet.rng).copied()
+}
--- /dev/null
+++ b/crates/core/tests/rate_fleet/mod.rs
@@ -0,0 +1,9 @@
+//! A fleet of [`Buckets`] in one process under virtual time, for tests and examples.
+
+#![allow(dead_code, reason = "each test and example uses a part of it")]
+
+pub mod bound;
+pub mod fleet;
+pub mod layout;
+pub mod load;
+pub mod policy;
