--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -68,6 +68,10 @@
     MemberSilent = 41, Warn;
     /// A message from another host was rejected.
     MessageRejected = 50, Warn;
+    /// An answer of a backend server belongs to another try and was dropped.
+    CrossedAnswer = 65, Warn;
+    /// A request is held back because backend servers died while they ran it.
+    Quarantined = 85, Warn;
     /// A broken invariant was found; the part concerned stops serving.
     InvariantBroken = 90, Error;
 }
--- a/crates/core/tests/rates.rs
+++ b/crates/core/tests/rates.rs
@@ -122,12 +122,15 @@
     fleet.take_over();
 }
 
-/// The workspace with other limits, small ones with few homes among them.
+/// The workspace with another burst, and so with other homes, and now and then another rate.
 fn other(fleet: &mut Fleet, tenant: Tenant) -> Tenant {
-    let factors = [1, 1, 2, 4, 8];
-    let factor = *factors.choose(&mut fleet.rng).expect("there are factors");
-    let divide = |n: u32| (n / factor).max(1);
-    Tenant { rate: divide(tenant.rate), burst: divide(tenant.burst), ..tenant }
+    let mut divide = |n: u32, factors: &[u32]| {
+        let factor = factors.choose(&mut fleet.rng).expect("there are factors");
+        (n / factor).max(1)
+    };
+    let burst = divide(tenant.burst, &[1, 1, 2, 4, 8]);
+    let rate = divide(tenant.rate, &[1, 1, 1, 2]);
+    Tenant { rate, burst, ..tenant }
 }
 
 #[test]
