--- a/crates/core/src/rate/basis.rs
+++ b/crates/core/src/rate/basis.rs
@@ -38,16 +38,24 @@
 impl Standing {
     /// What a view says of it.
     pub fn of(view: &View) -> Self {
+        let taken = view.seats.iter().flat_map(|(domain, row)| {
+            let held = row.iter().enumerate();
+            held.filter_map(move |(n, s)| Some((domain, n as u16, s.as_ref()?.incarnation)))
+        });
+        let others = taken.filter(|(_, _, life)| *life != view.me.incarnation);
+        let holders = others.filter_map(|(domain, seat, life)| {
+            Some(((domain.clone(), seat), view.host(life)?.peer_address))
+        });
         Standing {
             revision: view.revision,
-            accepted: view.revision,
+            accepted: view.accepted,
             declared: view.revision,
             declared_before: 0,
             world: Arc::clone(&view.world),
             domain: view.me.domain.clone(),
             seat: view.seat,
             usable_until: Instant::MAX,
-            holders: HashMap::new(),
+            holders: holders.collect(),
         }
     }
 }
@@ -71,7 +79,8 @@
     pub fn note(&mut self, standing: &Standing) {
         let Standing { declared, declared_before, accepted, .. } = *standing;
         let last = self.entries.last().map(|e| e.declared);
-        if last != Some(declared) {
+        let same = self.entries.last().is_some_and(|e| Arc::ptr_eq(&e.world, &standing.world));
+        if !same {
             let missed = last.is_none_or(|last| last < declared_before);
             if missed || self.entries.len() >= MAX_PENDING {
                 self.unknown_until = Some(declared);
--- a/crates/core/src/rate/mod.rs
+++ b/crates/core/src/rate/mod.rs
@@ -10,7 +10,6 @@
 mod borrow;
 pub mod bucket;
 mod buckets;
-pub mod fair;
 mod pool;
 pub mod share;
 
@@ -35,7 +34,7 @@
 /// Time for which a lender keeps the room of a loan, on the lender's clock.
 pub const LOAN_HOLD: Duration = Duration::from_millis(420);
 /// Longest wait of a request for a token.
-pub const MAX_WAIT: Duration = Duration::from_millis(250);
+pub const MAX_WAIT: Duration = Duration::from_millis(500);
 
 /// What became of a loan.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
--- a/crates/core/src/traffic/mod.rs
+++ b/crates/core/src/traffic/mod.rs
@@ -22,7 +22,7 @@
     once::{Answer, Clock, IdSecret, Table, Takeover},
     rate::{Buckets, Standing, Take},
     result::{Code, Execution},
-    route::Balancer,
+    route::{Balancer, Choice, Want, health::Report},
     time::{Instant, UnixMillis},
     view::View,
     world::Repeat,
@@ -72,7 +72,7 @@
     /// Takes over a new view.
     pub fn install(&mut self, now: Instant, view: Arc<View>) {
         self.rates.install(now, &Standing::of(&view));
-        self.balancer.install(&view);
+        self.balancer.install(now, &view);
         self.takeover.install(self.clock.unix_at(now), &view);
         self.view = view;
     }
@@ -92,6 +92,8 @@
     pub fn hear(&mut self, now: Instant, from: SocketAddr, msg: &PeerMsg) {
         match msg {
             PeerMsg::Rate(msg) => self.rates.hear(now, from, msg),
+            PeerMsg::Route(msg) => self.balancer.hear(now, from, msg, &mut self.outbox),
+            PeerMsg::Rollout(msg) => self.balancer.rollouts.hear(msg, &mut self.outbox),
             PeerMsg::Crash(msg) => self.hear_crash(now, msg),
             _ => {}
         }
@@ -102,6 +104,7 @@
         self.rates.tick(now);
         self.once.expire(self.clock.unix_at(now));
         self.tick_crash(now);
+        self.balancer.tick(now, &mut self.outbox);
     }
 
     /// Takes what is to be done besides the steps returned.
@@ -110,6 +113,21 @@
         std::mem::take(&mut self.outbox)
     }
 
+    /// The choice of backend servers, to look at.
+    pub fn balancer(&self) -> &Balancer {
+        &self.balancer
+    }
+
+    /// Takes in what a backend server reports of itself.
+    pub fn hear_report(&mut self, server: &str, report: Report) {
+        self.balancer.hear_report(server, report);
+    }
+
+    /// Counts the bytes of a try and its answer; called before [`Traffic::finish`].
+    pub fn carried(&mut self, flight: FlightKey, sent: u64, received: u64) {
+        self.balancer.carried(flight, sent, received);
+    }
+
     /// Requests in flight.
     pub fn in_flight(&self) -> usize {
         self.flights.len()
@@ -169,7 +187,7 @@
             return Step::Reply(Code::BadAnswer);
         };
         let Stage::Sent(server) = state.stage else { return Step::Reply(Code::BadAnswer) };
-        self.balancer.release(&state.view.world.servers[server].name);
+        self.balancer.finish(now, flight, outcome, &mut self.outbox);
         let (code, sent) = match outcome {
             Outcome::Answered(_) => (Code::Done, true),
             Outcome::ConnectFailed => (Code::NoServer, false),
@@ -177,6 +195,9 @@
             Outcome::TimedOut => (Code::DeadlineAfterStart, true),
             Outcome::BadAnswer => (Code::BadAnswer, true),
         };
+        // A byte may have left with an earlier try.
+        let earlier = state.otherwise;
+        let code = if !sent && earlier.execution() != Execution::NotRun { earlier } else { code };
         state.tried.push(server);
         state.otherwise = code;
         state.stage = Stage::Choice;
@@ -197,11 +218,10 @@
     /// Ends a request whose caller has gone away.
     pub fn abandon(&mut self, now: Instant, flight: FlightKey) {
         let Some(state) = self.flights.get(flight) else { return };
-        let mut sent = state.otherwise.execution() != Execution::NotRun;
-        if let Stage::Sent(server) = state.stage {
-            self.balancer.release(&state.view.world.servers[server].name);
-            sent = true;
-        }
+        let sent = matches!(state.stage, Stage::Sent(_))
+            || state.otherwise.execution() != Execution::NotRun;
+        let route = &state.view.world.routes[state.route].name;
+        self.balancer.abandon(now, flight, route, &mut self.outbox);
         self.end(now, flight, Code::ConnectionLost, sent);
     }
 
@@ -226,26 +246,30 @@
         let Some(state) = self.flights.get_mut(flight) else {
             return Step::Reply(Code::BadAnswer);
         };
-        let left = state.deadline.saturating_since(now);
-        let chosen = match state.stage {
-            Stage::Choice if !left.is_zero() => {
-                not.extend(&state.tried);
-                // A connection may have gone silent where the server has not: a new one will do.
-                let silent = state.otherwise == Code::DeadlineAfterStart && state.once.is_none();
-                match self.balancer.choose(&state.view, state.route, &not) {
-                    None if silent => self.balancer.choose(&state.view, state.route, &[]),
-                    chosen => chosen,
-                }
-            }
-            _ => None,
-        };
-        let Some(server) = chosen else {
-            let (code, sent) = (state.otherwise, state.otherwise.execution() != Execution::NotRun);
-            return self.end(now, flight, code, sent);
+        not.extend(&state.tried);
+        let world = &state.view.world;
+        let want = Want {
+            flight,
+            route: &world.routes[state.route].name,
+            workspace: state.workspace.map_or("", |w| &world.workspaces[w].name),
+            deadline: state.deadline,
+            retry: !state.tried.is_empty(),
+            not: &not,
+            // A connection may have gone silent where the server has not: a new one will do.
+            any: state.otherwise == Code::DeadlineAfterStart && state.once.is_none(),
         };
-        state.stage = Stage::Sent(server);
-        let timeout = state.try_timeout(left);
-        Step::Send { flight, address: state.view.world.servers[server].address, timeout }
+        match self.balancer.choose(now, &want, &mut self.outbox) {
+            Choice::Send(server, address) => {
+                let timeout = state.try_timeout(state.deadline.saturating_since(now));
+                state.stage = Stage::Sent(server);
+                Step::Send { flight, address, timeout }
+            }
+            Choice::Wait(until) => Step::Park { flight, until },
+            Choice::Refuse(code) => {
+                let code = if state.tried.is_empty() { code } else { state.otherwise };
+                self.end(now, flight, code, code.execution() != Execution::NotRun)
+            }
+        }
     }
 
     /// Keeps the whole answer of a request that runs at most once, for its resends.
@@ -263,6 +287,7 @@
         {
             self.rates.forget(flight, &state.view.world.workspaces[workspace].name);
         }
+        self.balancer.forget(flight);
         self.outbox.wakes.extend(self.suspects.leave(state.fingerprint, flight));
         if let Some(once) = state.once
             && once.holds
