--- a/crates/standins/src/process.rs
+++ b/crates/standins/src/process.rs
@@ -125,7 +125,7 @@
 pub fn binary(name: &str) -> PathBuf {
     let mut folder = env::current_exe().expect("a running program has a path");
     folder.pop();
-    if folder.ends_with("deps") {
+    if folder.ends_with("deps") || folder.ends_with("examples") {
         folder.pop();
     }
     folder.join(name)
