--- a/crates/core/src/traffic/flight.rs
+++ b/crates/core/src/traffic/flight.rs
@@ -10,9 +10,10 @@
     host::Incarnation,
     once::{Answer, RunKey},
     result::Code,
+    route::BackendKey,
     time::{Instant, UnixMillis},
     view::View,
-    world::{RouteKey, ServerKey, WorkspaceKey},
+    world::{RouteKey, WorkspaceKey},
 };
 
 new_key_type! {
@@ -39,7 +40,7 @@
     /// It needs a backend server.
     Choice,
     /// It was sent to this backend server.
-    Sent(ServerKey),
+    Sent(BackendKey),
 }
 
 /// The id of a request that runs at most once.
@@ -65,7 +66,7 @@
     /// The whole answer, when it is kept for resends.
     pub(super) answer: Option<Arc<Answer>>,
     pub(super) fingerprint: Fingerprint,
-    pub(super) tried: Vec<ServerKey>,
+    pub(super) tried: Vec<BackendKey>,
     /// What is answered when no further server can be tried.
     pub(super) otherwise: Code,
     pub(super) stage: Stage,
--- a/crates/core/src/traffic/mod.rs
+++ b/crates/core/src/traffic/mod.rs
@@ -22,7 +22,7 @@
     once::{Answer, Clock, IdSecret, Table, Takeover},
     rate::Buckets,
     result::{Code, Execution},
-    route::Balancer,
+    route::{Balancer, Choice, Want, health::Report},
     time::{Instant, UnixMillis},
     view::View,
     world::Repeat,
@@ -72,7 +72,7 @@
     /// Takes over a new view.
     pub fn install(&mut self, now: Instant, view: Arc<View>) {
         self.rates.install(now, &view);
-        self.balancer.install(&view);
+        self.balancer.install(now, &view);
         self.takeover.install(self.clock.unix_at(now), &view);
         self.view = view;
     }
@@ -89,9 +89,12 @@
     }
 
     /// Takes in a message of another host.
-    pub fn hear(&mut self, now: Instant, _from: SocketAddr, msg: &PeerMsg) {
-        if let PeerMsg::Crash(msg) = msg {
-            self.hear_crash(now, msg);
+    pub fn hear(&mut self, now: Instant, from: SocketAddr, msg: &PeerMsg) {
+        match msg {
+            PeerMsg::Route(msg) => self.balancer.hear(now, from, msg, &mut self.outbox),
+            PeerMsg::Rollout(msg) => self.balancer.rollouts.hear(msg, &mut self.outbox),
+            PeerMsg::Crash(msg) => self.hear_crash(now, msg),
+            _ => {}
         }
     }
 
@@ -99,6 +102,7 @@
     pub fn tick(&mut self, now: Instant) {
         self.once.expire(self.clock.unix_at(now));
         self.tick_crash(now);
+        self.balancer.tick(now, &mut self.outbox);
     }
 
     /// Takes what is to be done besides the steps returned.
@@ -106,6 +110,21 @@
         std::mem::take(&mut self.outbox)
     }
 
+    /// The choice of backend servers, to look at.
+    pub fn balancer(&self) -> &Balancer {
+        &self.balancer
+    }
+
+    /// Takes in what a backend server reports of itself.
+    pub fn hear_report(&mut self, server: &str, report: Report) {
+        self.balancer.hear_report(server, report);
+    }
+
+    /// Counts the bytes of a try and its answer; called before [`Traffic::finish`].
+    pub fn carried(&mut self, flight: FlightKey, sent: u64, received: u64) {
+        self.balancer.carried(flight, sent, received);
+    }
+
     /// Requests in flight.
     pub fn in_flight(&self) -> usize {
         self.flights.len()
@@ -165,7 +184,7 @@
             return Step::Reply(Code::BadAnswer);
         };
         let Stage::Sent(server) = state.stage else { return Step::Reply(Code::BadAnswer) };
-        self.balancer.release(&state.view.world.servers[server].name);
+        self.balancer.finish(now, flight, outcome, &mut self.outbox);
         let (code, sent) = match outcome {
             Outcome::Answered(_) => (Code::Done, true),
             Outcome::ConnectFailed => (Code::NoServer, false),
@@ -173,6 +192,9 @@
             Outcome::TimedOut => (Code::DeadlineAfterStart, true),
             Outcome::BadAnswer => (Code::BadAnswer, true),
         };
+        // A byte may have left with an earlier try.
+        let earlier = state.otherwise;
+        let code = if !sent && earlier.execution() != Execution::NotRun { earlier } else { code };
         state.tried.push(server);
         state.otherwise = code;
         state.stage = Stage::Choice;
@@ -193,11 +215,10 @@
     /// Ends a request whose caller has gone away.
     pub fn abandon(&mut self, now: Instant, flight: FlightKey) {
         let Some(state) = self.flights.get(flight) else { return };
-        let mut sent = state.otherwise.execution() != Execution::NotRun;
-        if let Stage::Sent(server) = state.stage {
-            self.balancer.release(&state.view.world.servers[server].name);
-            sent = true;
-        }
+        let sent = matches!(state.stage, Stage::Sent(_))
+            || state.otherwise.execution() != Execution::NotRun;
+        let route = &state.view.world.routes[state.route].name;
+        self.balancer.abandon(now, flight, route, &mut self.outbox);
         self.end(now, flight, Code::ConnectionLost, sent);
     }
 
@@ -220,26 +241,30 @@
         let Some(state) = self.flights.get_mut(flight) else {
             return Step::Reply(Code::BadAnswer);
         };
-        let left = state.deadline.saturating_since(now);
-        let chosen = match state.stage {
-            Stage::Choice if !left.is_zero() => {
-                not.extend(&state.tried);
-                // A connection may have gone silent where the server has not: a new one will do.
-                let silent = state.otherwise == Code::DeadlineAfterStart && state.once.is_none();
-                match self.balancer.choose(&state.view, state.route, &not) {
-                    None if silent => self.balancer.choose(&state.view, state.route, &[]),
-                    chosen => chosen,
-                }
-            }
-            _ => None,
-        };
-        let Some(server) = chosen else {
-            let (code, sent) = (state.otherwise, state.otherwise.execution() != Execution::NotRun);
-            return self.end(now, flight, code, sent);
+        not.extend(&state.tried);
+        let world = &state.view.world;
+        let want = Want {
+            flight,
+            route: &world.routes[state.route].name,
+            workspace: state.workspace.map_or("", |w| &world.workspaces[w].name),
+            deadline: state.deadline,
+            retry: !state.tried.is_empty(),
+            not: &not,
+            // A connection may have gone silent where the server has not: a new one will do.
+            any: state.otherwise == Code::DeadlineAfterStart && state.once.is_none(),
         };
-        state.stage = Stage::Sent(server);
-        let timeout = state.try_timeout(left);
-        Step::Send { flight, address: state.view.world.servers[server].address, timeout }
+        match self.balancer.choose(now, &want, &mut self.outbox) {
+            Choice::Send(server, address) => {
+                let timeout = state.try_timeout(state.deadline.saturating_since(now));
+                state.stage = Stage::Sent(server);
+                Step::Send { flight, address, timeout }
+            }
+            Choice::Wait(until) => Step::Park { flight, until },
+            Choice::Refuse(code) => {
+                let code = if state.tried.is_empty() { code } else { state.otherwise };
+                self.end(now, flight, code, code.execution() != Execution::NotRun)
+            }
+        }
     }
 
     /// Keeps the whole answer of a request that runs at most once, for its resends.
@@ -252,6 +277,7 @@
     /// Ends a request; `sent` says whether a byte of it may have left this system.
     fn end(&mut self, _now: Instant, flight: FlightKey, code: Code, sent: bool) -> Step {
         let Some(state) = self.flights.remove(flight) else { return Step::Reply(code) };
+        self.balancer.forget(flight);
         self.outbox.wakes.extend(self.suspects.leave(state.fingerprint, flight));
         if let Some(once) = state.once
             && once.holds
