--- a/crates/core/src/route/lend.rs
+++ b/crates/core/src/route/lend.rs
@@ -103,7 +103,7 @@
     /// Own slots of a route that this host does not need itself.
     fn spare(&self, route: &str, distance: Distance) -> u16 {
         let Some(state) = self.routes.get(route) else { return 0 };
-        if !state.queue.is_empty() && !self.stopping {
+        if !state.queue.is_empty() {
             return 0;
         }
         let (mut own, mut lent) = (0, 0);
@@ -112,7 +112,7 @@
             lent += backend.lent;
         }
         let kept = match distance {
-            Distance::Far if !self.stopping => state.mean + f64::from(own) / FAR_RESERVE_DIVISOR,
+            Distance::Far => state.mean + f64::from(own) / FAR_RESERVE_DIVISOR,
             _ => 0.0,
         };
         (f64::from(own) - f64::from(lent) - kept).max(0.0) as u16
@@ -178,7 +178,7 @@
         let Some(me) = &self.me else { return };
         let Some(state) = self.routes.get_mut(route) else { return };
         let short = state.queue.len().saturating_sub(state.queue.woken());
-        if state.asks > 0 || short == 0 || self.stopping {
+        if state.asks > 0 || short == 0 {
             return;
         }
         while state.ring < RINGS {
--- a/crates/core/src/traffic/mod.rs
+++ b/crates/core/src/traffic/mod.rs
@@ -158,9 +158,6 @@
         if admitted.route.repeat == Repeat::AtMostOnce {
             return self.begin_once(now, req, origin, flight);
         }
-        if view.stopping {
-            return Step::Reply(Code::Stopping);
-        }
         let flight = self.flights.insert(flight);
         self.advance(now, flight)
     }
--- a/crates/core/src/traffic/once.rs
+++ b/crates/core/src/traffic/once.rs
@@ -88,10 +88,8 @@
         };
         let fingerprint = state.fingerprint;
         let known = self.once.look(once.key, fingerprint, flight);
-        let stopping = self.view.stopping;
         let begin = match known {
             Some(known) => known,
-            None if stopping => return self.end(now, flight, Code::Stopping, false),
             None if self.suspects.is_quarantined(now, fingerprint) => {
                 return self.end(now, flight, Code::Quarantined, false);
             }
--- a/crates/daemon/src/control.rs
+++ b/crates/daemon/src/control.rs
@@ -100,6 +100,7 @@
     let timers = Timers::start();
     tokio::spawn(peer::udp::receive(socket.clone(), tx.clone()));
     tokio::spawn(platform::watch_root(store.clone(), tx.clone()));
+    tokio::spawn(crate::reports::read(Arc::clone(&shared), timers.clone()));
     let mut ticks = timers.subscribe(HEARTBEAT_PERIOD).await;
     let mut traffic_ticks = timers.subscribe(TICK_PERIOD).await;
     let mut control = Control::new(shared.me.clone(), &shared.cfg.seeds);
--- a/crates/daemon/src/front/mod.rs
+++ b/crates/daemon/src/front/mod.rs
@@ -46,7 +46,9 @@
 fn caller_router(shared: &Arc<Shared>) -> Router {
     let look_up = lookup::LookUp { shared: Arc::clone(shared) };
     let request = request::Forward { shared: Arc::clone(shared) };
+    let close = stop::CloseConnections { shared: Arc::clone(shared) };
     Router::new()
+        .hoop(close)
         .push(Router::with_path("v1/lookup").get(look_up))
         .push(Router::with_path("v1/routes/{route}/{**rest}").goal(request))
 }
--- a/crates/daemon/src/front/run.rs
+++ b/crates/daemon/src/front/run.rs
@@ -75,6 +75,7 @@
                 let fresh = call.once || tries > 1;
                 let answer = shared.backends.call(address, call, timeout, fresh).await;
                 let kept = answer.as_ref().ok().filter(|_| call.once).map(|a| Arc::new(kept(a)));
+                let received = answer.as_ref().map_or(0, |a| a.body.len());
                 let outcome = match answer {
                     Ok(answer) => {
                         let status = answer.status.as_u16();
@@ -87,6 +88,7 @@
                     if let Some(kept) = &kept {
                         traffic.keep(flight, kept);
                     }
+                    traffic.carried(flight, call.body.len() as u64, received as u64);
                     traffic.finish(now, flight, outcome)
                 })
             }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod options;
 pub mod peer;
 pub mod platform;
+pub mod reports;
 pub mod shared;
 pub mod timer;
 
--- a/crates/daemon/src/options/load.rs
+++ b/crates/daemon/src/options/load.rs
@@ -1,9 +1,10 @@
 //! Reading the settings file.
 
-use std::{fs, net::SocketAddr, path::Path};
+use std::{fs, net::SocketAddr, path::Path, time::Duration};
 
 use jasminestage_core::{
     ini::{self, Entry},
+    lookup::LIFETIME,
     world::fields,
 };
 use jasminestage_wire::FleetKey;
@@ -49,7 +50,7 @@
         put(&mut o.traffic.max_body_bytes, size(t, 1, 64 * 1024 * 1024))
     }),
     setting("traffic", "stop_limit", |o, t| put(&mut o.traffic.stop_limit, fields::duration(t))),
-    setting("traffic", "stop_delay", |o, t| put(&mut o.traffic.stop_delay, fields::duration(t))),
+    setting("traffic", "stop_delay", |o, t| put(&mut o.traffic.stop_delay, stop_delay(t))),
     setting("log", "format", |o, t| {
         put(&mut o.log.json, fields::word(&[("text", false), ("json", true)])(t))
     }),
@@ -126,6 +127,15 @@
     Ok(())
 }
 
+fn stop_delay(text: &str) -> Result<Duration, String> {
+    match fields::duration(text) {
+        Ok(delay) if delay >= LIFETIME => Ok(delay),
+        _ => {
+            Err(format!("at least {} s, the lifetime of look-ups, is allowed", LIFETIME.as_secs()))
+        }
+    }
+}
+
 fn address(text: &str) -> Result<SocketAddr, String> {
     fields::plain("an IP address with a port is allowed")(text)
 }
