Bind frames to their receiver and their time, and derive keys per purpose

Cause: a host that had just started took old recorded frames, a frame for one host counted at another, a full replay table was cleared, recorded answers over a stream counted for a client that connected to an impostor, and one key served every purpose. Streams bind both sides' nonces. HKDF-SHA256 derives keys for datagrams, calls, answers and request ids; an old secret is accepted and never seals.

--- /dev/null
+++ b/crates/wire/src/keys.rs
@@ -0,0 +1,108 @@
+//! Keys derived from the secret of a fleet, one per purpose.
+
+use std::fmt;
+
+use hkdf::Hkdf;
+use hmac::{Hmac, KeyInit, Mac};
+use sha2::Sha256;
+
+/// Salt of the derivation; it names the protocol and its version.
+const SALT: &[u8] = b"jasminestage fleet v1";
+/// Bytes of a derived key.
+pub const KEY_BYTES: usize = 32;
+
+/// What a derived key is for. A keyed hash made for one purpose counts for no other.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Purpose {
+    /// Datagrams between hosts.
+    Datagram,
+    /// Calls over a stream, from the host that opened it.
+    StreamCall,
+    /// Answers over a stream.
+    StreamReply,
+    /// Request ids that hosts give to callers.
+    RequestId,
+}
+
+impl Purpose {
+    const ALL: [Purpose; 4] =
+        [Purpose::Datagram, Purpose::StreamCall, Purpose::StreamReply, Purpose::RequestId];
+
+    fn label(self) -> &'static [u8] {
+        match self {
+            Purpose::Datagram => b"datagram",
+            Purpose::StreamCall => b"stream call",
+            Purpose::StreamReply => b"stream reply",
+            Purpose::RequestId => b"request id",
+        }
+    }
+}
+
+type Derived = [[u8; KEY_BYTES]; Purpose::ALL.len()];
+
+/// Keys of a fleet: those of its secret and, during a change of the secret, those of another one
+/// that is accepted but never used to seal.
+#[derive(Clone, PartialEq, Eq)]
+pub struct FleetKey {
+    current: Derived,
+    old: Option<Derived>,
+}
+
+impl FleetKey {
+    /// Keys from the text of the setting `secret`.
+    pub fn new(secret: &str) -> Self {
+        FleetKey { current: derive(secret), old: None }
+    }
+
+    /// Takes another secret to seal with.
+    pub fn set_secret(&mut self, secret: &str) {
+        self.current = derive(secret);
+    }
+
+    /// Takes a second secret that is accepted too.
+    pub fn set_old_secret(&mut self, secret: &str) {
+        self.old = Some(derive(secret));
+    }
+
+    /// The key for a purpose.
+    pub fn key(&self, purpose: Purpose) -> &[u8; KEY_BYTES] {
+        &self.current[purpose as usize]
+    }
+
+    /// The key of the old secret for a purpose, while there is one.
+    pub fn old_key(&self, purpose: Purpose) -> Option<&[u8; KEY_BYTES]> {
+        self.old.as_ref().map(|keys| &keys[purpose as usize])
+    }
+
+    /// HMAC-SHA256 (RFC 2104) of the parts, one after the other.
+    pub fn mac(&self, purpose: Purpose, parts: &[&[u8]]) -> [u8; KEY_BYTES] {
+        hmac(self.key(purpose), parts).finalize().into_bytes().into()
+    }
+
+    /// Whether `tag` is the keyed hash of the parts, compared in constant time.
+    pub fn verify(&self, purpose: Purpose, parts: &[&[u8]], tag: &[u8]) -> bool {
+        let keys = [Some(self.key(purpose)), self.old_key(purpose)];
+        keys.into_iter().flatten().any(|key| hmac(key, parts).verify_slice(tag).is_ok())
+    }
+}
+
+impl fmt::Debug for FleetKey {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("FleetKey(..)")
+    }
+}
+
+fn hmac(key: &[u8; KEY_BYTES], parts: &[&[u8]]) -> Hmac<Sha256> {
+    let hmac = Hmac::new_from_slice(key).expect("HMAC takes keys of any length");
+    parts.iter().fold(hmac, |hmac, part| hmac.chain_update(part))
+}
+
+/// Derives one key per purpose with HKDF-SHA256 (RFC 5869).
+fn derive(secret: &str) -> Derived {
+    let hkdf = Hkdf::<Sha256>::new(Some(SALT), secret.as_bytes());
+    Purpose::ALL.map(|purpose| {
+        let mut key = [0; KEY_BYTES];
+        hkdf.expand(purpose.label(), &mut key).expect("32 bytes are within the limit of HKDF");
+        key
+    })
+}
--- a/crates/wire/src/replay.rs
+++ b/crates/wire/src/replay.rs
@@ -8,8 +8,8 @@
 
 /// Frames that may arrive out of order.
 const WINDOW: u64 = 128;
-/// Senders that are remembered.
-const MAX_SENDERS: usize = 8192;
+/// Senders that are remembered; frames of further ones are not taken.
+pub const MAX_SENDERS: usize = 8192;
 
 #[derive(Clone, Copy, Debug, Default)]
 struct Seen {
@@ -24,10 +24,10 @@
 }
 
 impl ReplayWindow {
-    /// Accepts a frame once.
+    /// Accepts a frame once. Sequence numbers start at 1.
     pub fn accept(&mut self, sender: Incarnation, sequence: u64) -> Result<(), WireError> {
         if self.senders.len() >= MAX_SENDERS && !self.senders.contains_key(&sender) {
-            self.senders.clear();
+            return Err(WireError::Senders(MAX_SENDERS));
         }
         let seen = self.senders.entry(sender).or_default();
         if sequence > seen.highest {
--- a/crates/wire/src/seal.rs
+++ b/crates/wire/src/seal.rs
@@ -1,45 +1,23 @@
 //! Sealing and opening of frames.
 //!
-//! A frame is a version byte, a 32-byte HMAC-SHA256 (RFC 2104) of all that follows, the sender's
-//! incarnation and sequence number, and the postcard body.
+//! A frame is a version byte, a 32-byte keyed hash of the version and all that follows, and the
+//! postcard encoding of a [`Header`] and a message.
 
-use std::fmt;
-
-use hmac::{Hmac, KeyInit, Mac};
 use jasminestage_core::host::Incarnation;
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
-use sha2::Sha256;
 use thiserror::Error;
 
+use crate::keys::{FleetKey, KEY_BYTES, Purpose};
+
 /// Version of the frame format.
-pub const VERSION: u8 = 1;
+pub const VERSION: u8 = 2;
 /// Largest frame in a datagram, in bytes.
 pub const MAX_DATAGRAM_BYTES: usize = 60_000;
-/// Bytes of the keyed hash.
-const MAC_BYTES: usize = 32;
-/// Bytes before the sealed part.
-const HEADER_BYTES: usize = 1 + MAC_BYTES;
-
-/// Secret that all hosts of a fleet share.
-#[derive(Clone, PartialEq, Eq)]
-pub struct FleetKey(Vec<u8>);
+/// Bytes before the encoded part.
+const PREFIX_BYTES: usize = 1 + KEY_BYTES;
 
-impl FleetKey {
-    /// A key from the text of a settings file.
-    pub fn new(secret: &str) -> Self {
-        FleetKey(secret.as_bytes().to_vec())
-    }
-
-    fn mac(&self) -> Hmac<Sha256> {
-        Hmac::new_from_slice(&self.0).expect("HMAC takes keys of any length")
-    }
-}
-
-impl fmt::Debug for FleetKey {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str("FleetKey(..)")
-    }
-}
+/// A random number that a host draws to tell frames made for it lately from recorded ones.
+pub type Nonce = u64;
 
 /// Why a frame was rejected.
 #[derive(Clone, Debug, PartialEq, Eq, Error)]
@@ -59,6 +37,15 @@
     /// The body cannot be decoded.
     #[error("The frame's body is damaged: {0}.")]
     Body(postcard::Error),
+    /// Bytes follow the message.
+    #[error("The frame holds {0} bytes after its message.")]
+    Trailing(usize),
+    /// The frame names no nonce of this host that is still good.
+    #[error("The frame of {sender} was made for another host or too long ago.")]
+    Stale {
+        /// Life of the sending host.
+        sender: Incarnation,
+    },
     /// The frame was seen before.
     #[error("The frame {sequence} of {sender} was seen before.")]
     Replayed {
@@ -67,22 +54,29 @@
         /// Number of the frame.
         sequence: u64,
     },
+    /// There are too many senders to remember them all.
+    #[error("Frames of {0} senders are remembered; the frame of another one is not taken.")]
+    Senders(usize),
 }
 
-#[derive(Serialize, Deserialize)]
-struct Sealed<T> {
-    sender: Incarnation,
-    sequence: u64,
-    msg: T,
+/// What a frame says besides its message.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Header {
+    /// Life of the sending host.
+    pub sender: Incarnation,
+    /// Number of the frame in that life, or of the call on its stream.
+    pub sequence: u64,
+    /// The sender's own nonce, to be echoed by the receiver.
+    pub nonce: Nonce,
+    /// The receiver's nonce, 0 when the sender knows none.
+    pub echo: Nonce,
 }
 
 /// A frame that was opened.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Opened<T> {
-    /// Life of the sending host.
-    pub sender: Incarnation,
-    /// Number of the frame in that life.
-    pub sequence: u64,
+    /// What the frame says besides its message.
+    pub header: Header,
     /// The message.
     pub msg: T,
 }
@@ -90,30 +84,37 @@
 /// Seals a message.
 pub fn seal<T: Serialize>(
     key: &FleetKey,
-    sender: Incarnation,
-    sequence: u64,
+    purpose: Purpose,
+    header: &Header,
     msg: &T,
 ) -> Result<Vec<u8>, WireError> {
-    let mut buf = vec![0; HEADER_BYTES];
+    let mut buf = vec![0; PREFIX_BYTES];
     buf[0] = VERSION;
-    let buf =
-        postcard::to_extend(&Sealed { sender, sequence, msg }, buf).map_err(WireError::Body)?;
-    let mac = key.mac().chain_update(&buf[HEADER_BYTES..]).finalize().into_bytes();
-    let mut buf = buf;
-    buf[1..HEADER_BYTES].copy_from_slice(&mac);
+    let mut buf = postcard::to_extend(&(header, msg), buf).map_err(WireError::Body)?;
+    let mac = key.mac(purpose, &[&[VERSION], &buf[PREFIX_BYTES..]]);
+    buf[1..PREFIX_BYTES].copy_from_slice(&mac);
     Ok(buf)
 }
 
-/// Opens a frame; the keyed hash is checked before the body is decoded.
-pub fn open<T: DeserializeOwned>(key: &FleetKey, frame: &[u8]) -> Result<Opened<T>, WireError> {
-    if frame.len() <= HEADER_BYTES {
+/// Opens a frame; the keyed hash is checked before anything is decoded.
+pub fn open<T: DeserializeOwned>(
+    key: &FleetKey,
+    purpose: Purpose,
+    frame: &[u8],
+) -> Result<Opened<T>, WireError> {
+    if frame.len() <= PREFIX_BYTES {
         return Err(WireError::Short(frame.len()));
     }
     if frame[0] != VERSION {
         return Err(WireError::Version(frame[0]));
     }
-    let (header, body) = frame.split_at(HEADER_BYTES);
-    key.mac().chain_update(body).verify_slice(&header[1..]).map_err(|_| WireError::Mac)?;
-    let sealed: Sealed<T> = postcard::from_bytes(body).map_err(WireError::Body)?;
-    Ok(Opened { sender: sealed.sender, sequence: sealed.sequence, msg: sealed.msg })
+    let (prefix, body) = frame.split_at(PREFIX_BYTES);
+    if !key.verify(purpose, &[&[VERSION], body], &prefix[1..]) {
+        return Err(WireError::Mac);
+    }
+    let ((header, msg), rest) = postcard::take_from_bytes(body).map_err(WireError::Body)?;
+    if !rest.is_empty() {
+        return Err(WireError::Trailing(rest.len()));
+    }
+    Ok(Opened { header, msg })
 }
