Export metrics for Prometheus, count log events, limit lines of rejected frames

Change: OpenTelemetry instruments on GET /metrics, recorded by a middleware round the callers' paths, by the peer sockets, by an observer of store calls and by a layer of the log that counts events by number whatever the filter lets pass. Labels hold declared names only.

--- a/crates/daemon/src/control.rs
+++ b/crates/daemon/src/control.rs
@@ -97,7 +97,7 @@
 ) -> Result<(), DaemonError> {
     let socket = peer::udp::Socket::bind(Arc::clone(&shared)).await?;
     peer::stream::serve(Arc::clone(&shared)).await?;
-    let store = platform::client(&shared.cfg.platform);
+    let store = platform::client(&shared.cfg.platform, Arc::clone(&shared.metrics));
     let timers = Timers::start();
     tokio::spawn(peer::udp::receive(socket.clone(), tx.clone()));
     tokio::spawn(platform::watch_root(store.clone(), tx.clone()));
--- a/crates/daemon/src/error.rs
+++ b/crates/daemon/src/error.rs
@@ -42,6 +42,9 @@
     /// A thread or runtime could not be started.
     #[error("A thread could not be started: {0}.")]
     Thread(io::Error),
+    /// The metrics could not be set up.
+    #[error("The metrics could not be set up: {0}.")]
+    Metrics(String),
     /// The control thread panicked.
     #[error("The control thread has ended with a panic.")]
     ControlThread,
--- a/crates/daemon/src/front/admin.rs
+++ b/crates/daemon/src/front/admin.rs
@@ -31,6 +31,7 @@
         .push(at("healthz", |_, res| res.render("ok\n")))
         .push(at("readyz", ready))
         .push(at("status", status))
+        .push(at("metrics", |shared, res| res.render(shared.metrics.encode())))
 }
 
 fn ready(shared: &Shared, res: &mut Response) {
--- a/crates/daemon/src/front/mod.rs
+++ b/crates/daemon/src/front/mod.rs
@@ -4,6 +4,7 @@
 mod backend;
 mod headers;
 mod lookup;
+mod measure;
 mod request;
 mod stop;
 
@@ -16,6 +17,7 @@
     http::{HeaderValue, Response, StatusCode},
 };
 
+use self::measure::Measure;
 use crate::{control::ControlTx, error::DaemonError, shared::Shared};
 
 /// Serves callers until the process is asked to stop, then stops gracefully.
@@ -44,9 +46,10 @@
 fn caller_router(shared: &Arc<Shared>) -> Router {
     let look_up = lookup::LookUp { shared: Arc::clone(shared) };
     let request = request::Forward::new(Arc::clone(shared));
+    let at = |path: &'static str| Router::with_path(path).hoop(Measure::new(shared, path));
     Router::new()
-        .push(Router::with_path("v1/lookup").get(look_up))
-        .push(Router::with_path("v1/routes/{route}/{**rest}").goal(request))
+        .push(at("v1/lookup").get(look_up))
+        .push(at("v1/routes/{route}/{**rest}").goal(request))
 }
 
 async fn bind(address: SocketAddr) -> Result<impl salvo::conn::Acceptor, DaemonError> {
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod error;
 pub mod front;
 pub mod log;
+pub mod metrics;
 pub mod options;
 pub mod peer;
 pub mod platform;
@@ -17,7 +18,7 @@
 use clap::Parser;
 
 pub use self::{error::DaemonError, options::Options};
-use crate::shared::Shared;
+use crate::{metrics::Metrics, shared::Shared};
 
 /// Runs the daemon until it is stopped.
 pub fn run() -> Result<(), DaemonError> {
@@ -27,14 +28,15 @@
         println!("The settings in '{}' are valid.", args.config.display());
         return Ok(());
     }
-    log::start(&cfg.log);
-    serve(cfg)
+    let metrics = Arc::new(Metrics::new(&cfg.name, &cfg.domain)?);
+    log::start(&cfg.log, Arc::clone(&metrics));
+    serve(cfg, metrics)
 }
 
 /// Serves callers and hosts until SIGTERM or SIGINT.
-pub fn serve(cfg: Options) -> Result<(), DaemonError> {
+pub fn serve(cfg: Options, metrics: Arc<Metrics>) -> Result<(), DaemonError> {
     let (sends_tx, sends_rx) = control::send_queue();
-    let shared = Arc::new(Shared::new(cfg, sends_tx));
+    let shared = Arc::new(Shared::new(cfg, metrics, sends_tx));
     let (control_tx, control_rx) = control::channel();
     let control = control::spawn(Arc::clone(&shared), control_tx.clone(), control_rx, sends_rx)?;
     let served = front::run(&shared, &control_tx);
--- /dev/null
+++ b/crates/daemon/src/metrics/mod.rs
@@ -0,0 +1,210 @@
+//! Metrics, exported for Prometheus.
+//!
+//! Names and units follow the OpenTelemetry semantic conventions where they have one
+//! (`http.server.request.duration`, `http.server.active_requests`,
+//! `db.client.operation.duration`, `network.io.direction`); the others begin with `jasminestage.`.
+//! Every label has a bounded set of values: names come from the declaration, all others count as
+//! [`OTHER`], and the library folds series past its limit into one.
+
+mod names;
+
+use std::time::Duration;
+
+use jasminestage_core::{result::Code, view::View};
+use opentelemetry::{
+    KeyValue,
+    metrics::{Counter, Gauge, Histogram, MeterProvider, UpDownCounter},
+};
+use opentelemetry_sdk::{Resource, metrics::SdkMeterProvider};
+use prometheus::{Registry, TextEncoder};
+use tokio::time::Instant;
+
+pub use self::names::{OTHER, Served};
+use crate::error::DaemonError;
+
+/// Bounds of the buckets of durations, in seconds: those of the semantic conventions with two
+/// below them.
+const DURATION_BOUNDS: [f64; 16] =
+    [0.001, 0.002, 0.005, 0.01, 0.025, 0.05, 0.075, 0.1, 0.25, 0.5, 0.75, 1.0, 2.5, 5.0, 7.5, 10.0];
+
+/// How hosts speak to each other.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Transport {
+    /// Datagrams.
+    Udp,
+    /// Streams.
+    Tcp,
+}
+
+impl Transport {
+    fn label(self) -> KeyValue {
+        let name = match self {
+            Transport::Udp => "udp",
+            Transport::Tcp => "tcp",
+        };
+        KeyValue::new("network.transport", name)
+    }
+}
+
+/// The instruments of one process.
+pub struct Metrics {
+    registry: Registry,
+    // Instruments stop recording when their provider is dropped.
+    _provider: SdkMeterProvider,
+    durations: Histogram<f64>,
+    active: UpDownCounter<i64>,
+    requests: Counter<u64>,
+    refusals: Counter<u64>,
+    messages: Counter<u64>,
+    rejected: Counter<u64>,
+    bytes: Counter<u64>,
+    store: Histogram<f64>,
+    events: Counter<u64>,
+    revision: Gauge<u64>,
+    hosts: Gauge<u64>,
+}
+
+impl Metrics {
+    /// Instruments of a process that has just started.
+    pub fn new(host: &str, domain: &str) -> Result<Self, DaemonError> {
+        let registry = Registry::new();
+        let exporter = opentelemetry_prometheus::exporter()
+            .with_registry(registry.clone())
+            .build()
+            .map_err(|e| DaemonError::Metrics(e.to_string()))?;
+        let resource = Resource::builder()
+            .with_service_name("jasminestaged")
+            .with_attribute(KeyValue::new("host.name", host.to_owned()))
+            .with_attribute(KeyValue::new("jasminestage.domain", domain.to_owned()))
+            .build();
+        let provider =
+            SdkMeterProvider::builder().with_reader(exporter).with_resource(resource).build();
+        let meter = provider.meter("jasminestage");
+        let seconds = |name: &'static str, text: &'static str| {
+            let histogram = meter.f64_histogram(name).with_unit("s").with_description(text);
+            histogram.with_boundaries(DURATION_BOUNDS.to_vec()).build()
+        };
+        let count = |name: &'static str, unit: &'static str, text: &'static str| {
+            meter.u64_counter(name).with_unit(unit).with_description(text).build()
+        };
+        let gauge = |name: &'static str, text: &'static str| {
+            meter.u64_gauge(name).with_description(text).build()
+        };
+        Ok(Metrics {
+            durations: seconds("http.server.request.duration", "Duration of requests of callers."),
+            active: meter
+                .i64_up_down_counter("http.server.active_requests")
+                .with_unit("{request}")
+                .with_description("Requests of callers in flight.")
+                .build(),
+            requests: count("jasminestage.requests", "{request}", "Requests by workspace."),
+            refusals: count("jasminestage.refusals", "{request}", "Refusals by result code."),
+            messages: count("jasminestage.peer.messages", "{message}", "Frames to and from hosts."),
+            rejected: count(
+                "jasminestage.peer.rejected",
+                "{message}",
+                "Frames that were rejected.",
+            ),
+            bytes: count("jasminestage.peer.io", "By", "Bytes to and from hosts."),
+            store: seconds("db.client.operation.duration", "Duration of calls to the store."),
+            events: count("jasminestage.log.events", "{event}", "Log events by number."),
+            revision: gauge("jasminestage.configuration.revision", "Revision in force."),
+            hosts: gauge("jasminestage.hosts", "Hosts known to be alive."),
+            registry,
+            _provider: provider,
+        })
+    }
+
+    /// All metrics in the text format of Prometheus.
+    pub fn encode(&self) -> String {
+        TextEncoder::new().encode_to_string(&self.registry.gather()).unwrap_or_default()
+    }
+
+    /// Counts a request as in flight until the guard is dropped.
+    pub fn begin(&self) -> InFlight<'_> {
+        self.active.add(1, &[]);
+        InFlight { metrics: self, start: Instant::now() }
+    }
+
+    /// Records a request that was answered.
+    pub fn answered(&self, served: &Served<'_>, code: Code, status: u16, took: Duration) {
+        let route = KeyValue::new("jasminestage.route", served.route.to_owned());
+        let number = KeyValue::new("jasminestage.code", i64::from(code.number()));
+        let labels = [
+            KeyValue::new("http.request.method", served.method),
+            KeyValue::new("http.route", served.template),
+            KeyValue::new("http.response.status_code", i64::from(status)),
+            KeyValue::new("url.scheme", "http"),
+            route.clone(),
+        ];
+        self.durations.record(took.as_secs_f64(), &labels);
+        if code != Code::Done {
+            self.refusals.add(1, &[route.clone(), number.clone()]);
+        }
+        let workspace = KeyValue::new("jasminestage.workspace", served.workspace.to_owned());
+        self.requests.add(1, &[route, workspace, number]);
+    }
+
+    /// Counts a frame that was sent to another host.
+    pub fn sent(&self, transport: Transport, bytes: usize) {
+        self.frame(transport, "transmit", bytes);
+    }
+
+    /// Counts a frame that was received from another host, valid or not.
+    pub fn received(&self, transport: Transport, bytes: usize) {
+        self.frame(transport, "receive", bytes);
+    }
+
+    /// Counts a frame that was rejected.
+    pub fn rejected(&self) {
+        self.rejected.add(1, &[]);
+    }
+
+    /// Records a call to the store.
+    pub fn store_call(&self, operation: &'static str, is_ok: bool, took: Duration) {
+        let mut labels = vec![
+            KeyValue::new("db.system.name", "etcd"),
+            KeyValue::new("db.operation.name", operation),
+        ];
+        if !is_ok {
+            labels.push(KeyValue::new("error.type", OTHER));
+        }
+        self.store.record(took.as_secs_f64(), &labels);
+    }
+
+    /// Counts a log event.
+    pub fn log_event(&self, number: u64) {
+        self.events.add(1, &[KeyValue::new("jasminestage.event", number as i64)]);
+    }
+
+    /// Takes over the figures of a new view.
+    pub fn publish(&self, view: &View) {
+        self.revision.record(view.revision, &[]);
+        self.hosts.record(view.hosts.len() as u64, &[]);
+    }
+
+    fn frame(&self, transport: Transport, direction: &'static str, bytes: usize) {
+        let labels = [transport.label(), KeyValue::new("network.io.direction", direction)];
+        self.messages.add(1, &labels);
+        self.bytes.add(bytes as u64, &labels);
+    }
+}
+
+/// A request in flight.
+pub struct InFlight<'a> {
+    metrics: &'a Metrics,
+    start: Instant,
+}
+
+impl InFlight<'_> {
+    /// Time since the request arrived.
+    pub fn elapsed(&self) -> Duration {
+        self.start.elapsed()
+    }
+}
+
+impl Drop for InFlight<'_> {
+    fn drop(&mut self) {
+        self.metrics.active.add(-1, &[]);
+    }
+}
--- a/crates/daemon/src/options/load.rs
+++ b/crates/daemon/src/options/load.rs
@@ -6,7 +6,6 @@
     ini::{self, Entry},
     world::fields,
 };
-use jasminestage_wire::FleetKey;
 
 use super::Options;
 use crate::error::DaemonError;
@@ -39,7 +38,8 @@
     required("host", "caller_address", |o, t| put(&mut o.caller_address, address(t))),
     required("host", "peer_address", |o, t| put(&mut o.peer_address, address(t))),
     required("host", "admin_address", |o, t| put(&mut o.admin_address, address(t))),
-    required("fleet", "secret", |o, t| put(&mut o.fleet_key, secret(t))),
+    required("fleet", "secret", |o, t| secret(t).map(|s| o.fleet_key.set_secret(s))),
+    setting("fleet", "old_secret", |o, t| secret(t).map(|s| o.fleet_key.set_old_secret(s))),
     setting("fleet", "seeds", |o, t| put(&mut o.seeds, addresses(t))),
     required("platform", "store", |o, t| put(&mut o.platform.store, url(t))),
     setting("platform", "host_list", |o, t| put(&mut o.platform.host_list, url(t))),
@@ -101,7 +101,7 @@
 }
 
 fn wrong(file: &str, section: &str, entry: Entry<'_>, allowed: String) -> DaemonError {
-    let secret = entry.key == "secret";
+    let secret = entry.key.contains("secret");
     DaemonError::Setting {
         file: file.to_owned(),
         line: entry.line,
@@ -134,11 +134,11 @@
     text.split(',').map(str::trim).filter(|t| !t.is_empty()).map(address).collect()
 }
 
-fn secret(text: &str) -> Result<FleetKey, String> {
+fn secret(text: &str) -> Result<&str, String> {
     if text.chars().count() < MIN_SECRET_CHARS {
         return Err(format!("a secret of at least {MIN_SECRET_CHARS} characters is allowed"));
     }
-    Ok(FleetKey::new(text))
+    Ok(text)
 }
 
 fn url(text: &str) -> Result<String, String> {
--- a/crates/daemon/src/peer/stream.rs
+++ b/crates/daemon/src/peer/stream.rs
@@ -1,9 +1,10 @@
 //! Calls between hosts over TCP.
 //!
-//! The answering side opens a connection with a random nonce. Every frame after it is a length in
-//! four bytes and a sealed body that names the nonce, so that no frame counts on another
-//! connection; the sequence number of the frame is the number of the call on its connection. One
-//! call is under way on a connection at a time; idle connections are kept for later calls.
+//! Both sides open a connection with a random nonce. Every frame after it is a length in four bytes
+//! and a sealed body that names both nonces, so that no frame counts on another connection; calls
+//! and answers are sealed with different keys, so that none counts in the other direction. The
+//! sequence number of a frame is the number of the call on its connection. One call is under way on
+//! a connection at a time; idle connections are kept for later calls.
 
 use std::{
     collections::HashMap,
@@ -13,11 +14,8 @@
     time::Duration,
 };
 
-use jasminestage_core::{
-    event::{Event, Kind},
-    peer::{PeerCall, PeerReply},
-};
-use jasminestage_wire::{WireError, open, seal};
+use jasminestage_core::peer::{PeerCall, PeerReply};
+use jasminestage_wire::{Header, Nonce, Purpose, WireError, open, seal};
 use serde::{Serialize, de::DeserializeOwned};
 use thiserror::Error;
 use tokio::{
@@ -26,7 +24,7 @@
 };
 
 use super::answer::answer;
-use crate::{error::DaemonError, log, shared::Shared};
+use crate::{error::DaemonError, metrics::Transport, shared::Shared};
 
 /// Largest frame in bytes.
 const MAX_FRAME_BYTES: u32 = 72 * 1024 * 1024;
@@ -37,8 +35,6 @@
 /// Idle connections kept for one host.
 const MAX_IDLE: usize = 8;
 
-type Nonce = u128;
-
 /// Why a call to another host failed.
 #[derive(Debug, Error)]
 pub enum CallError {
@@ -58,10 +54,17 @@
 
 struct Connection {
     stream: TcpStream,
-    nonce: Nonce,
+    nonces: Nonces,
     calls: u64,
 }
 
+/// Nonces of the two sides of a connection, as one side sees them.
+#[derive(Clone, Copy)]
+struct Nonces {
+    mine: Nonce,
+    theirs: Nonce,
+}
+
 /// Connections to other hosts.
 #[derive(Default)]
 pub struct Peers {
@@ -118,9 +121,8 @@
 async fn connect(to: SocketAddr) -> Result<Connection, CallError> {
     let connecting = async {
         let mut stream = TcpStream::connect(to).await?;
-        stream.set_nodelay(true)?;
-        let nonce = stream.read_u128().await?;
-        Ok::<_, io::Error>(Connection { stream, nonce, calls: 0 })
+        let nonces = greet(&mut stream).await?;
+        Ok::<_, io::Error>(Connection { stream, nonces, calls: 0 })
     };
     match tokio::time::timeout(CONNECT_TIMEOUT, connecting).await {
         Ok(Ok(connection)) => Ok(connection),
@@ -128,6 +130,14 @@
     }
 }
 
+/// Sends a nonce of this side and reads that of the other.
+async fn greet(stream: &mut TcpStream) -> io::Result<Nonces> {
+    stream.set_nodelay(true)?;
+    let mine = rand::random();
+    stream.write_u64(mine).await?;
+    Ok(Nonces { mine, theirs: stream.read_u64().await? })
+}
+
 async fn exchange(
     shared: &Shared,
     to: SocketAddr,
@@ -135,11 +145,15 @@
     call: &PeerCall,
 ) -> Result<PeerReply, CallError> {
     connection.calls += 1;
-    let (nonce, number) = (connection.nonce, connection.calls);
+    let (nonces, number) = (connection.nonces, connection.calls);
     let failed = |e| CallError::Connection(to, e);
-    write(shared, &mut connection.stream, nonce, number, call).await.map_err(failed)?;
+    let header = header(shared, nonces, number);
+    write(shared, &mut connection.stream, Purpose::StreamCall, &header, call)
+        .await
+        .map_err(failed)?;
     let frame = read_frame(&mut connection.stream).await.map_err(failed)?;
-    unframe(shared, nonce, number, &frame).map_err(|e| CallError::Damaged(to, e))
+    unframe(shared, Purpose::StreamReply, nonces, number, &frame)
+        .map_err(|e| CallError::Damaged(to, e))
 }
 
 /// Accepts calls of other hosts for ever.
@@ -153,8 +167,7 @@
             let shared = Arc::clone(&shared);
             tokio::spawn(async move {
                 if let Err(e) = serve_connection(&shared, stream).await {
-                    let detail = format!("from {from}: {e}");
-                    log::write(&Event::new(Kind::MessageRejected, detail));
+                    shared.reject(from, &e);
                 }
             });
         }
@@ -163,34 +176,38 @@
 }
 
 async fn serve_connection(shared: &Shared, mut stream: TcpStream) -> Result<(), WireError> {
-    let nonce: Nonce = rand::random();
-    if stream.set_nodelay(true).is_err() || stream.write_u128(nonce).await.is_err() {
-        return Ok(());
-    }
+    let greeting = tokio::time::timeout(CONNECT_TIMEOUT, greet(&mut stream)).await;
+    let Ok(Ok(nonces)) = greeting else { return Ok(()) };
     for number in 1.. {
         let read = tokio::time::timeout(IDLE_LIMIT, read_frame(&mut stream)).await;
         let Ok(Ok(frame)) = read else { break };
-        let call: PeerCall = unframe(shared, nonce, number, &frame)?;
+        let call: PeerCall = unframe(shared, Purpose::StreamCall, nonces, number, &frame)?;
         let reply = answer(shared, call).await;
-        if write(shared, &mut stream, nonce, number, &reply).await.is_err() {
+        let header = header(shared, nonces, number);
+        if write(shared, &mut stream, Purpose::StreamReply, &header, &reply).await.is_err() {
             break;
         }
     }
     Ok(())
 }
 
+fn header(shared: &Shared, nonces: Nonces, number: u64) -> Header {
+    let (sender, nonce, echo) = (shared.me.incarnation, nonces.mine, nonces.theirs);
+    Header { sender, sequence: number, nonce, echo }
+}
+
 async fn write<T: Serialize>(
     shared: &Shared,
     stream: &mut TcpStream,
-    nonce: Nonce,
-    number: u64,
+    purpose: Purpose,
+    header: &Header,
     msg: &T,
 ) -> io::Result<()> {
-    let sealed = seal(&shared.cfg.fleet_key, shared.me.incarnation, number, &(nonce, msg));
-    let sealed = sealed.map_err(io::Error::other)?;
+    let sealed = seal(&shared.cfg.fleet_key, purpose, header, msg).map_err(io::Error::other)?;
     let mut frame = Vec::with_capacity(4 + sealed.len());
     frame.extend_from_slice(&(sealed.len() as u32).to_be_bytes());
     frame.extend_from_slice(&sealed);
+    shared.metrics.sent(Transport::Tcp, frame.len());
     stream.write_all(&frame).await
 }
 
@@ -207,15 +224,16 @@
 
 fn unframe<T: DeserializeOwned>(
     shared: &Shared,
-    nonce: Nonce,
+    purpose: Purpose,
+    nonces: Nonces,
     number: u64,
     frame: &[u8],
 ) -> Result<T, WireError> {
-    let opened = open::<(Nonce, T)>(&shared.cfg.fleet_key, frame)?;
-    let (named, msg) = opened.msg;
-    if named != nonce || opened.sequence != number {
-        let (sender, sequence) = (opened.sender, opened.sequence);
+    shared.metrics.received(Transport::Tcp, frame.len() + 4);
+    let opened = open::<T>(&shared.cfg.fleet_key, purpose, frame)?;
+    let Header { sender, sequence, nonce, echo } = opened.header;
+    if nonce != nonces.theirs || echo != nonces.mine || sequence != number {
         return Err(WireError::Replayed { sender, sequence });
     }
-    Ok(msg)
+    Ok(opened.msg)
 }
--- a/crates/daemon/src/platform.rs
+++ b/crates/daemon/src/platform.rs
@@ -1,22 +1,27 @@
 //! The platform's services: the store and the list of hosts.
 
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 
 use jasminestage_core::config::{ChunkHash, Root};
-use jasminestage_store::{Client, Options, StoreError};
+use jasminestage_store::{Client, Observer, Options, StoreError};
 
 use crate::{
     clock,
     control::{ControlEvent, ControlTx},
+    metrics::Metrics,
     options::PlatformOptions,
 };
 
 /// Time before a failed call is tried again.
 const RETRY_PERIOD: Duration = Duration::from_millis(500);
 
-/// A client of the store.
-pub fn client(cfg: &PlatformOptions) -> Client {
-    Client::new(Options { url: cfg.store.clone(), timeout: cfg.timeout })
+/// A client of the store whose calls are counted.
+pub fn client(cfg: &PlatformOptions, metrics: Arc<Metrics>) -> Client {
+    let observer: Observer = Arc::new(move |kind, is_ok, took| {
+        metrics.store_call(kind, is_ok, took);
+    });
+    let (url, timeout) = (cfg.store.clone(), cfg.timeout);
+    Client::new(Options { url, timeout, observer: Some(observer) })
 }
 
 /// Reads the root record now and after each change, for ever.
--- a/crates/daemon/src/shared.rs
+++ b/crates/daemon/src/shared.rs
@@ -11,15 +11,17 @@
 use arc_swap::ArcSwap;
 use jasminestage_core::{
     control::PeerMsg,
+    event::{Event, Kind},
     host::{HostInfo, Incarnation},
     time::Instant,
     traffic::{FlightKey, Traffic},
     view::View,
 };
+use jasminestage_wire::WireError;
 use slotmap::SecondaryMap;
 use tokio::sync::{Notify, mpsc};
 
-use crate::{clock, log, options::Options, peer::stream::Peers};
+use crate::{clock, log, metrics::Metrics, options::Options, peer::stream::Peers};
 
 /// Settings, the published view and the state of the request path.
 pub struct Shared {
@@ -31,6 +33,9 @@
     pub view: ArcSwap<View>,
     /// Connections to other hosts.
     pub peers: Peers,
+    /// Metrics.
+    pub metrics: Arc<Metrics>,
+    rejections: log::Limiter,
     traffic: Mutex<Traffic>,
     parked: Mutex<SecondaryMap<FlightKey, Arc<Notify>>>,
     sends: mpsc::Sender<(SocketAddr, PeerMsg)>,
@@ -39,7 +44,11 @@
 
 impl Shared {
     /// The state of a process that has just started; messages to other hosts go to `sends`.
-    pub fn new(cfg: Options, sends: mpsc::Sender<(SocketAddr, PeerMsg)>) -> Self {
+    pub fn new(
+        cfg: Options,
+        metrics: Arc<Metrics>,
+        sends: mpsc::Sender<(SocketAddr, PeerMsg)>,
+    ) -> Self {
         let me = HostInfo {
             name: cfg.name.clone(),
             domain: cfg.domain.clone(),
@@ -53,6 +62,8 @@
             me,
             view: ArcSwap::from(Arc::clone(&view)),
             peers: Peers::default(),
+            metrics,
+            rejections: log::Limiter::default(),
             traffic: Mutex::new(Traffic::new(view)),
             parked: Mutex::default(),
             sends,
@@ -99,6 +110,7 @@
     /// Takes over a new view.
     pub fn publish(&self, view: Arc<View>) {
         self.decide(|traffic, now| traffic.install(now, Arc::clone(&view)));
+        self.metrics.publish(&view);
         self.view.store(view);
     }
 
@@ -111,6 +123,13 @@
         self.traffic.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Counts a frame of another host that was rejected and logs it at a limited rate.
+    pub fn reject(&self, from: SocketAddr, e: &WireError) {
+        self.metrics.rejected();
+        let event = Event::new(Kind::MessageRejected, format!("from {from}: {e}"));
+        self.rejections.write(clock::now(), event);
+    }
+
     /// Number of the next frame that this process seals.
     pub fn next_sequence(&self) -> u64 {
         self.sequence.fetch_add(1, Ordering::Relaxed)
--- /dev/null
+++ b/crates/standins/tests/wire.rs
@@ -0,0 +1,100 @@
+//! Frames between real hosts, recorded and sent again: none counts, all are counted.
+
+use std::{net::SocketAddr, time::Duration};
+
+use jasminestage_standins::{
+    metrics::metric,
+    platform::Platform,
+    process::{HostOptions, HostProcess, eventually},
+};
+use tokio::net::UdpSocket;
+
+const LIMIT: Duration = Duration::from_secs(10);
+/// Shorter than the life of a nonce.
+const RECORDING: Duration = Duration::from_secs(2);
+const REJECTED: &str = "jasminestage_peer_rejected_total";
+
+/// Passes datagrams between two hosts for a while; returns those towards `to`.
+async fn record(near: &UdpSocket, far: &UdpSocket, to: SocketAddr) -> Vec<Vec<u8>> {
+    let (mut frames, mut from) = (Vec::new(), None);
+    let (mut here, mut there) = (vec![0; 65_536], vec![0; 65_536]);
+    let end = tokio::time::Instant::now() + RECORDING;
+    loop {
+        tokio::select! {
+            Ok((len, address)) = near.recv_from(&mut here) => {
+                from = Some(address);
+                frames.push(here[..len].to_vec());
+                let _ = far.send_to(&here[..len], to).await;
+            }
+            Ok((len, _)) = far.recv_from(&mut there) => {
+                if let Some(from) = from {
+                    let _ = near.send_to(&there[..len], from).await;
+                }
+            }
+            () = tokio::time::sleep_until(end) => return frames,
+        }
+    }
+}
+
+async fn replay(socket: &UdpSocket, frames: &[Vec<u8>], to: SocketAddr) {
+    for frame in frames {
+        socket.send_to(frame, to).await.expect("loopback takes a datagram");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn recorded_frames_do_not_count_again_nor_after_a_restart() {
+    let folder = tempfile::tempdir().expect("a folder for the test");
+    let platform = Platform::start().await;
+    let near = UdpSocket::bind("127.0.0.1:0").await.expect("a port");
+    let far = UdpSocket::bind("127.0.0.1:0").await.expect("a port");
+    let b = HostOptions::new("b", "two", &platform.url());
+    let mut a = HostOptions::new("a", "one", &platform.url());
+    a.seeds = vec![near.local_addr().expect("it is bound")];
+    let mut host_b = HostProcess::start(folder.path(), b.clone()).expect("it starts");
+    let _host_a = HostProcess::start(folder.path(), a).expect("it starts");
+    let ready = async || metric(b.admin, REJECTED).await.is_some();
+    assert!(eventually(LIMIT, ready).await, "the host serves metrics");
+
+    let frames = record(&near, &far, b.peer).await;
+    assert!(frames.len() > 2, "{} frames were recorded", frames.len());
+    assert_eq!(metric(b.admin, REJECTED).await, Some(0.0), "the first time all count");
+
+    // The first frame is a greeting, which is answered and not counted as rejected.
+    let replayed = (frames.len() - 1) as f64;
+    replay(&far, &frames, b.peer).await;
+    let counted = async || metric(b.admin, REJECTED).await >= Some(replayed);
+    assert!(eventually(LIMIT, counted).await, "{replayed}: {:?}", metric(b.admin, REJECTED).await);
+
+    host_b.kill();
+    let _host_b = HostProcess::start(folder.path(), b.clone()).expect("it starts again");
+    assert!(eventually(LIMIT, ready).await, "the host serves metrics again");
+    let before = metric(b.admin, REJECTED).await.unwrap_or_default();
+    replay(&far, &frames, b.peer).await;
+    let counted = async || metric(b.admin, REJECTED).await >= Some(before + replayed);
+    assert!(eventually(LIMIT, counted).await, "{:?}", metric(b.admin, REJECTED).await);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_flood_of_foreign_datagrams_is_counted_and_fills_no_log() {
+    const FLOOD: usize = 500;
+    let folder = tempfile::tempdir().expect("a folder for the test");
+    let platform = Platform::start().await;
+    let host = HostOptions::new("a", "one", &platform.url());
+    let process = HostProcess::start(folder.path(), host.clone()).expect("it starts");
+    let ready = async || metric(host.admin, REJECTED).await.is_some();
+    assert!(eventually(LIMIT, ready).await, "the host serves metrics");
+    let socket = UdpSocket::bind("127.0.0.1:0").await.expect("a port");
+    for frame in 0..FLOOD {
+        replay(&socket, &[vec![2; 60 + frame % 40]], host.peer).await;
+        if frame % 50 == 0 {
+            tokio::time::sleep(Duration::from_millis(1)).await;
+        }
+    }
+    // The system may drop some of a burst.
+    let counted = async || metric(host.admin, REJECTED).await >= Some(FLOOD as f64 / 2.0);
+    assert!(eventually(LIMIT, counted).await, "{:?}", metric(host.admin, REJECTED).await);
+    let log = std::fs::read_to_string(&process.log).expect("the host writes a log");
+    let lines = log.lines().filter(|l| l.contains("event=50")).count();
+    assert!((1..20).contains(&lines), "{lines} lines for {FLOOD} datagrams:\n{log}");
+}
--- a/crates/store/src/client.rs
+++ b/crates/store/src/client.rs
@@ -1,6 +1,10 @@
 //! Calls to the store.
 
-use std::time::Duration;
+use std::{
+    fmt,
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use futures_util::StreamExt;
 use jasminestage_core::config::{ChunkHash, Root, chunk::Chunk};
@@ -18,18 +22,33 @@
 /// Largest line of a watch in bytes.
 const MAX_WATCH_LINE: usize = 4 * 1024 * 1024;
 
+/// Told of each call: its kind, whether it was answered, and how long it took.
+pub type Observer = Arc<dyn Fn(&'static str, bool, Duration) + Send + Sync>;
+
 /// Settings of the client.
-#[derive(Clone, Debug)]
+#[derive(Clone)]
 pub struct Options {
     /// Base URL of the service.
     pub url: String,
     /// Longest time for one call.
     pub timeout: Duration,
+    /// Told of each call.
+    pub observer: Option<Observer>,
+}
+
+impl fmt::Debug for Options {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Options").field("url", &self.url).field("timeout", &self.timeout).finish()
+    }
 }
 
 impl Default for Options {
     fn default() -> Self {
-        Options { url: "http://127.0.0.1:2379".to_owned(), timeout: Duration::from_secs(1) }
+        Options {
+            url: "http://127.0.0.1:2379".to_owned(),
+            timeout: Duration::from_secs(1),
+            observer: None,
+        }
     }
 }
 
@@ -135,7 +154,10 @@
         let create = WatchCreate { key: ROOT_KEY.into(), ..WatchCreate::default() };
         let req = WatchRequest { create_request: create };
         let send = self.http.post(format!("{}/v3/watch", self.cfg.url)).json(&req).send();
-        let answer = send.await.and_then(|a| a.error_for_status()).map_err(|e| self.failed(e))?;
+        let start = Instant::now();
+        let answer = send.await.and_then(|a| a.error_for_status());
+        self.observe("/v3/watch", answer.is_ok(), start.elapsed());
+        let answer = answer.map_err(|e| self.failed(e))?;
         let mut stream = answer.bytes_stream();
         let mut buf = Vec::new();
         while let Some(bytes) = stream.next().await {
@@ -160,9 +182,26 @@
         req: &Q,
     ) -> Result<A, StoreError> {
         let url = format!("{}{path}", self.cfg.url);
+        let start = Instant::now();
         let send = self.http.post(url).timeout(self.cfg.timeout).json(req).send();
-        let answer = send.await.and_then(|a| a.error_for_status()).map_err(|e| self.failed(e))?;
-        answer.json().await.map_err(|e| self.failed(e))
+        let answer = match send.await.and_then(|a| a.error_for_status()) {
+            Ok(answer) => answer.json().await,
+            Err(e) => Err(e),
+        };
+        self.observe(path, answer.is_ok(), start.elapsed());
+        answer.map_err(|e| self.failed(e))
+    }
+
+    fn observe(&self, path: &str, is_ok: bool, took: Duration) {
+        let kind = match path {
+            "/v3/kv/range" => "range",
+            "/v3/kv/txn" => "txn",
+            "/v3/watch" => "watch",
+            _ => "other",
+        };
+        if let Some(observer) = &self.cfg.observer {
+            observer(kind, is_ok, took);
+        }
     }
 
     fn failed(&self, source: reqwest::Error) -> StoreError {
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -8,6 +8,6 @@
 pub mod records;
 
 pub use self::{
-    client::{Client, Options, StoreError, Versioned},
+    client::{Client, Observer, Options, StoreError, Versioned},
     records::{ROOT_KEY, chunk_key},
 };
