Count good and bad answers for the burn report

Refusals with a 4xx status are the caller's own fault and do not burn; a caller that leaves after the latency objective does.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -4,6 +4,7 @@
 //! the same effects. Nothing here opens a socket, reads a file, asks a clock or starts a thread, and
 //! there is no global state, so many hosts can live in one process under one virtual clock.
 
+pub mod burn;
 pub mod config;
 pub mod control;
 pub mod crash;
--- a/crates/daemon/src/front/admin.rs
+++ b/crates/daemon/src/front/admin/mod.rs
@@ -1,4 +1,4 @@
-//! Health, readiness and status for the operators.
+//! Health, readiness, status, metrics and counts for the operators.
 
 use std::sync::Arc;
 
@@ -12,29 +12,33 @@
 /// Answers one question of an operator from the state of the process.
 struct Admin {
     shared: Arc<Shared>,
-    answer: fn(&Shared, &mut Response),
+    answer: Answer,
 }
 
+/// Fills an answer from the state of the process and the question.
+type Answer = fn(&Shared, &Request, &mut Response);
+
 #[async_trait]
 impl Handler for Admin {
-    async fn handle(&self, _: &mut Request, _: &mut Depot, res: &mut Response, _: &mut FlowCtrl) {
-        (self.answer)(&self.shared, res);
+    async fn handle(&self, req: &mut Request, _: &mut Depot, res: &mut Response, _: &mut FlowCtrl) {
+        (self.answer)(&self.shared, req, res);
     }
 }
 
 /// Paths for the operators' supervisor.
 pub fn router(shared: &Arc<Shared>) -> Router {
-    let at = |path: &str, answer: fn(&Shared, &mut Response)| {
+    let at = |path: &str, answer: Answer| {
         Router::with_path(path).get(Admin { shared: Arc::clone(shared), answer })
     };
     Router::new()
-        .push(at("healthz", |_, res| res.render("ok\n")))
+        .push(at("healthz", |_, _, res| res.render("ok\n")))
         .push(at("readyz", ready))
         .push(at("status", status))
-        .push(at("metrics", |shared, res| res.render(shared.metrics.encode())))
+        .push(at("metrics", |shared, _, res| res.render(shared.metrics.encode())))
+        .push(at("burn", |shared, _, res| res.render(Json(shared.burn_counts()))))
 }
 
-fn ready(shared: &Shared, res: &mut Response) {
+fn ready(shared: &Shared, _: &Request, res: &mut Response) {
     let view = shared.view.load();
     if view.revision == 0 || view.stopping {
         res.status_code(StatusCode::SERVICE_UNAVAILABLE);
@@ -44,7 +48,7 @@
     }
 }
 
-fn status(shared: &Shared, res: &mut Response) {
+fn status(shared: &Shared, _: &Request, res: &mut Response) {
     let view = shared.view.load();
     let hosts = view.hosts.iter().map(|h| {
         serde_json::json!({
--- a/crates/daemon/src/front/measure.rs
+++ b/crates/daemon/src/front/measure.rs
@@ -2,12 +2,25 @@
 
 use std::sync::Arc;
 
-use jasminestage_core::{result::Code, view::View, world::KeyDigest};
+use jasminestage_core::{
+    burn::{self, Verdict},
+    result::Code,
+    view::View,
+    world::KeyDigest,
+};
 use salvo::{Depot, FlowCtrl, Request, Response, async_trait, handler::Handler, http::header};
 use sha2::{Digest, Sha256};
 
 use super::headers;
-use crate::{metrics::Served, shared::Shared};
+use crate::{
+    metrics::{InFlight, Served},
+    shared::Shared,
+};
+
+/// Path of look-ups; they have no objective of their own.
+pub const LOOK_UP: &str = "v1/lookup";
+/// Path of requests.
+pub const REQUEST: &str = "v1/routes/{route}/{**rest}";
 
 /// Records what the handlers after it answer.
 pub struct Measure {
@@ -15,6 +28,15 @@
     template: &'static str,
 }
 
+/// A request that has not been answered.
+struct Open<'a> {
+    shared: &'a Shared,
+    served: Served<'a>,
+    flight: InFlight<'a>,
+    view: &'a View,
+    is_answered: bool,
+}
+
 impl Measure {
     /// A recorder for the requests of one path.
     pub fn new(shared: &Arc<Shared>, template: &'static str) -> Self {
@@ -31,16 +53,46 @@
         res: &mut Response,
         ctrl: &mut FlowCtrl,
     ) {
-        let flight = self.shared.metrics.begin();
         let view = self.shared.view.load_full();
         let route = req.param::<String>("route").or_else(|| req.query::<String>("route"));
+        let route = route.unwrap_or_default();
         let workspace = workspace(&view, req);
-        let method = req.method().clone();
+        let mut open = Open {
+            shared: &self.shared,
+            served: Served::new(&view, self.template, req.method(), &route, workspace),
+            flight: self.shared.metrics.begin(),
+            view: &view,
+            is_answered: false,
+        };
         ctrl.call_next(req, depot, res).await;
-        let route = route.unwrap_or_default();
-        let served = Served::new(&view, self.template, &method, &route, workspace);
+        open.answered(res);
+    }
+}
+
+impl Open<'_> {
+    fn answered(&mut self, res: &Response) {
+        self.is_answered = true;
+        let (code, took) = (code(res), self.flight.elapsed());
         let status = res.status_code.unwrap_or_default().as_u16();
-        self.shared.metrics.answered(&served, code(res), status, flight.elapsed());
+        self.shared.metrics.answered(&self.served, code, status, took);
+        self.judge(|latency| burn::judge(code, status, took, latency));
+    }
+
+    fn judge(&self, verdict: impl FnOnce(std::time::Duration) -> Verdict) {
+        let Some((_, route)) = self.view.world.route(self.served.route) else { return };
+        if self.served.template == REQUEST {
+            self.shared.judge(&route.name, self.served.workspace, verdict(route.latency));
+        }
+    }
+}
+
+impl Drop for Open<'_> {
+    fn drop(&mut self) {
+        // The caller has gone away: by its own choice, unless the answer was late already.
+        if !self.is_answered {
+            let took = self.flight.elapsed();
+            self.judge(|latency| if took > latency { Verdict::Bad } else { Verdict::Exempt });
+        }
     }
 }
 
--- a/crates/daemon/src/front/mod.rs
+++ b/crates/daemon/src/front/mod.rs
@@ -47,9 +47,7 @@
     let look_up = lookup::LookUp { shared: Arc::clone(shared) };
     let request = request::Forward::new(Arc::clone(shared));
     let at = |path: &'static str| Router::with_path(path).hoop(Measure::new(shared, path));
-    Router::new()
-        .push(at("v1/lookup").get(look_up))
-        .push(at("v1/routes/{route}/{**rest}").goal(request))
+    Router::new().push(at(measure::LOOK_UP).get(look_up)).push(at(measure::REQUEST).goal(request))
 }
 
 async fn bind(address: SocketAddr) -> Result<impl salvo::conn::Acceptor, DaemonError> {
--- a/crates/daemon/src/metrics/names.rs
+++ b/crates/daemon/src/metrics/names.rs
@@ -1,6 +1,6 @@
 //! Names for labels, bounded by the declaration.
 
-use jasminestage_core::view::View;
+use jasminestage_core::{burn, view::View};
 use salvo::http::Method;
 
 /// Stands for every name that is not declared, and for every method that is not a standard one.
@@ -11,7 +11,7 @@
 pub struct Served<'a> {
     /// Name of the route.
     pub route: &'a str,
-    /// Name of the workspace whose key came with the request.
+    /// Name of the workspace whose key came with the request, [`burn::OPEN`] without a valid one.
     pub workspace: &'a str,
     /// The path as the front end declares it.
     pub template: &'static str,
@@ -30,7 +30,7 @@
     ) -> Self {
         Served {
             route: view.world.route(route).map_or(OTHER, |(_, r)| r.name.as_str()),
-            workspace: workspace.unwrap_or(OTHER),
+            workspace: workspace.unwrap_or(burn::OPEN),
             template,
             method: method_name(method),
         }
--- a/crates/daemon/src/shared.rs
+++ b/crates/daemon/src/shared.rs
@@ -10,6 +10,7 @@
 
 use arc_swap::ArcSwap;
 use jasminestage_core::{
+    burn::{Burn, HostCounts, Verdict},
     control::PeerMsg,
     event::{Event, Kind},
     host::{HostInfo, Incarnation},
@@ -36,6 +37,7 @@
     /// Metrics.
     pub metrics: Arc<Metrics>,
     rejections: log::Limiter,
+    burn: Mutex<Burn>,
     traffic: Mutex<Traffic>,
     parked: Mutex<SecondaryMap<FlightKey, Arc<Notify>>>,
     sends: mpsc::Sender<(SocketAddr, PeerMsg)>,
@@ -64,6 +66,7 @@
             peers: Peers::default(),
             metrics,
             rejections: log::Limiter::default(),
+            burn: Mutex::default(),
             traffic: Mutex::new(Traffic::new(view)),
             parked: Mutex::default(),
             sends,
@@ -111,9 +114,25 @@
     pub fn publish(&self, view: Arc<View>) {
         self.decide(|traffic, now| traffic.install(now, Arc::clone(&view)));
         self.metrics.publish(&view);
+        self.burn().install(&view.world);
         self.view.store(view);
     }
 
+    /// Counts an answer towards the objective of its route.
+    pub fn judge(&self, route: &str, workspace: &str, verdict: Verdict) {
+        self.burn().record(clock::now(), route, workspace, verdict);
+    }
+
+    /// Counts of good and bad answers since the start of the process.
+    pub fn burn_counts(&self) -> HostCounts {
+        let view = self.view.load();
+        self.burn().counts(clock::now(), &self.me.name, &view.world)
+    }
+
+    fn burn(&self) -> MutexGuard<'_, Burn> {
+        self.burn.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn parked_entry(&self, flight: FlightKey) -> Option<Arc<Notify>> {
         let mut parked = self.parked.lock().unwrap_or_else(PoisonError::into_inner);
         Some(Arc::clone(parked.entry(flight)?.or_default()))
