Give the tool its commands and the burn report its forms

hosts, routes, workspaces, moves, keys, drain, explain, report, completions and man; one INI section [tool] for the store and the hosts' addresses; exit codes in the help; tables of at most 100 columns, colour on a terminal only. Hosts serve GET /burn, /usage and /explain; explain asks the same look-up as callers do.

--- a/crates/cli/src/cli.rs
+++ b/crates/cli/src/cli.rs
@@ -1,24 +1,35 @@
 //! Arguments of the tool.
 
-use std::{net::SocketAddr, path::PathBuf};
+use std::{
+    net::{IpAddr, SocketAddr},
+    path::PathBuf,
+};
 
 use clap::{Parser, Subcommand, ValueEnum};
+use clap_complete::Shell;
 
 /// Applies declarations to a fleet of jasminestage and shows what became of them.
 #[derive(Clone, Debug, Parser)]
-#[command(name = "jasminestage", version)]
+#[command(name = "jasminestage", version, after_help = crate::error::EXIT_CODES)]
 pub struct Args {
+    /// File with settings of the tool, in INI.
+    #[arg(long, global = true, env = "JASMINESTAGE_CONFIG", value_name = "FILE")]
+    pub config: Option<PathBuf>,
     /// URL of the platform's store.
+    #[arg(long, global = true, env = "JASMINESTAGE_STORE", value_name = "URL")]
+    pub store: Option<String>,
+    /// Operators' addresses of hosts, separated by commas.
     #[arg(
         long,
         global = true,
-        env = "JASMINESTAGE_STORE",
-        default_value = "http://127.0.0.1:2379"
+        env = "JASMINESTAGE_ADMIN",
+        value_delimiter = ',',
+        value_name = "ADDRESS"
     )]
-    pub store: String,
+    pub admin: Vec<SocketAddr>,
     /// Form of the output.
-    #[arg(long, global = true, value_enum, default_value_t = OutputFormat::Text)]
-    pub output: OutputFormat,
+    #[arg(long, global = true, value_enum)]
+    pub output: Option<OutputFormat>,
     /// What to do.
     #[command(subcommand)]
     pub command: Command,
@@ -55,21 +66,95 @@
         world: PathBuf,
     },
     /// Show the revision in the store and what hosts say of themselves.
-    Status {
-        /// Operators' addresses of the hosts.
-        #[arg(long, value_delimiter = ',')]
-        admin: Vec<SocketAddr>,
-    },
-    /// Wait until a revision is in force on hosts.
+    Status,
+    /// Wait until a revision is in force on the hosts of --admin.
     Wait {
         /// The revision; the one in the store when it is not given.
         #[arg(long)]
         revision: Option<u64>,
-        /// Operators' addresses of the hosts.
-        #[arg(long, value_delimiter = ',', required = true)]
-        admin: Vec<SocketAddr>,
         /// Longest wait in seconds.
         #[arg(long, default_value_t = 30)]
         timeout: u64,
     },
+    /// List the hosts that are alive, as hosts see each other.
+    Hosts,
+    /// List the declared routes with their objectives and backend servers.
+    Routes,
+    /// List the workspaces with their rates, what they spend and what was refused.
+    Workspaces,
+    /// List the moves between versions with their steps, deadlines and verdicts.
+    Moves,
+    /// Make and withdraw callers' keys.
+    #[command(subcommand)]
+    Keys(KeysCommand),
+    /// Declare that a backend server or a host leaves, or serves again.
+    Drain {
+        /// What leaves.
+        #[arg(value_enum)]
+        kind: Drainable,
+        /// Its name.
+        name: String,
+        /// Declare that it serves again.
+        #[arg(long)]
+        undo: bool,
+    },
+    /// Show why a look-up or request goes where it goes, or why it is refused.
+    Explain {
+        /// Name of the route.
+        #[arg(long)]
+        route: String,
+        /// Address of the client.
+        #[arg(long)]
+        client: Option<IpAddr>,
+        /// Digest of the caller's key, as it stands in the declaration.
+        #[arg(long)]
+        key_digest: Option<String>,
+    },
+    /// Report how fast routes and workspaces burn their error budgets.
+    Report {
+        /// Write the report as one HTML page to this file.
+        #[arg(long, value_name = "FILE")]
+        html: Option<PathBuf>,
+    },
+    /// Print a completion script for a shell.
+    Completions {
+        /// The shell.
+        #[arg(value_enum)]
+        shell: Shell,
+    },
+    /// Print the manual page.
+    Man,
+}
+
+/// What can be done with callers' keys.
+#[derive(Clone, Debug, Subcommand)]
+pub enum KeysCommand {
+    /// Make a key; it is shown once and only its digest is declared.
+    Make,
+    /// Remove the digest of a key from a workspace in the store.
+    Withdraw {
+        /// Name of the workspace.
+        workspace: String,
+        /// Digest of the key, as it stands in the declaration.
+        digest: String,
+    },
+}
+
+/// What can be declared as leaving.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, ValueEnum)]
+pub enum Drainable {
+    /// A backend server.
+    Server,
+    /// A host.
+    Host,
+}
+
+impl Drainable {
+    /// Kind of the section in the declaration.
+    pub fn section(self) -> &'static str {
+        match self {
+            Drainable::Server => "server",
+            Drainable::Host => "host",
+        }
+    }
 }
--- a/crates/cli/src/commands/apply.rs
+++ b/crates/cli/src/commands/apply.rs
@@ -2,7 +2,10 @@
 
 use std::path::Path;
 
-use jasminestage_core::config::{Root, split};
+use jasminestage_core::{
+    config::{Root, split},
+    world,
+};
 use jasminestage_store::{Client, StoreError, Versioned};
 use serde::Serialize;
 
@@ -43,6 +46,28 @@
     Ok(())
 }
 
+/// Writes a declaration that was edited from the one in the store at revision `based`.
+pub async fn run_text(
+    store: &Client,
+    cfg: &Options,
+    text: &str,
+    based: u64,
+) -> Result<(), CliError> {
+    world::parse(text).map_err(|source| CliError::Declaration {
+        path: "the edited declaration".into(),
+        source,
+    })?;
+    let held = store.root().await?.ok_or(CliError::NoDeclaration)?;
+    if held.value.revision != based {
+        return Err(CliError::Conflict { found: held.value.revision, based });
+    }
+    let revision = write(store, &held, text).await?;
+    output::print(cfg.output, &Applied { revision, dry_run: false }, |a| {
+        format!("Revision {} is written.", a.revision)
+    });
+    Ok(())
+}
+
 async fn write(store: &Client, held: &Versioned<Root>, text: &str) -> Result<u64, CliError> {
     let mut chunks = Vec::new();
     for body in split(text) {
--- a/crates/cli/src/commands/mod.rs
+++ b/crates/cli/src/commands/mod.rs
@@ -2,10 +2,18 @@
 
 mod apply;
 mod diff;
+mod drain;
+mod explain;
+mod generate;
 mod get;
 mod hosts;
+mod keys;
+mod moves;
+mod report;
+mod routes;
 mod status;
 mod wait;
+mod workspaces;
 
 use std::{fs, path::Path};
 
@@ -23,10 +31,23 @@
         }
         Command::Get => get::run(&store, cfg).await,
         Command::Diff { world } => diff::run(&store, cfg, world).await,
-        Command::Status { admin } => status::run(&store, cfg, admin).await,
-        Command::Wait { revision, admin, timeout } => {
-            wait::run(&store, cfg, *revision, admin, *timeout).await
+        Command::Status => status::run(&store, cfg, &cfg.admin).await,
+        Command::Wait { revision, timeout } => {
+            wait::run(&store, cfg, *revision, cfg.hosts()?, *timeout).await
         }
+        Command::Hosts => hosts::run(cfg).await,
+        Command::Routes => routes::run(&store, cfg).await,
+        Command::Workspaces => workspaces::run(&store, cfg).await,
+        Command::Moves => moves::run(&store, cfg).await,
+        Command::Keys(command) => keys::run(&store, cfg, command).await,
+        Command::Drain { kind, name, undo } => drain::run(&store, cfg, *kind, name, *undo).await,
+        Command::Explain { route, client, key_digest } => {
+            let question = explain::Question { route, client: *client, key_digest };
+            explain::run(cfg, &question).await
+        }
+        Command::Report { html } => report::run(cfg, html.as_deref()).await,
+        Command::Completions { shell } => generate::completions(*shell),
+        Command::Man => generate::man(),
     }
 }
 
@@ -37,6 +58,15 @@
     })
 }
 
+/// Reads the declaration in the store and compiles it.
+async fn stored(store: &Client) -> Result<(u64, World), CliError> {
+    let stored = get::read(store).await?;
+    match world::parse(&stored.declaration) {
+        Ok(world) => Ok((stored.revision, world)),
+        Err(source) => Err(CliError::Declaration { path: "the store".into(), source }),
+    }
+}
+
 /// Reads and checks a declaration file.
 fn read_world(path: &Path) -> Result<(String, World), CliError> {
     let text = fs::read_to_string(path)
--- /dev/null
+++ b/crates/cli/src/commands/routes.rs
@@ -0,0 +1,85 @@
+//! `routes`: the declared routes with their objectives and backend servers.
+
+use std::collections::BTreeMap;
+
+use jasminestage_core::world::{Access, Duty, Repeat, RouteKey, World};
+use jasminestage_store::Client;
+use serde::Serialize;
+
+use super::stored;
+use crate::{CliError, Options, output, output::table::Rows};
+
+#[derive(Serialize)]
+struct Row {
+    route: String,
+    access: &'static str,
+    repeat: &'static str,
+    deadline_ms: u64,
+    objective_ppm: u32,
+    latency_ms: u64,
+    versions: BTreeMap<String, Servers>,
+}
+
+#[derive(Default, Serialize)]
+struct Servers {
+    serving: u32,
+    leaving: u32,
+}
+
+/// Prints the routes.
+pub async fn run(store: &Client, cfg: &Options) -> Result<(), CliError> {
+    let (_, world) = stored(store).await?;
+    let mut rows: Vec<_> = world.routes.keys().map(|key| row(&world, key)).collect();
+    rows.sort_by(|a, b| a.route.cmp(&b.route));
+    output::print(cfg.output, &rows, |rows| text(rows));
+    Ok(())
+}
+
+fn row(world: &World, key: RouteKey) -> Row {
+    let route = &world.routes[key];
+    let mut versions: BTreeMap<String, Servers> = BTreeMap::new();
+    for (_, server) in world.servers_of(key) {
+        let count = versions.entry(server.version.clone()).or_default();
+        match server.duty {
+            Duty::Serving => count.serving += 1,
+            Duty::Leaving => count.leaving += 1,
+        }
+    }
+    Row {
+        route: route.name.clone(),
+        access: match route.access {
+            Access::Open => "open",
+            Access::Keyed => "keyed",
+        },
+        repeat: match route.repeat {
+            Repeat::Idempotent => "idempotent",
+            Repeat::AtMostOnce => "at-most-once",
+        },
+        deadline_ms: route.deadline.as_millis() as u64,
+        objective_ppm: route.objective,
+        latency_ms: route.latency.as_millis() as u64,
+        versions,
+    }
+}
+
+fn text(rows: &[Row]) -> String {
+    let headings = ["route", "access", "repeat", "deadline", "objective", "servers"];
+    let mut table = Rows::new(&headings).numbers(&[3]);
+    for row in rows {
+        let servers = row.versions.iter().map(|(version, s)| match s.leaving {
+            0 => format!("{version}: {}", s.serving),
+            leaving => format!("{version}: {} ({leaving} leaving)", s.serving),
+        });
+        let servers: Vec<_> = servers.collect();
+        let objective = f64::from(row.objective_ppm) / 10_000.0;
+        table.push([
+            row.route.clone(),
+            row.access.to_owned(),
+            row.repeat.to_owned(),
+            format!("{} ms", row.deadline_ms),
+            format!("{objective}% in {} ms", row.latency_ms),
+            servers.join(", "),
+        ]);
+    }
+    table.to_string()
+}
--- a/crates/cli/src/commands/status.rs
+++ b/crates/cli/src/commands/status.rs
@@ -2,12 +2,14 @@
 
 use std::net::SocketAddr;
 
-use comfy_table::{Table, presets};
 use jasminestage_store::Client;
 use serde::Serialize;
 
 use super::hosts::{self, HostStatus};
-use crate::{CliError, Options, output};
+use crate::{
+    CliError, Options, output,
+    output::table::{Rows, Tone},
+};
 
 #[derive(Serialize)]
 struct Status {
@@ -47,27 +49,29 @@
     if status.hosts.is_empty() {
         return store;
     }
-    let mut table = Table::new();
-    table.load_style(presets::UTF8_HORIZONTAL_ONLY);
-    table.set_header(["address", "host", "domain", "revision", "seat", "in flight", "state"]);
+    let headings = ["address", "host", "domain", "revision", "seat", "in flight", "state"];
+    let mut table = Rows::new(&headings).numbers(&[3, 4, 5]);
     for answer in &status.hosts {
         let address = answer.address.to_string();
-        let row = match &answer.status {
-            None => {
-                let none = || "-".to_owned();
-                [address, none(), none(), none(), none(), none(), "no answer".to_owned()]
-            }
-            Some(s) => [
-                address,
-                s.host.clone(),
-                s.domain.clone(),
-                s.revision.to_string(),
-                s.seat.map_or("-".to_owned(), |n| n.to_string()),
-                s.in_flight.to_string(),
-                if s.stopping { "stopping" } else { "serving" }.to_owned(),
-            ],
+        let Some(s) = &answer.status else {
+            let none = std::iter::repeat_n("-".to_owned(), 5);
+            table.push_toned([address].into_iter().chain(none), "no answer", Tone::Bad);
+            continue;
         };
-        table.add_row(row);
+        let cells = [
+            address,
+            s.host.clone(),
+            s.domain.clone(),
+            s.revision.to_string(),
+            s.seat.map_or("-".to_owned(), |n| n.to_string()),
+            s.in_flight.to_string(),
+        ];
+        let (state, tone) = match (s.stopping, s.revision) {
+            (true, _) => ("stopping", Tone::Warn),
+            (false, 0) => ("no configuration", Tone::Bad),
+            (false, _) => ("serving", Tone::Good),
+        };
+        table.push_toned(cells, state, tone);
     }
     format!("{store}\n{table}")
 }
--- a/crates/cli/src/error.rs
+++ b/crates/cli/src/error.rs
@@ -6,6 +6,21 @@
 use jasminestage_store::StoreError;
 use thiserror::Error;
 
+/// Exit codes, as the help shows them.
+pub const EXIT_CODES: &str = "\
+Exit codes:
+  0  done
+  1  a file or the system
+  2  wrong arguments
+  3  the declaration or the settings have faults
+  4  another change came first
+  5  the store does not answer or holds nothing
+  6  a wait took too long
+  7  a change is written but not accepted in time
+  8  the seats cannot be changed yet
+  9  no host answers
+  10 what was named is not there";
+
 /// Why a command failed.
 #[derive(Debug, Error)]
 pub enum CliError {
@@ -52,6 +67,42 @@
         /// Who has not taken it.
         waiting: String,
     },
+    /// No address of a host was given.
+    #[error(
+        "This command asks hosts: give their operators' addresses with --admin, in \
+         JASMINESTAGE_ADMIN or as 'admin' in section [tool] of the file of --config."
+    )]
+    NoHosts,
+    /// No host answers.
+    #[error("No answer from {0}. Check the addresses and whether the daemon runs there.")]
+    NoAnswer(String),
+    /// What was named is not declared.
+    #[error("{0} is not in the declaration in the store; look at it with 'get'.")]
+    NotFound(String),
+    /// A host refused a question.
+    #[error("The host cannot answer: {0}")]
+    Refused(String),
+    /// The settings of the tool are wrong.
+    #[error("{}:{line}: {text}.", path.display())]
+    Setting {
+        /// Path of the file.
+        path: PathBuf,
+        /// Line number, from 1.
+        line: u32,
+        /// What is wrong.
+        text: String,
+    },
+    /// A file cannot be written.
+    #[error("The file '{}' cannot be written: {source}.", path.display())]
+    WriteFile {
+        /// Path of the file.
+        path: PathBuf,
+        /// Error of the system.
+        source: io::Error,
+    },
+    /// The output cannot be written.
+    #[error("The output cannot be written: {0}.")]
+    Write(io::Error),
     /// The runtime could not be started.
     #[error("The tool could not be started: {0}.")]
     Runtime(io::Error),
@@ -61,11 +112,17 @@
     /// Exit code of the process.
     pub fn exit_code(&self) -> u8 {
         match self {
-            CliError::Read { .. } | CliError::Runtime(_) => 1,
-            CliError::Declaration { .. } => 3,
+            CliError::Read { .. }
+            | CliError::WriteFile { .. }
+            | CliError::Write(_)
+            | CliError::Runtime(_) => 1,
+            CliError::NoHosts => 2,
+            CliError::Declaration { .. } | CliError::Setting { .. } => 3,
             CliError::Conflict { .. } => 4,
             CliError::Store(_) | CliError::NoDeclaration => 5,
             CliError::WaitTimeout { .. } => 6,
+            CliError::NoAnswer(_) => 9,
+            CliError::NotFound(_) | CliError::Refused(_) => 10,
         }
     }
 }
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -2,9 +2,11 @@
 
 pub mod cli;
 pub mod commands;
+pub mod edit;
 pub mod error;
 pub mod options;
 pub mod output;
+pub mod report;
 
 use std::process::ExitCode;
 
@@ -15,7 +17,10 @@
 /// Runs the tool with the arguments of the process.
 pub fn run() -> ExitCode {
     let args = cli::Args::parse();
-    let cfg = Options::from(&args);
+    let cfg = match Options::resolve(&args) {
+        Ok(cfg) => cfg,
+        Err(e) => return fail(&e),
+    };
     let runtime = match tokio::runtime::Builder::new_current_thread().enable_all().build() {
         Ok(runtime) => runtime,
         Err(e) => return fail(&CliError::Runtime(e)),
--- a/crates/core/src/burn/report.rs
+++ b/crates/core/src/burn/report.rs
@@ -93,7 +93,7 @@
         let raised = alert::raised(&counts.windows, counts.objective_ppm);
         let reason = |a: &alert::Alert| {
             let (long, short) = (a.long.name(), a.short.name());
-            format!("burn rate of at least {} over {long} and {short}", a.rate)
+            format!("{} or more over {long} and {short}", a.rate)
         };
         Row {
             burn,
--- /dev/null
+++ b/crates/daemon/src/front/admin/explain.rs
@@ -0,0 +1,38 @@
+//! Explains to operators what becomes of a request.
+
+use std::net::{IpAddr, Ipv4Addr};
+
+use jasminestage_core::{
+    explain::{Question, explain},
+    world::fields,
+};
+use salvo::{Request, Response, http::StatusCode, writing::Json};
+
+use crate::shared::Shared;
+
+/// Answers `GET /explain?route=..&client=..&key_digest=..`; the digest is written as in the
+/// declaration.
+pub fn answer(shared: &Shared, req: &Request, res: &mut Response) {
+    match question(req) {
+        Ok(question) => res.render(Json(explain(&shared.view.load(), &question))),
+        Err(allowed) => refuse(res, &allowed),
+    }
+}
+
+fn question(req: &Request) -> Result<Question<'_>, String> {
+    let route = req.query::<&str>("route").ok_or("route: the name of a route is required")?;
+    let client = match req.query::<&str>("client") {
+        Some(text) => text.parse().map_err(|_| "client: an IP address is allowed")?,
+        None => IpAddr::from(Ipv4Addr::LOCALHOST),
+    };
+    let key = match req.query::<&str>("key_digest") {
+        Some(text) => fields::digests(text)?.first().copied(),
+        None => None,
+    };
+    Ok(Question { route, client, key })
+}
+
+fn refuse(res: &mut Response, allowed: &str) {
+    res.status_code(StatusCode::BAD_REQUEST);
+    res.render(format!("{allowed}\n"));
+}
--- a/crates/daemon/src/front/admin/mod.rs
+++ b/crates/daemon/src/front/admin/mod.rs
@@ -1,5 +1,7 @@
 //! Health, readiness, status, metrics and counts for the operators.
 
+mod explain;
+
 use std::sync::Arc;
 
 use salvo::{
@@ -35,6 +37,8 @@
         .push(at("readyz", ready))
         .push(at("status", status))
         .push(at("metrics", |shared, _, res| res.render(shared.metrics.encode())))
+        .push(at("explain", explain::answer))
+        .push(at("usage", |shared, _, res| res.render(Json(shared.spent()))))
         .push(at("burn", |shared, _, res| res.render(Json(shared.burn_counts()))))
 }
 
--- a/crates/daemon/src/front/measure.rs
+++ b/crates/daemon/src/front/measure.rs
@@ -76,6 +76,9 @@
         let status = res.status_code.unwrap_or_default().as_u16();
         self.shared.metrics.answered(&self.served, code, status, took);
         self.judge(|latency| burn::judge(code, status, took, latency));
+        if self.served.template == REQUEST && self.served.workspace != burn::OPEN {
+            self.shared.spend(self.served.workspace, code);
+        }
     }
 
     fn judge(&self, verdict: impl FnOnce(std::time::Duration) -> Verdict) {
--- a/crates/daemon/src/shared.rs
+++ b/crates/daemon/src/shared.rs
@@ -14,8 +14,10 @@
     control::PeerMsg,
     event::{Event, Kind},
     host::{HostInfo, Incarnation},
+    result::Code,
     time::Instant,
     traffic::{FlightKey, Traffic},
+    usage::{Spent, Usage},
     view::View,
 };
 use jasminestage_wire::WireError;
@@ -38,6 +40,7 @@
     pub metrics: Arc<Metrics>,
     rejections: log::Limiter,
     burn: Mutex<Burn>,
+    usage: Mutex<Usage>,
     traffic: Mutex<Traffic>,
     parked: Mutex<SecondaryMap<FlightKey, Arc<Notify>>>,
     sends: mpsc::Sender<(SocketAddr, PeerMsg)>,
@@ -67,6 +70,7 @@
             metrics,
             rejections: log::Limiter::default(),
             burn: Mutex::default(),
+            usage: Mutex::default(),
             traffic: Mutex::new(Traffic::new(view)),
             parked: Mutex::default(),
             sends,
@@ -115,6 +119,7 @@
         self.decide(|traffic, now| traffic.install(now, Arc::clone(&view)));
         self.metrics.publish(&view);
         self.burn().install(&view.world);
+        self.usage().install(&view.world);
         self.view.store(view);
     }
 
@@ -129,6 +134,20 @@
         self.burn().counts(clock::now(), &self.me.name, &view.world)
     }
 
+    /// Counts an answer towards what a workspace spends of its rate.
+    pub fn spend(&self, workspace: &str, code: Code) {
+        self.usage().record(clock::now(), workspace, code);
+    }
+
+    /// What workspaces spend of their rates on this host.
+    pub fn spent(&self) -> Vec<Spent> {
+        self.usage().spent(clock::now())
+    }
+
+    fn usage(&self) -> MutexGuard<'_, Usage> {
+        self.usage.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn burn(&self) -> MutexGuard<'_, Burn> {
         self.burn.lock().unwrap_or_else(PoisonError::into_inner)
     }
