--- a/crates/daemon/src/error.rs
+++ b/crates/daemon/src/error.rs
@@ -16,7 +16,7 @@
         source: io::Error,
     },
     /// The settings are wrong.
-    #[error("{file}:{line}: [{section}] {key} = '{value}': {allowed}.")]
+    #[error("{}", setting_text(file, *line, section, key, value, allowed))]
     Setting {
         /// Name of the file.
         file: String,
@@ -49,3 +49,18 @@
     #[error("The control thread has ended with a panic.")]
     ControlThread,
 }
+
+fn setting_text(
+    file: &str,
+    line: u32,
+    section: &str,
+    key: &str,
+    value: &str,
+    allowed: &str,
+) -> String {
+    match (section, key) {
+        ("", _) => format!("{file}:{line}: {allowed}."),
+        (_, "") => format!("{file}:{line}: [{section}]: {allowed}."),
+        _ => format!("{file}:{line}: [{section}] {key} = '{value}': {allowed}."),
+    }
+}
--- a/crates/daemon/src/options/load.rs
+++ b/crates/daemon/src/options/load.rs
@@ -1,12 +1,14 @@
 //! Reading the settings file.
 
-use std::{fs, net::SocketAddr, path::Path};
+use std::{fs, net::SocketAddr, path::Path, time::Duration};
 
 use jasminestage_core::{
     ini::{self, Entry},
     world::fields,
 };
 
+use tracing_subscriber::EnvFilter;
+
 use super::Options;
 use crate::error::DaemonError;
 
@@ -16,20 +18,35 @@
 /// Sets one setting from its text; the error says what is allowed.
 type Setter = fn(&mut Options, &str) -> Result<(), String>;
 
-/// One setting: its section, its key and how it is set.
+/// Writes the value of a setting as the file would hold it.
+type Shower = fn(&Options) -> String;
+
+/// One setting: its section, its key, and how it is set and shown.
 struct Setting {
     section: &'static str,
     key: &'static str,
-    required: bool,
+    is_required: bool,
     set: Setter,
+    show: Shower,
+}
+
+/// A setting as the operators' page lists it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Reference {
+    /// Its section.
+    pub section: &'static str,
+    /// Its key.
+    pub key: &'static str,
+    /// Its default; `None` when the setting is required.
+    pub default: Option<String>,
 }
 
-const fn setting(section: &'static str, key: &'static str, set: Setter) -> Setting {
-    Setting { section, key, required: false, set }
+const fn setting(section: &'static str, key: &'static str, set: Setter, show: Shower) -> Setting {
+    Setting { section, key, is_required: false, set, show }
 }
 
 const fn required(section: &'static str, key: &'static str, set: Setter) -> Setting {
-    Setting { section, key, required: true, set }
+    Setting { section, key, is_required: true, set, show: |_| String::new() }
 }
 
 const SETTINGS: &[Setting] = &[
@@ -39,23 +56,70 @@
     required("host", "peer_address", |o, t| put(&mut o.peer_address, address(t))),
     required("host", "admin_address", |o, t| put(&mut o.admin_address, address(t))),
     required("fleet", "secret", |o, t| secret(t).map(|s| o.fleet_key.set_secret(s))),
-    setting("fleet", "old_secret", |o, t| secret(t).map(|s| o.fleet_key.set_old_secret(s))),
-    setting("fleet", "seeds", |o, t| put(&mut o.seeds, addresses(t))),
+    setting(
+        "fleet",
+        "old_secret",
+        |o, t| secret(t).map(|s| o.fleet_key.set_old_secret(s)),
+        |_| String::new(),
+    ),
+    setting("fleet", "seeds", |o, t| put(&mut o.seeds, addresses(t)), |_| String::new()),
     required("platform", "store", |o, t| put(&mut o.platform.store, url(t))),
-    setting("platform", "host_list", |o, t| put(&mut o.platform.host_list, url(t))),
-    setting("platform", "timeout", |o, t| put(&mut o.platform.timeout, fields::duration(t))),
-    setting("traffic", "threads", |o, t| put(&mut o.traffic.threads, size(t, 1, 256))),
-    setting("traffic", "max_body_bytes", |o, t| {
-        put(&mut o.traffic.max_body_bytes, size(t, 1, 64 * 1024 * 1024))
-    }),
-    setting("traffic", "stop_limit", |o, t| put(&mut o.traffic.stop_limit, fields::duration(t))),
-    setting("traffic", "stop_delay", |o, t| put(&mut o.traffic.stop_delay, fields::duration(t))),
-    setting("log", "format", |o, t| {
-        put(&mut o.log.json, fields::word(&[("text", false), ("json", true)])(t))
-    }),
-    setting("log", "filter", |o, t| put(&mut o.log.filter, Ok(t.to_owned()))),
+    setting(
+        "platform",
+        "host_list",
+        |o, t| put(&mut o.platform.host_list, url(t)),
+        |o| o.platform.host_list.clone(),
+    ),
+    setting(
+        "platform",
+        "timeout",
+        |o, t| put(&mut o.platform.timeout, fields::duration(t)),
+        |o| millis(o.platform.timeout),
+    ),
+    setting(
+        "traffic",
+        "threads",
+        |o, t| put(&mut o.traffic.threads, size(t, 1, 256)),
+        |o| o.traffic.threads.to_string(),
+    ),
+    setting(
+        "traffic",
+        "max_body_bytes",
+        |o, t| put(&mut o.traffic.max_body_bytes, size(t, 1, 64 * 1024 * 1024)),
+        |o| o.traffic.max_body_bytes.to_string(),
+    ),
+    setting(
+        "traffic",
+        "stop_limit",
+        |o, t| put(&mut o.traffic.stop_limit, fields::duration(t)),
+        |o| millis(o.traffic.stop_limit),
+    ),
+    setting(
+        "traffic",
+        "stop_delay",
+        |o, t| put(&mut o.traffic.stop_delay, fields::duration(t)),
+        |o| millis(o.traffic.stop_delay),
+    ),
+    setting(
+        "log",
+        "format",
+        |o, t| put(&mut o.log.json, fields::word(&[("text", false), ("json", true)])(t)),
+        |o| if o.log.json { "json" } else { "text" }.to_owned(),
+    ),
+    setting("log", "filter", |o, t| put(&mut o.log.filter, filter(t)), |o| o.log.filter.clone()),
 ];
 
+/// All settings with their defaults.
+pub fn reference() -> Vec<Reference> {
+    let defaults = Options::default();
+    let of = |s: &Setting| Reference {
+        section: s.section,
+        key: s.key,
+        default: (!s.is_required).then(|| (s.show)(&defaults)),
+    };
+    SETTINGS.iter().map(of).collect()
+}
+
 impl Options {
     /// Reads and checks a settings file.
     pub fn load(path: &Path) -> Result<Options, DaemonError> {
@@ -74,6 +138,11 @@
         let mut cfg = Options::default();
         let mut seen: Vec<(&str, &str)> = Vec::new();
         for section in &sections {
+            if !section.name.is_empty() || !SETTINGS.iter().any(|s| s.section == section.kind) {
+                let entry = Entry { key: "", value: "", line: section.line };
+                let heading = format!("{} {}", section.kind, section.name);
+                return Err(wrong(file, heading.trim(), entry, no_section()));
+            }
             for entry in &section.entries {
                 let found =
                     SETTINGS.iter().find(|s| s.section == section.kind && s.key == entry.key);
@@ -90,7 +159,7 @@
                     .map_err(|allowed| wrong(file, section.kind, *entry, allowed))?;
             }
         }
-        let absent = SETTINGS.iter().find(|s| s.required && !seen.contains(&(s.section, s.key)));
+        let absent = SETTINGS.iter().find(|s| s.is_required && !seen.contains(&(s.section, s.key)));
         if let Some(s) = absent {
             let line = text.lines().count() as u32;
             let entry = Entry { key: s.key, value: "", line };
@@ -114,11 +183,23 @@
 
 fn unknown(section: &str) -> String {
     let keys: Vec<_> = SETTINGS.iter().filter(|s| s.section == section).map(|s| s.key).collect();
-    if keys.is_empty() {
-        "there is no such section; host, fleet, platform, traffic and log are known".to_owned()
-    } else {
-        format!("there is no such setting; known are {}", keys.join(", "))
-    }
+    format!("there is no such setting; known are {}", keys.join(", "))
+}
+
+fn no_section() -> String {
+    let mut known: Vec<_> = SETTINGS.iter().map(|s| s.section).collect();
+    known.dedup();
+    format!("there is no such section; known are {}", known.join(", "))
+}
+
+fn millis(span: Duration) -> String {
+    format!("{} ms", span.as_millis())
+}
+
+fn filter(text: &str) -> Result<String, String> {
+    EnvFilter::try_new(text)
+        .map(|_| text.to_owned())
+        .map_err(|_| "a filter such as 'info' or 'warn,jasminestage_daemon=info' is allowed".into())
 }
 
 fn put<T>(to: &mut T, value: Result<T, String>) -> Result<(), String> {
--- a/crates/daemon/src/options/mod.rs
+++ b/crates/daemon/src/options/mod.rs
@@ -6,6 +6,8 @@
 
 use jasminestage_wire::FleetKey;
 
+pub use self::load::{Reference, reference};
+
 /// All settings.
 #[derive(Clone, Debug)]
 pub struct Options {
--- a/crates/standins/src/process.rs
+++ b/crates/standins/src/process.rs
@@ -30,6 +30,8 @@
     pub caller: SocketAddr,
     /// Address for operators.
     pub admin: SocketAddr,
+    /// Secret of the fleet.
+    pub secret: String,
     /// Lines that follow the settings.
     pub extra: String,
 }
@@ -45,6 +47,7 @@
             peer: free_address(),
             caller: free_address(),
             admin: free_address(),
+            secret: FLEET_SECRET.to_owned(),
             extra: String::new(),
         }
     }
@@ -53,13 +56,14 @@
         let seeds: Vec<_> = self.seeds.iter().map(SocketAddr::to_string).collect();
         format!(
             "[host]\nname = {}\ndomain = {}\ncaller_address = {}\npeer_address = {}\n\
-             admin_address = {}\n[fleet]\nsecret = {FLEET_SECRET}\nseeds = {}\n\
+             admin_address = {}\n[fleet]\nsecret = {}\nseeds = {}\n\
              [platform]\nstore = {}\n{}",
             self.name,
             self.domain,
             self.caller,
             self.peer,
             self.admin,
+            self.secret,
             seeds.join(", "),
             self.store,
             self.extra,
--- /dev/null
+++ b/crates/standins/tests/secrets.rs
@@ -0,0 +1,93 @@
+//! Secrets are never printed: all output of a run is searched for callers' keys and the secret of
+//! the fleet.
+
+use std::{fs, process::Command, time::Duration};
+
+use jasminestage_standins::{
+    fleet::{Fleet, FleetOptions},
+    metrics::scrape,
+    process::{FLEET_SECRET, HostOptions, HostProcess, binary},
+};
+
+const KEY: &str = "sample-key-gearbox";
+const WRONG_KEY: &str = "a-key-that-is-not-declared";
+const OTHER_SECRET: &str = "another secret, of no fleet";
+const SECRETS: [&str; 4] = [KEY, WRONG_KEY, FLEET_SECRET, OTHER_SECRET];
+
+/// Paths of the operators' address.
+const ADMIN_PATHS: &[&str] =
+    &["status", "readyz", "metrics", "burn", "usage", "explain?route=katalog"];
+/// Commands of the tool; `ADMIN` is replaced.
+const COMMANDS: &[&[&str]] = &[
+    &["status", "--admin", "ADMIN"],
+    &["hosts", "--admin", "ADMIN"],
+    &["routes"],
+    &["workspaces", "--admin", "ADMIN", "--output", "json"],
+    &["report", "--admin", "ADMIN", "--output", "json"],
+    &["explain", "--admin", "ADMIN", "--route", "katalog"],
+];
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn no_output_of_a_run_holds_a_key_or_the_fleets_secret() {
+    let folder = tempfile::tempdir().expect("a folder for the test");
+    let declaration = include_str!("../../../samples/lagerwerk.ini");
+    // The samples name their keys in comments, which are no output of the programs.
+    let declaration: String =
+        declaration.lines().filter(|l| !l.starts_with(';')).map(|l| format!("{l}\n")).collect();
+    let cfg = FleetOptions {
+        declaration,
+        hosts: ["z1", "z2"].map(|n| (n.to_owned(), "zurich-1".to_owned())).to_vec(),
+        settings: "[log]\nfilter = trace\n".to_owned(),
+        ..FleetOptions::default()
+    };
+    let fleet = Fleet::start(folder.path(), cfg).await.expect("the fleet starts");
+    // A host with another secret, whose frames the others reject and log.
+    let mut stranger = HostOptions::new("x", "zurich-2", &fleet.platform.url());
+    stranger.seeds = fleet.hosts.iter().map(|h| h.cfg.peer).collect();
+    stranger.secret = OTHER_SECRET.to_owned();
+    let stranger = HostProcess::start(folder.path(), stranger).expect("it starts");
+
+    let mut output = String::new();
+    let http = reqwest::Client::new();
+    for key in [KEY, WRONG_KEY] {
+        for path in ["v1/routes/katalog/x", "v1/routes/lizenz/x", "v1/routes/none/x", "v1/lookup"] {
+            let url = format!("http://{}/{path}", fleet.hosts[0].cfg.caller);
+            let req = http.get(url).bearer_auth(key).timeout(Duration::from_secs(5));
+            let answer = req.send().await.expect("the host answers");
+            output += &format!("{:?}\n", answer.headers());
+            output += &answer.text().await.expect("the answer is text");
+        }
+    }
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    for host in &fleet.hosts {
+        for path in ADMIN_PATHS {
+            let url = format!("http://{}/{path}", host.cfg.admin);
+            let answer = http.get(url).send().await.expect("the host answers");
+            output += &answer.text().await.expect("the answer is text");
+        }
+        output += &scrape(host.cfg.admin).await.expect("the host serves metrics");
+        output += &fs::read_to_string(&host.log).expect("the host writes a log");
+    }
+    output += &fs::read_to_string(&stranger.log).expect("the host writes a log");
+    for args in COMMANDS {
+        let admin = fleet.hosts[0].cfg.admin.to_string();
+        let args: Vec<_> = args.iter().map(|a| a.replace("ADMIN", &admin)).collect();
+        let args: Vec<_> = args.iter().map(String::as_str).collect();
+        let out = fleet.tool(&args).expect("the tool runs");
+        output += &String::from_utf8_lossy(&out.stdout);
+        output += &String::from_utf8_lossy(&out.stderr);
+    }
+    for line in ["secret = short", "shop = x"] {
+        let path = folder.path().join("wrong.ini");
+        let text = format!("[fleet]\nsecret = {FLEET_SECRET}\n{line}\n");
+        fs::write(&path, text).expect("the file can be written");
+        let out = Command::new(binary("jasminestaged")).arg("--config").arg(&path).output();
+        output += &String::from_utf8_lossy(&out.expect("the daemon runs").stderr);
+    }
+    assert!(output.contains("event=50"), "the stranger's frames were rejected and logged");
+    assert!(output.contains("http_server_request_duration_seconds_bucket"));
+    for secret in SECRETS {
+        let lines: Vec<_> = output.lines().filter(|l| l.contains(secret)).collect();
+        assert!(lines.is_empty(), "{secret:?} is printed: {lines:#?}");
+    }
+}
