--- a/crates/core/src/view.rs
+++ b/crates/core/src/view.rs
@@ -1,10 +1,11 @@
 //! What the control thread publishes for the traffic threads.
 
-use std::{net::SocketAddr, sync::Arc};
+use std::{collections::BTreeMap, net::SocketAddr, sync::Arc};
 
 use crate::{
-    config::Revision,
+    config::{Revision, root::SeatHolder},
     host::{HostInfo, Incarnation},
+    rollout::Records,
     world::World,
 };
 
@@ -36,8 +37,15 @@
     pub world: Arc<World>,
     /// The seat that this host holds in its failure domain.
     pub seat: Option<u16>,
+    /// Holders of the seats of each failure domain, by name of the domain.
+    pub seats: Arc<BTreeMap<String, Vec<Option<SeatHolder>>>>,
+    /// The highest revision that is known to be accepted: no host acts by a table of declared seats
+    /// that is older than it.
+    pub accepted: Revision,
     /// Hosts heard lately, this one included, in the order of their names.
     pub hosts: Vec<LiveHost>,
+    /// Recorded steps of the moves between versions.
+    pub rollouts: Arc<Records>,
     /// Whether this host is stopping.
     pub stopping: bool,
 }
@@ -50,11 +58,19 @@
             revision: 0,
             world: Arc::default(),
             seat: None,
+            seats: Arc::default(),
+            accepted: 0,
             hosts: Vec::new(),
+            rollouts: Arc::default(),
             stopping: false,
         }
     }
 
+    /// The holder of a seat.
+    pub fn seat_holder(&self, domain: &str, seat: u16) -> Option<&SeatHolder> {
+        self.seats.get(domain)?.get(usize::from(seat))?.as_ref()
+    }
+
     /// The live host with this life.
     pub fn host(&self, incarnation: Incarnation) -> Option<&LiveHost> {
         self.hosts.iter().find(|h| h.incarnation == incarnation)
--- a/crates/daemon/src/control.rs
+++ b/crates/daemon/src/control.rs
@@ -15,7 +15,7 @@
     traffic::TICK_PERIOD,
 };
 use jasminestage_store::Client;
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, oneshot};
 
 use crate::{clock, error::DaemonError, log, peer, platform, shared::Shared, timer::Timers};
 
@@ -72,21 +72,27 @@
     (ControlTx(tx), rx)
 }
 
+/// The running control thread, and what is told when it ends, by a panic as well.
+pub type Running = (JoinHandle<Result<(), DaemonError>>, oneshot::Receiver<()>);
+
 /// Starts the control thread.
 pub fn spawn(
     shared: Arc<Shared>,
     tx: ControlTx,
     rx: mpsc::Receiver<ControlEvent>,
     sends: SendQueue,
-) -> Result<JoinHandle<Result<(), DaemonError>>, DaemonError> {
+) -> Result<Running, DaemonError> {
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()
         .map_err(DaemonError::Thread)?;
-    thread::Builder::new()
-        .name("control".to_owned())
-        .spawn(move || runtime.block_on(run(shared, tx, rx, sends)))
-        .map_err(DaemonError::Thread)
+    let (running, ended) = oneshot::channel();
+    let body = move || {
+        let _running: oneshot::Sender<()> = running;
+        runtime.block_on(run(shared, tx, rx, sends))
+    };
+    let builder = thread::Builder::new().name("control".to_owned());
+    Ok((builder.spawn(body).map_err(DaemonError::Thread)?, ended))
 }
 
 async fn run(
@@ -96,7 +102,6 @@
     mut sends: SendQueue,
 ) -> Result<(), DaemonError> {
     let socket = peer::udp::Socket::bind(Arc::clone(&shared)).await?;
-    peer::stream::serve(Arc::clone(&shared)).await?;
     let store = platform::client(&shared.cfg.platform, Arc::clone(&shared.metrics));
     let timers = Timers::start();
     tokio::spawn(peer::udp::receive(socket.clone(), tx.clone()));
@@ -110,11 +115,15 @@
         let event = tokio::select! {
             event = rx.recv() => event,
             Some(()) = ticks.recv() => {
+                control.handle(clock::now(), Input::Date(clock::unix_millis()), &mut fx);
                 control.handle(clock::now(), Input::Tick, &mut fx);
                 None
             }
             Some(()) = traffic_ticks.recv() => {
-                shared.decide(|traffic, now| traffic.tick(now));
+                shared.decide(|traffic, now| {
+                    traffic.set_clock(now, clock::unix_millis());
+                    traffic.tick(now);
+                });
                 None
             }
             Some((to, msg)) = sends.recv() => {
@@ -126,6 +135,9 @@
             Some(ControlEvent::Close) => break,
             Some(ControlEvent::Peer(from, msg)) if is_for_traffic(msg) => {
                 shared.decide(|traffic, now| traffic.hear(now, *from, msg));
+                if let PeerMsg::Rollout(_) = msg {
+                    control.handle(clock::now(), Input::Peer { from: *from, msg }, &mut fx);
+                }
             }
             Some(event) => control.handle(clock::now(), input(event), &mut fx),
             None => {}
@@ -140,7 +152,14 @@
 
 /// Whether a message concerns the request path rather than the control state.
 fn is_for_traffic(msg: &PeerMsg) -> bool {
-    matches!(msg, PeerMsg::Rate(_) | PeerMsg::Once(_) | PeerMsg::Route(_) | PeerMsg::Crash(_))
+    matches!(
+        msg,
+        PeerMsg::Rate(_)
+            | PeerMsg::Once(_)
+            | PeerMsg::Route(_)
+            | PeerMsg::Rollout(_)
+            | PeerMsg::Crash(_)
+    )
 }
 
 fn input(event: &ControlEvent) -> Input<'_> {
--- a/crates/daemon/src/front/mod.rs
+++ b/crates/daemon/src/front/mod.rs
@@ -1,11 +1,12 @@
 //! The HTTP front end for callers and the operators' supervisor.
 
 mod admin;
-mod backend;
+pub mod backend;
 mod headers;
 mod lookup;
 mod measure;
 mod request;
+pub mod run;
 mod stop;
 
 use std::{net::SocketAddr, sync::Arc};
@@ -16,24 +17,36 @@
     conn::TcpListener,
     http::{HeaderValue, Response, StatusCode},
 };
+use tokio::sync::oneshot;
 
 use self::measure::Measure;
-use crate::{control::ControlTx, error::DaemonError, shared::Shared};
+use crate::{control::ControlTx, error::DaemonError, peer, shared::Shared};
 
-/// Serves callers until the process is asked to stop, then stops gracefully.
-pub fn run(shared: &Arc<Shared>, control: &ControlTx) -> Result<(), DaemonError> {
+/// Serves callers until the process is asked to stop, then stops gracefully. Without a control
+/// thread nothing can be trusted, so that serving ends with it.
+pub fn run(
+    shared: &Arc<Shared>,
+    control: &ControlTx,
+    control_ended: oneshot::Receiver<()>,
+) -> Result<(), DaemonError> {
     let runtime = tokio::runtime::Builder::new_multi_thread()
         .worker_threads(shared.cfg.traffic.threads)
         .thread_name("traffic")
         .enable_all()
         .build()
         .map_err(DaemonError::Thread)?;
-    runtime.block_on(serve(shared, control))
+    runtime.block_on(async {
+        tokio::select! {
+            served = serve(shared, control) => served,
+            _ = control_ended => Ok(()),
+        }
+    })
 }
 
 async fn serve(shared: &Arc<Shared>, control: &ControlTx) -> Result<(), DaemonError> {
     let callers = bind(shared.cfg.caller_address).await?;
     let admin = bind(shared.cfg.admin_address).await?;
+    peer::stream::serve(Arc::clone(shared)).await?;
     let server = Server::new(callers);
     let handle = server.handle();
     let admin_server = Server::new(admin);
@@ -45,7 +58,7 @@
 
 fn caller_router(shared: &Arc<Shared>) -> Router {
     let look_up = lookup::LookUp { shared: Arc::clone(shared) };
-    let request = request::Forward::new(Arc::clone(shared));
+    let request = request::Forward { shared: Arc::clone(shared) };
     let at = |path: &'static str| Router::with_path(path).hoop(Measure::new(shared, path));
     Router::new().push(at(measure::LOOK_UP).get(look_up)).push(at(measure::REQUEST).goal(request))
 }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -38,8 +38,9 @@
     let (sends_tx, sends_rx) = control::send_queue();
     let shared = Arc::new(Shared::new(cfg, metrics, sends_tx));
     let (control_tx, control_rx) = control::channel();
-    let control = control::spawn(Arc::clone(&shared), control_tx.clone(), control_rx, sends_rx)?;
-    let served = front::run(&shared, &control_tx);
+    let (control, ended) =
+        control::spawn(Arc::clone(&shared), control_tx.clone(), control_rx, sends_rx)?;
+    let served = front::run(&shared, &control_tx, ended);
     control_tx.close();
     control.join().map_err(|_| DaemonError::ControlThread)??;
     served
--- a/crates/daemon/src/peer/stream.rs
+++ b/crates/daemon/src/peer/stream.rs
@@ -14,9 +14,13 @@
     time::Duration,
 };
 
-use jasminestage_core::peer::{PeerCall, PeerReply};
+use jasminestage_core::{
+    peer::{PeerCall, PeerReply},
+    time::Instant,
+};
 use jasminestage_wire::{Header, Nonce, Purpose, WireError, open, seal};
 use serde::{Serialize, de::DeserializeOwned};
+use socket2::{SockRef, TcpKeepalive};
 use thiserror::Error;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
@@ -24,7 +28,7 @@
 };
 
 use super::answer::answer;
-use crate::{error::DaemonError, metrics::Transport, shared::Shared};
+use crate::{clock, error::DaemonError, metrics::Transport, shared::Shared};
 
 /// Largest frame in bytes.
 const MAX_FRAME_BYTES: u32 = 72 * 1024 * 1024;
@@ -32,6 +36,10 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 /// Time after which an idle connection is closed by the answering side.
 const IDLE_LIMIT: Duration = Duration::from_secs(30);
+/// Time after which an idle connection is not used for another call.
+const REUSE_LIMIT: Duration = Duration::from_secs(10);
+/// Idle time after which the other end of a connection is probed.
+const KEEPALIVE: Duration = Duration::from_secs(5);
 /// Idle connections kept for one host.
 const MAX_IDLE: usize = 8;
 
@@ -56,6 +64,7 @@
     stream: TcpStream,
     nonces: Nonces,
     calls: u64,
+    used: Instant,
 }
 
 /// Nonces of the two sides of a connection, as one side sees them.
@@ -72,16 +81,37 @@
 }
 
 impl Peers {
-    /// Calls another host and waits for its answer.
+    /// Calls another host and waits for its answer. The call is made again on a new connection
+    /// when an idle one does not answer, so it must be safe to repeat.
     pub async fn call(
         &self,
         shared: &Shared,
         to: SocketAddr,
         call: &PeerCall,
         timeout: Duration,
+    ) -> Result<PeerReply, CallError> {
+        let first = self.call_once(shared, to, call, timeout / 2, false).await;
+        match first {
+            Err(CallError::NoAnswer(_) | CallError::Connection(..)) => {
+                self.call_once(shared, to, call, timeout / 2, true).await
+            }
+            other => other,
+        }
+    }
+
+    /// Calls another host at most once, on a new connection when `fresh`. A connection on which a
+    /// call fails or times out is never used again.
+    pub async fn call_once(
+        &self,
+        shared: &Shared,
+        to: SocketAddr,
+        call: &PeerCall,
+        timeout: Duration,
+        fresh: bool,
     ) -> Result<PeerReply, CallError> {
         let exchange = async {
-            let mut connection = match self.take(to) {
+            let idle = if fresh { None } else { self.take(to) };
+            let mut connection = match idle {
                 Some(connection) => connection,
                 None => connect(to).await?,
             };
@@ -96,22 +126,32 @@
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         let connections = idle.get_mut(&to)?;
         while let Some(connection) = connections.pop() {
-            if is_open(&connection.stream) {
+            if connection.is_usable() {
                 return Some(connection);
             }
         }
         None
     }
 
-    fn put(&self, to: SocketAddr, connection: Connection) {
+    fn put(&self, to: SocketAddr, mut connection: Connection) {
+        connection.used = clock::now();
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         let connections = idle.entry(to).or_default();
+        connections.retain(Connection::is_usable);
         if connections.len() < MAX_IDLE {
             connections.push(connection);
         }
     }
 }
 
+impl Connection {
+    /// Whether an idle connection is young, open and has received no bytes that nobody asked for.
+    fn is_usable(&self) -> bool {
+        let idle = clock::now().saturating_since(self.used);
+        idle < REUSE_LIMIT && is_open(&self.stream)
+    }
+}
+
 /// Whether an idle connection has neither ended nor received bytes that nobody asked for.
 fn is_open(stream: &TcpStream) -> bool {
     let read = stream.try_read(&mut [0]);
@@ -121,8 +161,10 @@
 async fn connect(to: SocketAddr) -> Result<Connection, CallError> {
     let connecting = async {
         let mut stream = TcpStream::connect(to).await?;
+        let keepalive = TcpKeepalive::new().with_time(KEEPALIVE).with_interval(KEEPALIVE);
+        SockRef::from(&stream).set_tcp_keepalive(&keepalive)?;
         let nonces = greet(&mut stream).await?;
-        Ok::<_, io::Error>(Connection { stream, nonces, calls: 0 })
+        Ok::<_, io::Error>(Connection { stream, nonces, calls: 0, used: clock::now() })
     };
     match tokio::time::timeout(CONNECT_TIMEOUT, connecting).await {
         Ok(Ok(connection)) => Ok(connection),
@@ -175,7 +217,7 @@
     Ok(())
 }
 
-async fn serve_connection(shared: &Shared, mut stream: TcpStream) -> Result<(), WireError> {
+async fn serve_connection(shared: &Arc<Shared>, mut stream: TcpStream) -> Result<(), WireError> {
     let greeting = tokio::time::timeout(CONNECT_TIMEOUT, greet(&mut stream)).await;
     let Ok(Ok(nonces)) = greeting else { return Ok(()) };
     for number in 1.. {
--- a/crates/daemon/src/shared.rs
+++ b/crates/daemon/src/shared.rs
@@ -14,17 +14,20 @@
     control::PeerMsg,
     event::{Event, Kind},
     host::{HostInfo, Incarnation},
+    once::{IdSecret, Limits},
     result::Code,
     time::Instant,
     traffic::{FlightKey, Traffic},
     usage::{Spent, Usage},
     view::View,
 };
-use jasminestage_wire::WireError;
+use jasminestage_wire::{Purpose, WireError};
 use slotmap::SecondaryMap;
 use tokio::sync::{Notify, mpsc};
 
-use crate::{clock, log, metrics::Metrics, options::Options, peer::stream::Peers};
+use crate::{
+    clock, front::backend::Backends, log, metrics::Metrics, options::Options, peer::stream::Peers,
+};
 
 /// Settings, the published view and the state of the request path.
 pub struct Shared {
@@ -41,6 +44,10 @@
     rejections: log::Limiter,
     burn: Mutex<Burn>,
     usage: Mutex<Usage>,
+    /// Connections to backend servers.
+    pub backends: Backends,
+    /// Secret that request ids are authenticated with.
+    pub id_secret: IdSecret,
     traffic: Mutex<Traffic>,
     parked: Mutex<SecondaryMap<FlightKey, Arc<Notify>>>,
     sends: mpsc::Sender<(SocketAddr, PeerMsg)>,
@@ -62,16 +69,22 @@
             incarnation: Incarnation(rand::random()),
         };
         let view = Arc::new(View::empty(me.clone()));
+        let id_secret = IdSecret(*cfg.fleet_key.key(Purpose::RequestId));
+        let mut traffic = Traffic::new(Arc::clone(&view));
+        traffic.configure_once(id_secret.clone(), Limits::default());
+        traffic.set_clock(clock::now(), clock::unix_millis());
         Shared {
             cfg,
             me,
-            view: ArcSwap::from(Arc::clone(&view)),
+            view: ArcSwap::from(view),
             peers: Peers::default(),
             metrics,
             rejections: log::Limiter::default(),
             burn: Mutex::default(),
             usage: Mutex::default(),
-            traffic: Mutex::new(Traffic::new(view)),
+            backends: Backends::default(),
+            id_secret,
+            traffic: Mutex::new(traffic),
             parked: Mutex::default(),
             sends,
             sequence: AtomicU64::new(1),
--- a/crates/standins/src/process.rs
+++ b/crates/standins/src/process.rs
@@ -113,6 +113,11 @@
         let _ = self.child.wait();
     }
 
+    /// How the process ended, if it has.
+    pub fn ended(&mut self) -> Option<std::process::ExitStatus> {
+        self.child.try_wait().ok().flatten()
+    }
+
     /// Waits for the end of the process after a graceful stop.
     pub fn wait(&mut self) -> std::io::Result<std::process::ExitStatus> {
         self.child.wait()
@@ -129,7 +134,7 @@
 pub fn binary(name: &str) -> PathBuf {
     let mut folder = env::current_exe().expect("a running program has a path");
     folder.pop();
-    if folder.ends_with("deps") {
+    if folder.ends_with("deps") || folder.ends_with("examples") {
         folder.pop();
     }
     folder.join(name)
--- a/crates/standins/tests/daemon.rs
+++ b/crates/standins/tests/daemon.rs
@@ -59,13 +59,9 @@
         let mut cfg = HostOptions::new("z1", "zurich-1", &platform.url());
         (case.take)(&mut cfg, address);
         let mut host = HostProcess::start(folder.path(), cfg).expect("it starts");
-        let status = tokio::time::timeout(
-            LIMIT,
-            tokio::task::spawn_blocking(move || {
-                (host.wait().expect("it ends"), std::fs::read_to_string(&host.log).expect("a log"))
-            }),
-        );
-        let (status, log) = status.await.expect(case.name).expect("the wait ends");
+        assert!(eventually(LIMIT, async || host.ended().is_some()).await, "{} ends", case.name);
+        let status = host.ended().expect(case.name);
+        let log = std::fs::read_to_string(&host.log).expect("a log");
         assert_eq!(status.code(), Some(1), "{}: {log}", case.name);
         assert!(log.contains(&format!("The address {address} cannot be bound")), "{log}");
     }
@@ -77,7 +73,7 @@
     let cfg = FleetOptions {
         declaration: include_str!("../../../samples/lagerwerk.ini").to_owned(),
         hosts: vec![("z1".to_owned(), "zurich-1".to_owned())],
-        service_time: Duration::from_millis(400),
+        service_time: Duration::from_millis(200),
         settings: "[traffic]\nstop_delay = 300 ms\n".to_owned(),
     };
     let mut fleet = Fleet::start_empty(folder.path(), cfg).await.expect("the fleet starts");
@@ -91,16 +87,14 @@
 
     let request = format!("http://{}/v1/routes/status/x", fleet.hosts[0].cfg.caller);
     let running = tokio::spawn(async move { code(&request).await });
-    tokio::time::sleep(Duration::from_millis(100)).await;
+    tokio::time::sleep(Duration::from_millis(50)).await;
     fleet.hosts[0].signal("TERM").expect("the signal is sent");
     assert!(eventually(LIMIT, async || code(&ready).await != 200).await, "it is not ready");
     assert_eq!(running.await.expect("the request ends"), 200, "no answer is cut");
-    let mut host = fleet.hosts.remove(0);
-    let log = host.log.clone();
-    let ended = tokio::task::spawn_blocking(move || host.wait().expect("it ends"));
-    let status = tokio::time::timeout(LIMIT, ended).await.expect("it ends in time");
-    assert!(status.expect("the wait ends").success());
-    let log = std::fs::read_to_string(log).expect("a log");
+    let host = &mut fleet.hosts[0];
+    assert!(eventually(LIMIT, async || host.ended().is_some()).await, "it ends in time");
+    assert!(host.ended().expect("it has ended").success());
+    let log = std::fs::read_to_string(&host.log).expect("a log");
     for event in ["event=1 ", "event=2 ", "event=3 "] {
         assert!(log.contains(event), "{event}: {log}");
     }
