--- a/crates/daemon/src/front/mod.rs
+++ b/crates/daemon/src/front/mod.rs
@@ -59,8 +59,12 @@
 fn caller_router(shared: &Arc<Shared>) -> Router {
     let look_up = lookup::LookUp { shared: Arc::clone(shared) };
     let request = request::Forward { shared: Arc::clone(shared) };
+    let close = stop::CloseConnections { shared: Arc::clone(shared) };
     let at = |path: &'static str| Router::with_path(path).hoop(Measure::new(shared, path));
-    Router::new().push(at(measure::LOOK_UP).get(look_up)).push(at(measure::REQUEST).goal(request))
+    Router::new()
+        .hoop(close)
+        .push(at(measure::LOOK_UP).get(look_up))
+        .push(at(measure::REQUEST).goal(request))
 }
 
 async fn bind(address: SocketAddr) -> Result<impl salvo::conn::Acceptor, DaemonError> {
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod options;
 pub mod peer;
 pub mod platform;
+pub mod reports;
 pub mod shared;
 pub mod timer;
 
--- a/crates/daemon/src/options/load.rs
+++ b/crates/daemon/src/options/load.rs
@@ -4,9 +4,9 @@
 
 use jasminestage_core::{
     ini::{self, Entry},
+    lookup::LIFETIME,
     world::fields,
 };
-
 use tracing_subscriber::EnvFilter;
 
 use super::Options;
@@ -97,7 +97,7 @@
     setting(
         "traffic",
         "stop_delay",
-        |o, t| put(&mut o.traffic.stop_delay, fields::duration(t)),
+        |o, t| put(&mut o.traffic.stop_delay, stop_delay(t)),
         |o| millis(o.traffic.stop_delay),
     ),
     setting(
@@ -207,6 +207,15 @@
     Ok(())
 }
 
+fn stop_delay(text: &str) -> Result<Duration, String> {
+    match fields::duration(text) {
+        Ok(delay) if delay >= LIFETIME => Ok(delay),
+        _ => {
+            Err(format!("at least {} s, the lifetime of look-ups, is allowed", LIFETIME.as_secs()))
+        }
+    }
+}
+
 fn address(text: &str) -> Result<SocketAddr, String> {
     fields::plain("an IP address with a port is allowed")(text)
 }
