--- a/crates/cli/src/commands/apply.rs
+++ b/crates/cli/src/commands/apply.rs
@@ -4,7 +4,7 @@
 
 use jasminestage_core::{
     config::{Acceptance, ChunkHash, Declared, Root, accept, chunk, split},
-    world::World,
+    world::{self, World},
 };
 use jasminestage_store::{Client, StoreError, Versioned};
 use serde::Serialize;
@@ -47,9 +47,8 @@
 pub async fn run(store: &Client, cfg: &Options, order: &Order<'_>) -> Result<(), CliError> {
     let (text, world) = read_world(order.path)?;
     let held = read(store).await?;
-    let found = held.value.declared;
-    if let Some(based) = order.based.filter(|b| *b < found || *b > held.value.revision) {
-        return Err(CliError::Conflict { found: held.value.revision, based });
+    if let Some(based) = order.based {
+        check_base(&held.value, based)?;
     }
     if order.dry_run {
         let revision = held.value.revision;
@@ -80,6 +79,33 @@
     Ok(held.unwrap_or(Versioned { value: Root::default(), version: 0 }))
 }
 
+/// Writes a declaration that was edited from the one in the store at revision `based`.
+pub async fn run_text(
+    store: &Client,
+    cfg: &Options,
+    text: &str,
+    based: u64,
+) -> Result<(), CliError> {
+    let world = world::parse(text).map_err(|source| CliError::Declaration {
+        path: "the edited declaration".into(),
+        source,
+    })?;
+    let held = read(store).await?;
+    check_base(&held.value, based)?;
+    let revision = write(store, held, text, &world).await?;
+    let applied = Applied { revision, dry_run: false, accepted: false, waited_ms: None };
+    output::print(cfg.output, &applied, |a| format!("Revision {} is written.", a.revision));
+    Ok(())
+}
+
+/// Checks that the declaration has not changed since revision `based`.
+fn check_base(held: &Root, based: u64) -> Result<(), CliError> {
+    if based < held.declared || based > held.revision {
+        return Err(CliError::Conflict { found: held.revision, based });
+    }
+    Ok(())
+}
+
 /// Writes the root record. A writer that only changed seats does not make the apply fail; one that
 /// changed the declaration does. A write whose answer was lost is found again by its id.
 async fn write(
--- a/crates/daemon/src/control.rs
+++ b/crates/daemon/src/control.rs
@@ -17,7 +17,7 @@
     traffic::TICK_PERIOD,
 };
 use jasminestage_store::Client;
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, oneshot};
 
 use crate::{clock, error::DaemonError, log, peer, platform, shared::Shared, timer::Timers};
 
@@ -84,21 +84,27 @@
     (ControlTx(tx), rx)
 }
 
+/// The running control thread, and what is told when it ends, by a panic as well.
+pub type Running = (JoinHandle<Result<(), DaemonError>>, oneshot::Receiver<()>);
+
 /// Starts the control thread.
 pub fn spawn(
     shared: Arc<Shared>,
     tx: ControlTx,
     rx: mpsc::Receiver<ControlEvent>,
     sends: SendQueue,
-) -> Result<JoinHandle<Result<(), DaemonError>>, DaemonError> {
+) -> Result<Running, DaemonError> {
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()
         .map_err(DaemonError::Thread)?;
-    thread::Builder::new()
-        .name("control".to_owned())
-        .spawn(move || runtime.block_on(run(shared, tx, rx, sends)))
-        .map_err(DaemonError::Thread)
+    let (running, ended) = oneshot::channel();
+    let body = move || {
+        let _running: oneshot::Sender<()> = running;
+        runtime.block_on(run(shared, tx, rx, sends))
+    };
+    let builder = thread::Builder::new().name("control".to_owned());
+    Ok((builder.spawn(body).map_err(DaemonError::Thread)?, ended))
 }
 
 async fn run(
@@ -108,9 +114,10 @@
     mut sends: SendQueue,
 ) -> Result<(), DaemonError> {
     let socket = peer::udp::Socket::bind(Arc::clone(&shared)).await?;
-    let store = platform::client(&shared.cfg.platform);
+    let store = platform::client(&shared.cfg.platform, Arc::clone(&shared.metrics));
     let timers = Timers::start();
     tokio::spawn(peer::udp::receive(socket.clone(), tx.clone()));
+    tokio::spawn(crate::reports::read(Arc::clone(&shared), timers.clone()));
     let mut ticks = timers.subscribe(HEARTBEAT_PERIOD).await;
     let mut traffic_ticks = timers.subscribe(TICK_PERIOD).await;
     let mut control = Control::new(shared.me.clone(), &shared.cfg.seeds);
--- a/crates/daemon/src/platform.rs
+++ b/crates/daemon/src/platform.rs
@@ -1,17 +1,18 @@
 //! The platform's services: the store and the list of hosts.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use jasminestage_core::{
     config::{ChunkHash, DomainAck, Root},
     host::HostInfo,
 };
-use jasminestage_store::{Client, Options, StoreError, Versioned};
+use jasminestage_store::{Client, Observer, Options, StoreError, Versioned};
 use serde::Deserialize;
 
 use crate::{
     clock,
     control::{ControlEvent, ControlTx},
+    metrics::Metrics,
     options::PlatformOptions,
 };
 
@@ -20,9 +21,13 @@
 /// Time between two reads of the list of hosts.
 const HOST_LIST_PERIOD: Duration = Duration::from_secs(5);
 
-/// A client of the store.
-pub fn client(cfg: &PlatformOptions) -> Client {
-    Client::new(Options { url: cfg.store.clone(), timeout: cfg.timeout })
+/// A client of the store whose calls are counted.
+pub fn client(cfg: &PlatformOptions, metrics: Arc<Metrics>) -> Client {
+    let observer: Observer = Arc::new(move |kind, is_ok, took| {
+        metrics.store_call(kind, is_ok, took);
+    });
+    let (url, timeout) = (cfg.store.clone(), cfg.timeout);
+    Client::new(Options { url, timeout, observer: Some(observer) })
 }
 
 /// Reads the root record now and after each change, for ever.
--- a/crates/daemon/src/shared.rs
+++ b/crates/daemon/src/shared.rs
@@ -10,20 +10,24 @@
 
 use arc_swap::ArcSwap;
 use jasminestage_core::{
+    burn::{Burn, HostCounts, Verdict},
     control::PeerMsg,
+    event::{Event, Kind},
     host::{HostInfo, Incarnation},
     once::{IdSecret, Limits},
+    result::Code,
     time::Instant,
     traffic::{FlightKey, Traffic},
+    usage::{Spent, Usage},
     view::View,
 };
+use jasminestage_wire::{Purpose, WireError};
 use slotmap::SecondaryMap;
 use tokio::sync::{Notify, mpsc};
 
-use crate::{clock, front::backend::Backends, log, options::Options, peer::stream::Peers};
-
-/// Purpose of the key that request ids are authenticated with.
-const ID_SECRET: &str = "request id";
+use crate::{
+    clock, front::backend::Backends, log, metrics::Metrics, options::Options, peer::stream::Peers,
+};
 
 /// Settings, the published view and the state of the request path.
 pub struct Shared {
@@ -35,6 +39,11 @@
     pub view: ArcSwap<View>,
     /// Connections to other hosts.
     pub peers: Peers,
+    /// Metrics.
+    pub metrics: Arc<Metrics>,
+    rejections: log::Limiter,
+    burn: Mutex<Burn>,
+    usage: Mutex<Usage>,
     /// Connections to backend servers.
     pub backends: Backends,
     /// Secret that request ids are authenticated with.
@@ -47,7 +56,11 @@
 
 impl Shared {
     /// The state of a process that has just started; messages to other hosts go to `sends`.
-    pub fn new(cfg: Options, sends: mpsc::Sender<(SocketAddr, PeerMsg)>) -> Self {
+    pub fn new(
+        cfg: Options,
+        metrics: Arc<Metrics>,
+        sends: mpsc::Sender<(SocketAddr, PeerMsg)>,
+    ) -> Self {
         let me = HostInfo {
             name: cfg.name.clone(),
             domain: cfg.domain.clone(),
@@ -56,7 +69,7 @@
             incarnation: Incarnation(rand::random()),
         };
         let view = Arc::new(View::empty(me.clone()));
-        let id_secret = IdSecret(cfg.fleet_key.derive(ID_SECRET));
+        let id_secret = IdSecret(*cfg.fleet_key.key(Purpose::RequestId));
         let mut traffic = Traffic::new(Arc::clone(&view));
         traffic.configure_once(id_secret.clone(), Limits::default());
         traffic.set_clock(clock::now(), clock::unix_millis());
@@ -65,6 +78,10 @@
             me,
             view: ArcSwap::from(view),
             peers: Peers::default(),
+            metrics,
+            rejections: log::Limiter::default(),
+            burn: Mutex::default(),
+            usage: Mutex::default(),
             backends: Backends::default(),
             id_secret,
             traffic: Mutex::new(traffic),
@@ -113,9 +130,41 @@
     /// Takes over a new view.
     pub fn publish(&self, view: Arc<View>) {
         self.decide(|traffic, now| traffic.install(now, Arc::clone(&view)));
+        self.metrics.publish(&view);
+        self.burn().install(&view.world);
+        self.usage().install(&view.world);
         self.view.store(view);
     }
 
+    /// Counts an answer towards the objective of its route.
+    pub fn judge(&self, route: &str, workspace: &str, verdict: Verdict) {
+        self.burn().record(clock::now(), route, workspace, verdict);
+    }
+
+    /// Counts of good and bad answers since the start of the process.
+    pub fn burn_counts(&self) -> HostCounts {
+        let view = self.view.load();
+        self.burn().counts(clock::now(), &self.me.name, &view.world)
+    }
+
+    /// Counts an answer towards what a workspace spends of its rate.
+    pub fn spend(&self, workspace: &str, code: Code) {
+        self.usage().record(clock::now(), workspace, code);
+    }
+
+    /// What workspaces spend of their rates on this host.
+    pub fn spent(&self) -> Vec<Spent> {
+        self.usage().spent(clock::now())
+    }
+
+    fn usage(&self) -> MutexGuard<'_, Usage> {
+        self.usage.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn burn(&self) -> MutexGuard<'_, Burn> {
+        self.burn.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn parked_entry(&self, flight: FlightKey) -> Option<Arc<Notify>> {
         let mut parked = self.parked.lock().unwrap_or_else(PoisonError::into_inner);
         Some(Arc::clone(parked.entry(flight)?.or_default()))
@@ -125,6 +174,13 @@
         self.traffic.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Counts a frame of another host that was rejected and logs it at a limited rate.
+    pub fn reject(&self, from: SocketAddr, e: &WireError) {
+        self.metrics.rejected();
+        let event = Event::new(Kind::MessageRejected, format!("from {from}: {e}"));
+        self.rejections.write(clock::now(), event);
+    }
+
     /// Number of the next frame that this process seals.
     pub fn next_sequence(&self) -> u64 {
         self.sequence.fetch_add(1, Ordering::Relaxed)
--- a/crates/standins/src/fleet.rs
+++ b/crates/standins/src/fleet.rs
@@ -134,6 +134,11 @@
                 let link = Link::start(host, platform.address).await;
                 links.push(link.map_err(|e| e.to_string())?);
             }
+            for link in &links {
+                for (host, other) in all.iter().zip(&links) {
+                    link.peer.know(host.listen.unwrap_or(host.peer), &other.peer);
+                }
+            }
         }
         let seeds: Vec<SocketAddr> = all.iter().map(|h| h.peer).collect();
         for host in &mut all {
--- a/crates/standins/src/process.rs
+++ b/crates/standins/src/process.rs
@@ -32,6 +32,8 @@
     pub caller: SocketAddr,
     /// Address for operators.
     pub admin: SocketAddr,
+    /// Secret of the fleet.
+    pub secret: String,
     /// Lines that follow the settings.
     pub extra: String,
 }
@@ -48,6 +50,7 @@
             listen: None,
             caller: free_address(),
             admin: free_address(),
+            secret: FLEET_SECRET.to_owned(),
             extra: String::new(),
         }
     }
@@ -57,13 +60,14 @@
         let listen = self.listen.map(|a| format!("peer_listen = {a}\n")).unwrap_or_default();
         format!(
             "[host]\nname = {}\ndomain = {}\ncaller_address = {}\npeer_address = {}\n\
-             admin_address = {}\n{listen}[fleet]\nsecret = {FLEET_SECRET}\nseeds = {}\n\
+             admin_address = {}\n{listen}[fleet]\nsecret = {}\nseeds = {}\n\
              [platform]\nstore = {}\n{}",
             self.name,
             self.domain,
             self.caller,
             self.peer,
             self.admin,
+            self.secret,
             seeds.join(", "),
             self.store,
             self.extra,
@@ -113,6 +117,11 @@
         let _ = self.child.wait();
     }
 
+    /// How the process ended, if it has.
+    pub fn ended(&mut self) -> Option<std::process::ExitStatus> {
+        self.child.try_wait().ok().flatten()
+    }
+
     /// Waits for the end of the process after a graceful stop.
     pub fn wait(&mut self) -> std::io::Result<std::process::ExitStatus> {
         self.child.wait()
