Serve on at a planned stop until callers have left

Cause: a host that was told to stop refused every new request at once, also those of callers whose look-up still named it, and every id that it owned.

--- a/crates/core/src/traffic/mod.rs
+++ b/crates/core/src/traffic/mod.rs
@@ -40,6 +40,8 @@
 pub struct Traffic {
     view: Arc<View>,
     rates: Buckets,
+    /// Whether new requests are refused.
+    closed: bool,
     clock: Clock,
     id_secret: IdSecret,
     once: Table,
@@ -57,6 +59,7 @@
         Traffic {
             view,
             rates: Buckets::default(),
+            closed: false,
             clock: Clock::default(),
             id_secret: IdSecret::default(),
             once: Table::default(),
@@ -83,6 +86,12 @@
         self.once = Table::new(limits);
     }
 
+    /// Refuses new requests from now on. A host that stops calls this once callers have had time to
+    /// leave it: until then those that hold an earlier answer to a look-up are served.
+    pub fn close(&mut self) {
+        self.closed = true;
+    }
+
     /// Sets the wall clock from a reading of both clocks.
     pub fn set_clock(&mut self, now: Instant, unix: UnixMillis) {
         self.clock.set(now, unix);
