Judge failures and slowness apart, and test rollouts

Change: two sequential tests, one for failures, one for slow answers of warm servers with a wider margin; the credit keeps its fraction. Broken by hand, each seen to fail: a record undoes a stop, no credit needed, two caps in one step, a stop is not recorded, all versions serve. Not telling a stop at once alone is not seen by a test: it is told again within 500 ms.

--- a/crates/core/examples/sim/server.rs
+++ b/crates/core/examples/sim/server.rs
@@ -30,6 +30,9 @@
 pub struct ServerSim {
     pub name: String,
     pub version: String,
+    pub route: String,
+    /// When its fault first showed.
+    pub faulted: Option<Instant>,
     pub region: usize,
     pub slots: u16,
     pub running: u16,
@@ -61,6 +64,9 @@
         }
         let load = f64::from(self.running) / f64::from(self.slots);
         let fault = self.fault.as_ref().filter(|f| now >= f.from && load >= f.from_load);
+        if fault.is_some() && self.faulted.is_none() {
+            self.faulted = Some(now);
+        }
         let fails = fault.is_some_and(|f| rng.random::<f64>() < f.failing);
         factor *= fault.map_or(1.0, |f| f.slower);
         let took = self.service.mul_f64(factor);
@@ -89,6 +95,8 @@
         let server = ServerSim {
             name: s.name.clone(),
             version: s.version.clone(),
+            route: world.routes[s.route].name.clone(),
+            faulted: None,
             region: region(&world.domains[s.domain].name),
             slots: s.slots,
             running: 0,
--- a/crates/core/src/rollout/controller.rs
+++ b/crates/core/src/rollout/controller.rs
@@ -60,13 +60,14 @@
             RolloutMsg::Seen { movement, host, old, new } => {
                 let heard = self.moves.entry(movement.clone()).or_default();
                 let before = heard.hosts.insert(*host, (*old, *new)).unwrap_or_default();
-                heard.judge.see_old(old.since(&before.0));
-                if heard.judge.see_new(new.since(&before.1)) {
-                    let seen = heard
-                        .hosts
-                        .values()
-                        .fold((0, 0), |(b, e), (_, new)| (b + new.bad, e + new.ended));
-                    let evidence = format!("{} of {} bad over all hosts", seen.0, seen.1);
+                heard.judge.see_old(&old.since(&before.0));
+                if heard.judge.see_new(&new.since(&before.1)) {
+                    let mut all = Tally::default();
+                    heard.hosts.values().for_each(|(_, new)| all.add(new));
+                    let evidence = format!(
+                        "over all hosts {} of {} failed and {} of {} were slow",
+                        all.bad, all.ended, all.slow, all.timed
+                    );
                     heard.stopped.get_or_insert(evidence);
                 }
             }
--- a/crates/core/src/rollout/host.rs
+++ b/crates/core/src/rollout/host.rs
@@ -146,7 +146,8 @@
             return;
         };
         let whole = i64::from(WHOLE_PPM);
-        state.credit = (state.credit + i64::from(active.share)).min(whole);
+        let share = i64::from(active.share);
+        state.credit = (state.credit + share).min(whole + share);
         if active.to != version {
             return;
         }
@@ -171,24 +172,25 @@
         let Some(active) = state.active.clone() else { return };
         let slow = took > state.objective
             || (state.old.ended >= MIN_OLD && took.as_secs_f64() > SLOW_FACTOR * state.old_mean);
-        let bad = sample != Sample::Good || (slow && !cold);
-        let mut one = Tally::default();
-        one.count(bad);
+        let good = sample == Sample::Good;
+        let one = Tally::one(!good, (good && !cold).then_some(slow));
         if version != active.to {
             if sample == Sample::Good {
                 let first = state.old_mean == 0.0;
                 let weight = if first { 1.0 } else { WEIGHT };
                 state.old_mean += weight * (took.as_secs_f64() - state.old_mean);
             }
-            state.old.count(bad);
-            state.judge.see_old(one);
+            state.old.add(&one);
+            state.judge.see_old(&one);
             return;
         }
-        state.new.count(bad);
-        if state.judge.see_new(one) {
+        state.new.add(&one);
+        if state.judge.see_new(&one) {
+            let (new, old) = (&state.new, &state.old);
             let evidence = format!(
-                "{} of {} bad on {version}, {} of {} on the old version",
-                state.new.bad, state.new.ended, state.old.bad, state.old.ended
+                "on {version} {} of {} failed and {} of {} were slow, \
+                 on the old version {} of {} and {} of {}",
+                new.bad, new.ended, new.slow, new.timed, old.bad, old.ended, old.slow, old.timed
             );
             self.stop(&active.movement, evidence, true, out);
         }
--- a/crates/core/src/route/health.rs
+++ b/crates/core/src/route/health.rs
@@ -20,6 +20,8 @@
 const TRIAL_SAMPLES: u32 = 3;
 /// Time in which a new or returning server gets all of its slots.
 pub const RAMP: Duration = Duration::from_secs(5);
+/// Requests of this host after which a server's caches count as warm.
+const WARM_SAMPLES: u32 = 3;
 /// Time for which what was seen outranks what the server reports.
 const FRESH: Duration = Duration::from_secs(2);
 
@@ -164,9 +166,10 @@
         ramped.max(1).min(slots)
     }
 
-    /// Whether the server's caches are still cold.
+    /// Whether the server's caches may still be cold.
     pub fn is_cold(&self, now: Instant) -> bool {
-        self.ramp_from.is_some_and(|from| now.saturating_since(from) < RAMP)
+        self.samples < WARM_SAMPLES
+            || self.ramp_from.is_some_and(|from| now.saturating_since(from) < RAMP)
     }
 
     /// Starts the ramp of a cold server at its first request rather than at its declaration.
