--- a/crates/core/tests/rollout.rs
+++ b/crates/core/tests/rollout.rs
@@ -6,12 +6,14 @@
 use std::time::Duration;
 
 use jasminestage_core::{
+    control::PeerMsg,
     event::Kind,
     host::{HostInfo, Incarnation},
     rollout::{Controller, Record, Records, RolloutMsg, Rollouts, State, Tally, judge::Judge},
+    route::health::Sample,
     time::Instant,
     traffic::Outbox,
-    view::View,
+    view::{LiveHost, View},
     world::{self, World},
 };
 use sim::{EPOCH, Options, Sim, server::Fault};
@@ -195,6 +197,45 @@
     }
 }
 
+#[test]
+fn a_stop_is_told_until_it_is_recorded() {
+    let world = world("10%", 60, true);
+    let mut view = view(&world, &running(1_000_000));
+    let address = |n| ([127, 0, 0, 2], n).into();
+    view.hosts = (1..=3)
+        .map(|n| LiveHost {
+            name: format!("h{n}"),
+            domain: "d".to_owned(),
+            caller_address: address(80),
+            peer_address: address(n),
+            incarnation: Incarnation(u64::from(n)),
+            taking: true,
+        })
+        .collect();
+    let mut rollouts = Rollouts::default();
+    rollouts.install(&view);
+    let mut out = Outbox::default();
+    let took = Duration::from_millis(5);
+    for _ in 0..5 {
+        rollouts.judge("q", "v2", Sample::Failed, took, false, &mut out);
+    }
+    let told = |out: &mut Outbox| {
+        let stops = std::mem::take(&mut out.sends)
+            .into_iter()
+            .filter(|(_, msg)| matches!(msg, PeerMsg::Rollout(RolloutMsg::Stopped { .. })));
+        stops.map(|(to, _)| to.port()).collect::<Vec<_>>()
+    };
+    assert_eq!(told(&mut out), [1, 2, 3], "every host is told at once");
+    rollouts.tick(Instant::from_millis(600), &mut out);
+    assert_eq!(told(&mut out), [1, 2, 3], "and again, as datagrams get lost");
+    let mut records = running(0);
+    records.moves.get_mut("m").expect("a record").state = State::TakenBack;
+    view.rollouts = records.into();
+    rollouts.install(&view);
+    rollouts.tick(Instant::from_millis(1200), &mut out);
+    assert!(told(&mut out).is_empty(), "until the record shows it");
+}
+
 struct JudgeCase {
     name: &'static str,
     /// Every n-th request of the old and of the new version fails.
