--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -4,10 +4,12 @@
 //! the same effects. Nothing here opens a socket, reads a file, asks a clock or starts a thread, and
 //! there is no global state, so many hosts can live in one process under one virtual clock.
 
+pub mod burn;
 pub mod config;
 pub mod control;
 pub mod crash;
 pub mod event;
+pub mod explain;
 pub mod host;
 pub mod ini;
 pub mod lookup;
@@ -20,5 +22,6 @@
 pub mod route;
 pub mod time;
 pub mod traffic;
+pub mod usage;
 pub mod view;
 pub mod world;
--- a/crates/core/src/traffic/mod.rs
+++ b/crates/core/src/traffic/mod.rs
@@ -20,7 +20,7 @@
     control::PeerMsg,
     crash::Suspects,
     once::{Answer, Clock, IdSecret, Table, Takeover},
-    rate::Buckets,
+    rate::{Buckets, Standing, Take},
     result::{Code, Execution},
     route::{Balancer, Choice, Want, health::Report},
     time::{Instant, UnixMillis},
@@ -55,8 +55,8 @@
     /// The state of a host that has no configuration yet.
     pub fn new(view: Arc<View>) -> Self {
         Traffic {
+            rates: Buckets::new(view.me.incarnation),
             view,
-            rates: Buckets::default(),
             clock: Clock::default(),
             id_secret: IdSecret::default(),
             once: Table::default(),
@@ -71,7 +71,7 @@
 
     /// Takes over a new view.
     pub fn install(&mut self, now: Instant, view: Arc<View>) {
-        self.rates.install(now, &view);
+        self.rates.install(now, &Standing::of(&view));
         self.balancer.install(now, &view);
         self.takeover.install(self.clock.unix_at(now), &view);
         self.view = view;
@@ -91,6 +91,7 @@
     /// Takes in a message of another host.
     pub fn hear(&mut self, now: Instant, from: SocketAddr, msg: &PeerMsg) {
         match msg {
+            PeerMsg::Rate(msg) => self.rates.hear(now, from, msg),
             PeerMsg::Route(msg) => self.balancer.hear(now, from, msg, &mut self.outbox),
             PeerMsg::Rollout(msg) => self.balancer.rollouts.hear(msg, &mut self.outbox),
             PeerMsg::Crash(msg) => self.hear_crash(now, msg),
@@ -100,6 +101,7 @@
 
     /// Does what is due; called every [`TICK_PERIOD`].
     pub fn tick(&mut self, now: Instant) {
+        self.rates.tick(now);
         self.once.expire(self.clock.unix_at(now));
         self.tick_crash(now);
         self.balancer.tick(now, &mut self.outbox);
@@ -107,6 +109,7 @@
 
     /// Takes what is to be done besides the steps returned.
     pub fn take_outbox(&mut self) -> Outbox {
+        self.rates.drain_into(&mut self.outbox);
         std::mem::take(&mut self.outbox)
     }
 
@@ -226,10 +229,12 @@
         };
         if state.stage == Stage::Admission {
             let workspace = state.workspace.map(|w| &state.view.world.workspaces[w]);
-            if workspace.is_some_and(|w| !self.rates.take(now, &w.name)) {
-                return self.end(now, flight, Code::OverRate, false);
+            let deadline = state.deadline;
+            match workspace.map(|w| self.rates.take(now, flight, &w.name, deadline)) {
+                Some(Take::Wait(until)) => return Step::Park { flight, until },
+                Some(Take::Refused(code)) => return self.end(now, flight, code, false),
+                Some(Take::Taken) | None => state.stage = Stage::Choice,
             }
-            state.stage = Stage::Choice;
         }
         if let Some(step) = self.hold_suspect(now, flight) {
             return step;
@@ -274,6 +279,11 @@
     /// Ends a request; `sent` says whether a byte of it may have left this system.
     fn end(&mut self, _now: Instant, flight: FlightKey, code: Code, sent: bool) -> Step {
         let Some(state) = self.flights.remove(flight) else { return Step::Reply(code) };
+        if state.stage == Stage::Admission
+            && let Some(workspace) = state.workspace
+        {
+            self.rates.forget(flight, &state.view.world.workspaces[workspace].name);
+        }
         self.balancer.forget(flight);
         self.outbox.wakes.extend(self.suspects.leave(state.fingerprint, flight));
         if let Some(once) = state.once
--- a/crates/core/tests/value_front_end.rs
+++ b/crates/core/tests/value_front_end.rs
@@ -48,6 +48,7 @@
     };
     View {
         revision: 1,
+        accepted: 1,
         world: Arc::new(world::parse(&declaration()).expect("the declaration is valid")),
         seat: Some(0),
         hosts: vec![live],
--- a/crates/daemon/src/error.rs
+++ b/crates/daemon/src/error.rs
@@ -16,7 +16,7 @@
         source: io::Error,
     },
     /// The settings are wrong.
-    #[error("{file}:{line}: [{section}] {key} = '{value}': {allowed}.")]
+    #[error("{}", setting_text(file, *line, section, key, value, allowed))]
     Setting {
         /// Name of the file.
         file: String,
@@ -42,7 +42,25 @@
     /// A thread or runtime could not be started.
     #[error("A thread could not be started: {0}.")]
     Thread(io::Error),
+    /// The metrics could not be set up.
+    #[error("The metrics could not be set up: {0}.")]
+    Metrics(String),
     /// The control thread panicked.
     #[error("The control thread has ended with a panic.")]
     ControlThread,
 }
+
+fn setting_text(
+    file: &str,
+    line: u32,
+    section: &str,
+    key: &str,
+    value: &str,
+    allowed: &str,
+) -> String {
+    match (section, key) {
+        ("", _) => format!("{file}:{line}: {allowed}."),
+        (_, "") => format!("{file}:{line}: [{section}]: {allowed}."),
+        _ => format!("{file}:{line}: [{section}] {key} = '{value}': {allowed}."),
+    }
+}
