Steer callers to homes, refuse early, tell when to come again, measure

Cause: a caller of a small workspace that lands on a host without a home costs a move of tokens; a refused request was read whole first; a host that took all of a large workspace's callers refused half of them.

Change: the look-up takes the caller's key and names holders of homes in the caller's region first. Idempotent requests of an exhausted workspace are refused before their body is read. 429 and a full queue carry Retry-After. A host sends up to 8 questions for a workspace in 50 ms (3 before), and a request counts on what lenders will have within its longest wait.

--- a/crates/core/src/lookup/mod.rs
+++ b/crates/core/src/lookup/mod.rs
@@ -2,9 +2,12 @@
 
 use std::{net::IpAddr, time::Duration};
 
+use sha2::{Digest, Sha256};
+
 use crate::{
     result::Code,
     view::{LiveHost, View},
+    world::{KeyDigest, WorkspaceKey},
 };
 
 /// Hosts named in one answer.
@@ -19,6 +22,8 @@
     pub route: &'a str,
     /// Address of the client.
     pub client: IpAddr,
+    /// The caller's key, when it presents one: it is led to where its workspace has tokens.
+    pub key: Option<&'a [u8]>,
 }
 
 /// Answer to a look-up, borrowed from the view.
@@ -30,7 +35,8 @@
     pub lifetime: Duration,
 }
 
-/// Orders the live hosts for a caller: nearest first, the same caller to the same host.
+/// Orders the live hosts for a caller: nearest first, among these the holders of homes of its
+/// workspace, and the same caller to the same host. Any other host serves it as well.
 pub fn look_up<'v>(view: &'v View, query: &Query<'_>) -> Result<Answer<'v>, Code> {
     if view.revision == 0 {
         return Err(Code::NoConfiguration);
@@ -40,15 +46,32 @@
     }
     let near =
         view.world.blocks.region(query.client).or_else(|| view.world.region_of(&view.me.domain));
+    let workspace = query.key.and_then(|key| workspace_of(view, key));
     let mut hosts: Vec<_> = view.hosts.iter().filter(|h| h.taking).collect();
     hosts.sort_by_cached_key(|h| {
         let far = view.world.region_of(&h.domain) != near;
-        (far, weight(&h.name, query.client))
+        let astray = workspace.is_some_and(|w| !is_home(view, w, h));
+        (far, astray, weight(&h.name, query.client))
     });
     hosts.truncate(MAX_HOSTS);
     if hosts.is_empty() { Err(Code::NoServer) } else { Ok(Answer { hosts, lifetime: LIFETIME }) }
 }
 
+fn workspace_of(view: &View, key: &[u8]) -> Option<WorkspaceKey> {
+    let digest: KeyDigest = Sha256::digest(key).into();
+    view.world.key_owners.get(&digest).copied()
+}
+
+/// Whether a host holds a home of a workspace.
+fn is_home(view: &View, workspace: WorkspaceKey, host: &LiveHost) -> bool {
+    let domain = view.world.domain(&host.domain);
+    let homes = view.world.homes_of(workspace).iter().filter(|h| Some(h.domain) == domain);
+    homes.into_iter().any(|home| {
+        let holder = view.seat_holder(&host.domain, home.seat);
+        holder.is_some_and(|s| s.incarnation == host.incarnation)
+    })
+}
+
 /// Rendezvous weight of a host for a client (Thaler and Ravishankar 1998).
 fn weight(host: &str, client: IpAddr) -> u64 {
     use std::hash::{DefaultHasher, Hash, Hasher};
--- a/crates/core/src/rate/borrow.rs
+++ b/crates/core/src/rate/borrow.rs
@@ -12,7 +12,7 @@
 /// Time after which an unanswered question no longer counts on its answer.
 const ASK_TIMEOUT: Duration = Duration::from_millis(150);
 /// First and longest pause after an empty answer.
-const EMPTY_PAUSE: (Duration, Duration) = (Duration::from_millis(50), Duration::from_millis(1600));
+const EMPTY_PAUSE: (Duration, Duration) = (Duration::from_millis(50), Duration::from_millis(400));
 /// First and longest pause after no answer.
 const SILENT_PAUSE: (Duration, Duration) = (Duration::from_secs(1), Duration::from_secs(8));
 /// Time before the end of a loan at which what is left of it is given back.
@@ -142,10 +142,10 @@
         taken
     }
 
-    /// Tokens that lenders can be expected to lend besides those already asked for.
-    pub fn expected(&self, now: Instant) -> MicroTokens {
-        let willing = self.lenders.iter().filter(|l| now >= l.quiet_until);
-        willing.map(|l| l.expected(now).saturating_sub(self.asked_of(l.address))).sum()
+    /// Tokens that lenders can be expected to lend at `at` besides those already asked for.
+    pub fn expected(&self, at: Instant) -> MicroTokens {
+        let willing = self.lenders.iter().filter(|l| at >= l.quiet_until);
+        willing.map(|l| l.expected(at).saturating_sub(self.asked_of(l.address))).sum()
     }
 
     /// At most `most` questions that together ask for `wanted` tokens: the nearest lenders first, and among
--- a/crates/core/src/rate/buckets.rs
+++ b/crates/core/src/rate/buckets.rs
@@ -153,6 +153,11 @@
         pool.is_none_or(|pool| pool.is_exhausted(now))
     }
 
+    /// Counts a request that was refused before it came to [`Buckets::take`].
+    pub fn count_refused(&mut self) {
+        self.counters.refused += 1;
+    }
+
     /// Time after which a refused request of a workspace can be expected to find a token.
     pub fn retry_after(&mut self, now: Instant, workspace: &str) -> Duration {
         let pool = self.names.get(workspace).map(|&key| &mut self.pools[key]);
--- a/crates/core/src/rate/pool.rs
+++ b/crates/core/src/rate/pool.rs
@@ -17,7 +17,7 @@
 /// Time in which a woken request must be resumed to use its token.
 const READY_LIFETIME: Duration = Duration::from_millis(50);
 /// Questions for one workspace between two ticks.
-const MAX_ASKS_PER_TICK: usize = 3;
+const MAX_ASKS_PER_TICK: usize = 8;
 /// Demand for which tokens should be at hand.
 const LOW_WATER: Duration = Duration::from_millis(50);
 /// Demand for which tokens are borrowed at once.
@@ -117,7 +117,7 @@
             return true;
         }
         let refill = tokens_in(self.bucket.share().rate, MAX_WAIT);
-        let supply = self.at_hand(now) + refill + self.borrowed.expected(now);
+        let supply = self.at_hand(now) + refill + self.borrowed.expected(now + MAX_WAIT);
         supply < self.needed() + TOKEN
     }
 
--- /dev/null
+++ b/crates/core/src/traffic/early.rs
@@ -0,0 +1,53 @@
+//! Refusals before the body of a request is read, and when to come again.
+
+use std::time::Duration;
+
+use super::{Request, Traffic, admit};
+use crate::{result::Code, time::Instant, world::Repeat};
+
+/// Time after which a request that found a full queue may be sent again.
+const FULL_QUEUE_WAIT: Duration = Duration::from_secs(1);
+
+impl Traffic {
+    /// The code with which an idempotent request would be refused for its key or its workspace's
+    /// rate, so that its body need not be read. A request that runs at most once is never refused
+    /// here, because a resend is due the answer of its first try.
+    pub fn refuse_early(&mut self, now: Instant, route: &str, key: Option<&[u8]>) -> Option<Code> {
+        let req = Request { route, key, id: None, deadline: None, fingerprint: 0 };
+        let admitted = match admit::admit(&self.view, &req, admit::digest(&req)) {
+            Ok(admitted) => admitted,
+            Err(code @ (Code::KeyMissing | Code::KeyUnknown | Code::RouteNotAllowed)) => {
+                return Some(code);
+            }
+            Err(_) => return None,
+        };
+        if admitted.route.repeat == Repeat::AtMostOnce {
+            return None;
+        }
+        let workspace = &self.view.world.workspaces[admitted.workspace_key?].name;
+        let is_exhausted = self.rates.is_exhausted(now, workspace);
+        if is_exhausted {
+            self.rates.count_refused();
+        }
+        is_exhausted.then_some(Code::OverRate)
+    }
+
+    /// Time after which a request that was refused with this code may find room.
+    pub fn retry_after(
+        &mut self,
+        now: Instant,
+        code: Code,
+        key: Option<&[u8]>,
+    ) -> Option<Duration> {
+        match code {
+            Code::QueueFull => Some(FULL_QUEUE_WAIT),
+            Code::OverRate => {
+                let req = Request { route: "", key, id: None, deadline: None, fingerprint: 0 };
+                let owner = *self.view.world.key_owners.get(&admit::digest(&req)?)?;
+                let workspace = &self.view.world.workspaces[owner].name;
+                Some(self.rates.retry_after(now, workspace))
+            }
+            _ => None,
+        }
+    }
+}
--- a/crates/core/src/traffic/mod.rs
+++ b/crates/core/src/traffic/mod.rs
@@ -2,6 +2,7 @@
 
 mod admit;
 mod crash;
+mod early;
 mod flight;
 mod once;
 mod step;
--- a/crates/core/tests/rate_fleet/fleet.rs
+++ b/crates/core/tests/rate_fleet/fleet.rs
@@ -303,6 +303,12 @@
         self.decide(host, key);
     }
 
+    /// Forgets what was counted so far.
+    pub fn reset(&mut self) {
+        self.tallies.iter_mut().for_each(|tally| *tally = Tally::default());
+        (self.bytes, self.messages) = (0, 0);
+    }
+
     /// Runs until an instant.
     pub fn run_until(&mut self, end: u64) {
         while self.queue.peek().is_some_and(|Reverse(e)| e.at <= end) {
--- a/crates/core/tests/value_front_end.rs
+++ b/crates/core/tests/value_front_end.rs
@@ -171,7 +171,7 @@
 #[test]
 fn look_ups_are_answered_without_a_socket() {
     let view = view();
-    let query = Query { route: "read", client: [10, 0, 0, 1].into() };
+    let query = Query { route: "read", client: [10, 0, 0, 1].into(), key: None };
     let answer = look_up(&view, &query).expect("a host is live");
     assert_eq!(answer.hosts[0].name, "h");
 }
--- a/crates/daemon/src/front/lookup.rs
+++ b/crates/daemon/src/front/lookup.rs
@@ -15,7 +15,7 @@
 };
 use serde::Serialize;
 
-use super::refuse;
+use super::{refuse, request::bearer};
 use crate::{clock, shared::Shared};
 
 /// Answers look-ups from the published view.
@@ -49,7 +49,8 @@
             None => remote_ip(req),
         };
         let Some(client) = client else { return refuse(res, Code::Malformed) };
-        let answer = match look_up(&view, &Query { route, client }) {
+        let key = bearer(req.headers());
+        let answer = match look_up(&view, &Query { route, client, key }) {
             Ok(answer) => answer,
             Err(code) => return refuse(res, code),
         };
--- a/crates/daemon/src/front/request.rs
+++ b/crates/daemon/src/front/request.rs
@@ -13,7 +13,7 @@
 use salvo::{
     Depot, FlowCtrl, Request, Response, async_trait,
     handler::Handler,
-    http::{HeaderMap, header},
+    http::{HeaderMap, HeaderValue, header},
 };
 use sha2::{Digest, Sha256};
 
@@ -36,6 +36,11 @@
 impl Forward {
     async fn answer(&self, req: &mut Request) -> Ended {
         let Some(route) = req.param::<String>("route") else { return Code::Malformed.into() };
+        let key = bearer(req.headers());
+        let early = self.shared.decide(|traffic, now| traffic.refuse_early(now, &route, key));
+        if let Some(code) = early {
+            return code.into();
+        }
         let max = self.shared.cfg.traffic.max_body_bytes;
         let Ok(body) = req.payload_with_max_size(max).await.cloned() else {
             return Code::TooLarge.into();
@@ -91,7 +96,16 @@
                 mark(res, Code::Done);
                 let _ = res.write_body(reply.body);
             }
-            Ended { code, .. } => refuse(res, code),
+            Ended { code, .. } => {
+                refuse(res, code);
+                let key = bearer(req.headers());
+                let wait = self.shared.decide(|traffic, now| traffic.retry_after(now, code, key));
+                if let Some(wait) = wait {
+                    // Whole seconds (RFC 9110, 10.2.3).
+                    let seconds = wait.as_secs_f64().ceil().max(1.0) as u64;
+                    res.headers_mut().insert(header::RETRY_AFTER, HeaderValue::from(seconds));
+                }
+            }
         }
     }
 }
@@ -101,7 +115,8 @@
     (value.len() <= MAX_VALUE_BYTES).then_some(value)
 }
 
-fn bearer(headers: &HeaderMap) -> Option<&[u8]> {
+/// The key that a caller presents.
+pub fn bearer(headers: &HeaderMap) -> Option<&[u8]> {
     let value = headers.get(header::AUTHORIZATION)?.as_bytes();
     value.strip_prefix(b"Bearer ")
 }
--- a/crates/standins/examples/capacity_world.rs
+++ b/crates/standins/examples/capacity_world.rs
@@ -114,7 +114,7 @@
     let start = Instant::now();
     for n in 0..LOOK_UPS {
         let client = IpAddr::from((n.wrapping_mul(2_654_435_761) | 0x0b00_0000).to_be_bytes());
-        let _ = black_box(look_up(view, &Query { route: "katalog", client }));
+        let _ = black_box(look_up(view, &Query { route: "katalog", client, key: None }));
     }
     start.elapsed().as_nanos() as f64 / f64::from(LOOK_UPS)
 }
