--- a/crates/daemon/src/front/mod.rs
+++ b/crates/daemon/src/front/mod.rs
@@ -4,6 +4,7 @@
 pub mod backend;
 mod headers;
 mod lookup;
+mod measure;
 mod request;
 pub mod run;
 mod stop;
@@ -16,18 +17,30 @@
     conn::TcpListener,
     http::{HeaderValue, Response, StatusCode},
 };
+use tokio::sync::oneshot;
 
+use self::measure::Measure;
 use crate::{control::ControlTx, error::DaemonError, peer, shared::Shared};
 
-/// Serves callers until the process is asked to stop, then stops gracefully.
-pub fn run(shared: &Arc<Shared>, control: &ControlTx) -> Result<(), DaemonError> {
+/// Serves callers until the process is asked to stop, then stops gracefully. Without a control
+/// thread nothing can be trusted, so that serving ends with it.
+pub fn run(
+    shared: &Arc<Shared>,
+    control: &ControlTx,
+    control_ended: oneshot::Receiver<()>,
+) -> Result<(), DaemonError> {
     let runtime = tokio::runtime::Builder::new_multi_thread()
         .worker_threads(shared.cfg.traffic.threads)
         .thread_name("traffic")
         .enable_all()
         .build()
         .map_err(DaemonError::Thread)?;
-    runtime.block_on(serve(shared, control))
+    runtime.block_on(async {
+        tokio::select! {
+            served = serve(shared, control) => served,
+            _ = control_ended => Ok(()),
+        }
+    })
 }
 
 async fn serve(shared: &Arc<Shared>, control: &ControlTx) -> Result<(), DaemonError> {
@@ -47,10 +60,11 @@
     let look_up = lookup::LookUp { shared: Arc::clone(shared) };
     let request = request::Forward { shared: Arc::clone(shared) };
     let close = stop::CloseConnections { shared: Arc::clone(shared) };
+    let at = |path: &'static str| Router::with_path(path).hoop(Measure::new(shared, path));
     Router::new()
         .hoop(close)
-        .push(Router::with_path("v1/lookup").get(look_up))
-        .push(Router::with_path("v1/routes/{route}/{**rest}").goal(request))
+        .push(at(measure::LOOK_UP).get(look_up))
+        .push(at(measure::REQUEST).goal(request))
 }
 
 async fn bind(address: SocketAddr) -> Result<impl salvo::conn::Acceptor, DaemonError> {
