--- a/crates/core/src/explain/mod.rs
+++ b/crates/core/src/explain/mod.rs
@@ -64,7 +64,7 @@
         Some(region) => format!("its block belongs to {}", view.world.regions[region].name),
         None => "its block is not declared, so that this host's region counts".to_owned(),
     };
-    let query = Query { route: question.route, client: question.client };
+    let query = Query { route: question.route, client: question.client, key: None };
     match look_up(view, &query) {
         Ok(answer) => {
             let hosts = answer.hosts.iter().map(|h| format!("{} ({})", h.name, h.domain));
