--- a/crates/core/src/once/id.rs
+++ b/crates/core/src/once/id.rs
@@ -1,6 +1,6 @@
 //! Request ids: those that a look-up gives out, and those that callers bring.
 
-use std::{fmt, str::FromStr, time::Duration};
+use std::{fmt, iter, str::FromStr, time::Duration};
 
 use hmac::{Hmac, KeyInit, Mac};
 use sha2::{Digest, Sha256};
@@ -18,7 +18,24 @@
 
 /// Secret with which the hosts of a fleet authenticate request ids.
 #[derive(Clone, Default, PartialEq, Eq)]
-pub struct IdSecret(pub [u8; 32]);
+pub struct IdSecret {
+    current: [u8; 32],
+    old: Option<[u8; 32]>,
+}
+
+impl IdSecret {
+    /// A secret that seals and opens ids.
+    pub const fn new(secret: [u8; 32]) -> Self {
+        IdSecret { current: secret, old: None }
+    }
+
+    /// The same secret; ids sealed with `old` are opened, too, so that an id given out before a
+    /// change of the secret is not taken for one that this fleet never gave out.
+    #[must_use]
+    pub const fn with_old(self, old: Option<[u8; 32]>) -> Self {
+        IdSecret { current: self.current, old }
+    }
+}
 
 impl fmt::Debug for IdSecret {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
@@ -55,7 +72,7 @@
     /// The text that a caller gets, authenticated with HMAC-SHA256 (RFC 2104).
     pub fn seal(&self, secret: &IdSecret) -> String {
         let body = self.body();
-        let mac = keyed(secret, &body).finalize().into_bytes();
+        let mac = keyed(&secret.current, &body).finalize().into_bytes();
         format!("{body}-{}", hex::encode(&mac[..MAC_BYTES]))
     }
 
@@ -66,8 +83,9 @@
         let id: RequestId = body.parse().map_err(|()| malformed())?;
         let mac: [u8; MAC_BYTES] =
             hex::decode(mac).ok().and_then(|m| m.try_into().ok()).ok_or_else(malformed)?;
-        let verified = keyed(secret, &id.body()).verify_truncated_left(&mac);
-        verified.map(|()| id).map_err(|_| IdError::Forged(text.to_owned()))
+        let mut secrets = iter::once(&secret.current).chain(&secret.old);
+        let is_ours = secrets.any(|s| keyed(s, &id.body()).verify_truncated_left(&mac).is_ok());
+        if is_ours { Ok(id) } else { Err(IdError::Forged(text.to_owned())) }
     }
 
     fn body(&self) -> String {
@@ -86,8 +104,8 @@
     }
 }
 
-fn keyed(secret: &IdSecret, body: &str) -> Hmac<Sha256> {
-    let mac = Hmac::<Sha256>::new_from_slice(&secret.0).expect("HMAC takes keys of any length");
+fn keyed(secret: &[u8; 32], body: &str) -> Hmac<Sha256> {
+    let mac = Hmac::<Sha256>::new_from_slice(secret).expect("HMAC takes keys of any length");
     mac.chain_update(body)
 }
 
--- a/crates/core/tests/fleet/mod.rs
+++ b/crates/core/tests/fleet/mod.rs
@@ -15,7 +15,7 @@
 use sha2::{Digest, Sha256};
 
 /// Secret of the fleet.
-pub const SECRET: IdSecret = IdSecret([7; 32]);
+pub const SECRET: IdSecret = IdSecret::new([7; 32]);
 /// Wall-clock time at the start of the hosts' clocks.
 pub const UNIX: u64 = 1_800_000_000_000;
 
--- a/crates/core/tests/once.rs
+++ b/crates/core/tests/once.rs
@@ -355,7 +355,7 @@
         name: "made with another secret",
         id: || {
             let id = RequestId { owner: ME.incarnation, nonce: 1, end: UNIX + END };
-            id.seal(&IdSecret([8; 32]))
+            id.seal(&IdSecret::new([8; 32]))
         },
         said: Said::Code(Code::BadRequestId),
     },
--- a/crates/daemon/src/shared.rs
+++ b/crates/daemon/src/shared.rs
@@ -69,7 +69,8 @@
             incarnation: Incarnation(rand::random()),
         };
         let view = Arc::new(View::empty(me.clone()));
-        let id_secret = IdSecret(*cfg.fleet_key.key(Purpose::RequestId));
+        let id_secret = IdSecret::new(*cfg.fleet_key.key(Purpose::RequestId))
+            .with_old(cfg.fleet_key.old_key(Purpose::RequestId).copied());
         let mut traffic = Traffic::new(Arc::clone(&view));
         traffic.configure_once(id_secret.clone(), Limits::default());
         traffic.set_clock(clock::now(), clock::unix_millis());
