--- a/crates/core/src/traffic/mod.rs
+++ b/crates/core/src/traffic/mod.rs
@@ -2,6 +2,7 @@
 
 mod admit;
 mod crash;
+mod early;
 mod flight;
 mod once;
 mod step;
@@ -12,7 +13,7 @@
 
 use self::flight::{Flight, Stage};
 pub use self::{
-    admit::{Admitted, Request},
+    admit::{Admitted, Request, admit},
     flight::FlightKey,
     step::{Origin, Outbox, Outcome, Passed, PassedFrom, Step},
 };
@@ -42,6 +43,8 @@
     /// Instant at which the configuration in force was last proven to be the newest one.
     proof: Option<Instant>,
     rates: Buckets,
+    /// Whether new requests are refused.
+    closed: bool,
     clock: Clock,
     id_secret: IdSecret,
     once: Table,
@@ -60,6 +63,7 @@
             proof: view.proof,
             rates: Buckets::new(view.me.incarnation),
             view,
+            closed: false,
             clock: Clock::default(),
             id_secret: IdSecret::default(),
             once: Table::default(),
@@ -94,6 +98,12 @@
         self.once = Table::new(limits);
     }
 
+    /// Refuses new requests from now on. A host that stops calls this once callers have had time to
+    /// leave it: until then those that hold an earlier answer to a look-up are served.
+    pub fn close(&mut self) {
+        self.closed = true;
+    }
+
     /// Sets the wall clock from a reading of both clocks.
     pub fn set_clock(&mut self, now: Instant, unix: UnixMillis) {
         self.clock.set(now, unix);
