--- a/crates/core/src/control/configuration.rs
+++ b/crates/core/src/control/configuration.rs
@@ -196,10 +196,10 @@
             }
         }
         debug_assert!(root.revision > self.revision(), "no revision goes back");
-        let named =
-            |hash: &ChunkHash| root.index.contains(hash) || listed.iter().any(|l| l.hash == *hash);
         if root.index != self.held.root.index {
-            self.chunks = self.chunks.iter().filter(|(h, _)| named(h)).map(clone_pair).collect();
+            let named = listed.iter().map(|l| &l.hash).chain(&root.index);
+            let kept = named.filter_map(|h| self.chunks.get_key_value(h)).map(clone_pair);
+            self.chunks = kept.collect();
         }
         self.log(Kind::RevisionInForce, format!("revision {}", root.revision), fx);
         for change in rollout::changes(&self.world, &self.held.root.rollouts, &root.rollouts) {
--- a/crates/core/tests/config_net/mod.rs
+++ b/crates/core/tests/config_net/mod.rs
@@ -1,4 +1,5 @@
 //! Hosts, messages between them and a store, all in one process under one virtual clock.
+#![allow(dead_code, reason = "the example uses a part")]
 
 use std::{
     cmp::Reverse,
