Name hosts without a seat last for keyed routes

Cause: only the holder of a seat serves keyed routes, but look-ups named every live host, so a host that started while the store was down got callers that it refuses.

Change: look-ups for keyed routes put hosts without a confirmed seat last.

Broken by hand: with the rule off the test finds h0 and h3 named; restored.

--- a/crates/core/src/lookup/mod.rs
+++ b/crates/core/src/lookup/mod.rs
@@ -7,7 +7,7 @@
 use crate::{
     result::Code,
     view::{LiveHost, View},
-    world::{KeyDigest, WorkspaceKey},
+    world::{Access, KeyDigest, WorkspaceKey},
 };
 
 /// Hosts named in one answer.
@@ -36,14 +36,14 @@
 }
 
 /// Orders the live hosts for a caller: nearest first, among these the holders of homes of its
-/// workspace, and the same caller to the same host. Any other host serves it as well.
+/// workspace, and the same caller to the same host. Hosts without a seat, which serve no keyed
+/// route, come last for one.
 pub fn look_up<'v>(view: &'v View, query: &Query<'_>) -> Result<Answer<'v>, Code> {
     if view.revision == 0 {
         return Err(Code::NoConfiguration);
     }
-    if view.world.route(query.route).is_none() {
-        return Err(Code::UnknownRoute);
-    }
+    let (_, route) = view.world.route(query.route).ok_or(Code::UnknownRoute)?;
+    let is_keyed = route.access == Access::Keyed;
     let near =
         view.world.blocks.region(query.client).or_else(|| view.world.region_of(&view.me.domain));
     let workspace = query.key.and_then(|key| workspace_of(view, key));
@@ -51,7 +51,8 @@
     hosts.sort_by_cached_key(|h| {
         let far = view.world.region_of(&h.domain) != near;
         let astray = workspace.is_some_and(|w| !is_home(view, w, h));
-        (far, astray, weight(&h.name, query.client))
+        let seatless = is_keyed && !view.has_seat(h);
+        (seatless, far, astray, weight(&h.name, query.client))
     });
     hosts.truncate(MAX_HOSTS);
     if hosts.is_empty() { Err(Code::NoServer) } else { Ok(Answer { hosts, lifetime: LIFETIME }) }
--- a/crates/core/src/view.rs
+++ b/crates/core/src/view.rs
@@ -85,6 +85,13 @@
         self.seats.get(domain)?.get(usize::from(seat))?.as_ref()
     }
 
+    /// Whether a host holds a seat that it may use: only such a host serves keyed routes.
+    pub fn has_seat(&self, host: &LiveHost) -> bool {
+        let row = self.seats.get(&host.domain);
+        let mut holders = row.into_iter().flatten().flatten();
+        holders.any(|s| s.incarnation == host.incarnation && s.is_confirmed())
+    }
+
     /// The live host with this life.
     pub fn host(&self, incarnation: Incarnation) -> Option<&LiveHost> {
         self.hosts.iter().find(|h| h.incarnation == incarnation)
--- a/crates/core/tests/config_fleet.rs
+++ b/crates/core/tests/config_fleet.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use config_net::{Faults, Net, declaration};
+use jasminestage_core::lookup::{Query, look_up};
 use rand::RngExt;
 
 const DOMAINS: &[&str] = &["a", "a", "b", "b", "c", "c"];
@@ -136,6 +137,23 @@
     assert_eq!(net.accepted, revision);
 }
 
+#[test]
+fn look_ups_for_a_keyed_route_name_hosts_without_a_seat_last() {
+    let mut net = started(6, Faults::default());
+    net.store.is_down = true;
+    net.kill(0, true);
+    net.kill(3, true);
+    net.run(3 * SECOND);
+    let view = &net.hosts[1].view;
+    assert_eq!(view.hosts.len(), DOMAINS.len(), "all hosts are live");
+    for last in 0..50 {
+        let query = Query { route: "k", client: [10, 0, 0, last].into(), key: None };
+        let answer = look_up(view, &query).expect("hosts are live");
+        let names: Vec<_> = answer.hosts.iter().map(|h| h.name.as_str()).collect();
+        assert!(!names.contains(&"h0") && !names.contains(&"h3"), "{names:?}");
+    }
+}
+
 /// Failure domains of the hosts in randomised runs: two have a host more than seats.
 const WITH_SPARES: &[&str] = &["a", "a", "a", "b", "b", "b", "c", "c"];
 /// Seats of all failure domains together.
