Measure control traffic, processor time and memory against fleet size

Change: example capacity_control: all control states in one process, messages counted as sealed datagrams.

--- /dev/null
+++ b/crates/standins/examples/capacity_control.rs
@@ -0,0 +1,287 @@
+//! Control traffic, processor time and memory of a node against the size of the fleet.
+//!
+//! `cargo run --release -p jasminestage-standins --example capacity_control [DOMAINS HOSTS]`
+//!
+//! Control states of all hosts live in one process under one virtual clock; messages are delivered
+//! at once and their size is that of the sealed datagram. The store is a value in memory.
+
+use std::{
+    alloc::System,
+    collections::{HashMap, VecDeque},
+    env::args,
+    fmt::Write,
+    net::SocketAddr,
+    time::{Duration, Instant as Wall},
+};
+
+use jasminestage_core::{
+    config::{Acks, ChunkHash, Declared, Root, chunk::Chunk, split},
+    control::{Control, Effect, Input, PeerMsg},
+    host::{HostInfo, Incarnation},
+    member::HEARTBEAT_PERIOD,
+    peer::{PeerCall, PeerReply},
+    time::Instant,
+    world,
+};
+use stats_alloc::{INSTRUMENTED_SYSTEM, Region, StatsAlloc};
+
+#[global_allocator]
+static ALLOCATOR: &StatsAlloc<System> = &INSTRUMENTED_SYSTEM;
+
+/// Bytes of a datagram besides its body: UDP and IP headers, keyed hash, sender and receiver.
+const DATAGRAM_OVERHEAD: usize = 28 + 1 + 32 + 24;
+/// Virtual time for the fleet to settle.
+const SETTLE: Duration = Duration::from_secs(6);
+/// Virtual time that is measured.
+const MEASURED: Duration = Duration::from_secs(8);
+/// Blocks of clients in the declaration.
+const BLOCKS: usize = 2_000;
+
+/// What one node did while measured.
+#[derive(Clone, Copy, Debug, Default)]
+struct Node {
+    sent: usize,
+    received: usize,
+    messages: usize,
+    cpu: Duration,
+}
+
+/// The platform's store.
+#[derive(Default)]
+struct Store {
+    root: Root,
+    chunks: HashMap<ChunkHash, String>,
+    acks: Acks,
+    calls: u64,
+}
+
+struct Fleet {
+    now: Instant,
+    hosts: Vec<Control>,
+    by_address: HashMap<SocketAddr, usize>,
+    infos: Vec<HostInfo>,
+    nodes: Vec<Node>,
+    pending: VecDeque<(usize, Event)>,
+    store: Store,
+}
+
+/// Something under way to a host.
+enum Event {
+    Peer(SocketAddr, PeerMsg),
+    Reply(SocketAddr, PeerReply),
+    Root(Root),
+    Acks(Root, Acks),
+    Chunks(Vec<Chunk>),
+}
+
+fn address(n: usize) -> SocketAddr {
+    ([10, 0, (n / 200) as u8, (n % 200 + 1) as u8], 7000).into()
+}
+
+fn declaration(domains: usize, per_domain: usize, key: u64) -> String {
+    let regions = domains.div_ceil(3);
+    let mut text = String::new();
+    for r in 0..regions {
+        let _ = writeln!(text, "[region r{r}]");
+    }
+    for d in 0..domains {
+        let _ = writeln!(text, "[domain d{d}]\nregion = r{}\nseats = {per_domain}", d % regions);
+    }
+    text.push_str("[route k]\naccess = keyed\nrepeat = idempotent\n");
+    for w in 0..200 {
+        let digest = key + w;
+        let _ =
+            writeln!(text, "[workspace w{w}]\nkeys = sha256:{digest:064x}\nrate = 10\nburst = 10");
+    }
+    text.push_str("[clients]\n");
+    for b in 0..BLOCKS {
+        let _ = writeln!(text, "10.{}.{}.0/24 = r{}", b / 256, b % 256, b % regions);
+    }
+    text
+}
+
+impl Fleet {
+    fn new(domains: usize, per_domain: usize) -> Fleet {
+        let count = domains * per_domain;
+        let info = |n: usize| HostInfo {
+            name: format!("host-{n}"),
+            domain: format!("d{}", n % domains),
+            caller_address: address(n),
+            peer_address: address(n),
+            incarnation: Incarnation(0x5eed_0000_0000_0000 + n as u64),
+        };
+        let infos: Vec<_> = (0..count).map(info).collect();
+        let seeds: Vec<_> = (0..count.min(3 * domains)).map(address).collect();
+        let mut fleet = Fleet {
+            now: Instant::from_millis(1000),
+            hosts: infos.iter().map(|i| Control::new(i.clone(), &seeds)).collect(),
+            by_address: (0..count).map(|n| (address(n), n)).collect(),
+            infos,
+            nodes: vec![Node::default(); count],
+            pending: VecDeque::new(),
+            store: Store::default(),
+        };
+        fleet.apply(&declaration(domains, per_domain, 0));
+        fleet
+    }
+
+    fn apply(&mut self, text: &str) {
+        let parts = split(text);
+        let bodies = parts.bodies.iter().copied().chain(parts.index.iter().map(String::as_str));
+        for body in bodies {
+            self.store.chunks.insert(ChunkHash::of(body), body.to_owned());
+        }
+        let world = world::parse(text).expect("the declaration is valid");
+        let declared = Declared {
+            index: parts.index.iter().map(|b| ChunkHash::of(b)).collect(),
+            seat_counts: world.seat_counts(),
+            authority: world.longest_authority(),
+        };
+        let write_id = format!("{:?}", self.now);
+        let next = self.store.root.with_declaration(declared, true, &write_id);
+        self.store.root = next.expect("the seats are settled");
+    }
+
+    fn run(&mut self, span: Duration) {
+        let end = self.now + span;
+        let step = HEARTBEAT_PERIOD / 10;
+        let mut turn = 0;
+        while self.now < end {
+            self.now = self.now + step;
+            for n in (0..self.hosts.len()).filter(|n| n % 10 == turn % 10) {
+                self.handle(n, Input::Tick);
+            }
+            turn += 1;
+        }
+    }
+
+    fn handle(&mut self, n: usize, input: Input<'_>) {
+        self.step(n, input);
+        while let Some((n, event)) = self.pending.pop_front() {
+            match &event {
+                Event::Peer(from, msg) => self.step(n, Input::Peer { from: *from, msg }),
+                Event::Reply(from, reply) => self.step(n, Input::PeerReply { from: *from, reply }),
+                Event::Root(root) => self.step(n, Input::Root { root, asked: self.now }),
+                Event::Acks(root, acks) => self.step(n, Input::Acks { root, acks }),
+                Event::Chunks(chunks) => self.step(n, Input::Chunks(chunks)),
+            }
+        }
+    }
+
+    fn step(&mut self, n: usize, input: Input<'_>) {
+        let mut fx = Vec::new();
+        let start = Wall::now();
+        self.hosts[n].handle(self.now, input, &mut fx);
+        self.nodes[n].cpu += start.elapsed();
+        for effect in fx {
+            self.perform(n, effect);
+        }
+    }
+
+    fn perform(&mut self, n: usize, effect: Effect) {
+        let event = match effect {
+            Effect::Send { to, msg } => return self.deliver(n, to, msg),
+            Effect::AskPeer { to, call } => {
+                let Some(&peer) = self.by_address.get(&to) else { return };
+                Event::Reply(to, answer(&self.hosts[peer], &call))
+            }
+            Effect::ReadRoot => {
+                self.store.calls += 1;
+                Event::Root(self.store.root.clone())
+            }
+            Effect::ReadAcks => {
+                self.store.calls += 2;
+                Event::Acks(self.store.root.clone(), self.store.acks.clone())
+            }
+            Effect::FetchChunks(hashes) => {
+                self.store.calls += hashes.len() as u64;
+                let found = hashes.iter().filter_map(|h| {
+                    Some(Chunk { hash: *h, body: self.store.chunks.get(h)?.clone() })
+                });
+                Event::Chunks(found.collect())
+            }
+            Effect::SwapRoot(root) => {
+                self.store.calls += 2;
+                if root.revision == self.store.root.revision + 1 {
+                    self.store.root = *root;
+                }
+                Event::Root(self.store.root.clone())
+            }
+            Effect::WriteAck(ack) => {
+                self.store.calls += 1;
+                self.store.acks.insert(self.infos[n].domain.clone(), ack);
+                return;
+            }
+            Effect::WatchStore(_) | Effect::Publish(_) | Effect::Prove(_) | Effect::Log(_) => {
+                return;
+            }
+        };
+        self.pending.push_back((n, event));
+    }
+
+    fn deliver(&mut self, from: usize, to: SocketAddr, msg: PeerMsg) {
+        let Some(&peer) = self.by_address.get(&to) else { return };
+        let bytes = postcard::to_allocvec(&msg).map_or(0, |b| b.len()) + DATAGRAM_OVERHEAD;
+        self.nodes[from].sent += bytes;
+        self.nodes[from].messages += 1;
+        self.nodes[peer].received += bytes;
+        let address = self.infos[from].peer_address;
+        self.pending.push_back((peer, Event::Peer(address, msg)));
+    }
+}
+
+fn answer(host: &Control, call: &PeerCall) -> PeerReply {
+    match call {
+        PeerCall::Root(than) => {
+            let root = &host.held().root;
+            PeerReply::Root((root.revision > *than).then(|| root.clone()))
+        }
+        PeerCall::Chunks(wanted) => PeerReply::Chunks(host.held().find(wanted)),
+        PeerCall::Run(_) => PeerReply::Refused,
+    }
+}
+
+fn measure(domains: usize, per_domain: usize) {
+    let region = Region::new(ALLOCATOR);
+    let mut fleet = Fleet::new(domains, per_domain);
+    fleet.run(SETTLE);
+    let change = region.change();
+    let bytes = change.bytes_allocated.saturating_sub(change.bytes_deallocated);
+    let count = fleet.hosts.len();
+    fleet.nodes = vec![Node::default(); count];
+    fleet.store.calls = 0;
+    fleet.run(MEASURED);
+    let seconds = MEASURED.as_secs_f64();
+    let rate = |n: &Node| (n.sent + n.received) as f64 / seconds / 1000.0;
+    let mut by_bytes: Vec<_> = fleet.nodes.iter().map(rate).collect();
+    by_bytes.sort_by(f64::total_cmp);
+    let mut by_cpu: Vec<_> =
+        fleet.nodes.iter().map(|n| 100.0 * n.cpu.as_secs_f64() / seconds).collect();
+    by_cpu.sort_by(f64::total_cmp);
+    let messages: usize = fleet.nodes.iter().map(|n| n.messages).sum();
+    let in_force =
+        fleet.hosts.iter().filter(|h| h.held().root.revision == fleet.store.root.revision);
+    println!(
+        "{count:>5} hosts in {domains:>2} domains: {:.1} KB/s median, {:.1} KB/s most; {:.3}% of a core \
+         median, {:.3}% most; {:.1} messages/s each; {:.0} KB of memory each; {:.1} store calls/s; \
+         {} of {count} hold the newest revision",
+        by_bytes[count / 2],
+        by_bytes[count - 1],
+        by_cpu[count / 2],
+        by_cpu[count - 1],
+        messages as f64 / seconds / count as f64,
+        bytes as f64 / count as f64 / 1000.0,
+        fleet.store.calls as f64 / seconds,
+        in_force.count(),
+    );
+}
+
+fn main() {
+    let given: Vec<usize> = args().skip(1).filter_map(|t| t.parse().ok()).collect();
+    if let [domains, per_domain] = given[..] {
+        return measure(domains, per_domain);
+    }
+    for (domains, per_domain) in [(6, 2), (12, 4), (24, 8), (36, 12), (71, 12), (71, 24)] {
+        measure(domains, per_domain);
+    }
+}
