--- a/crates/standins/src/bin/fleet.rs
+++ b/crates/standins/src/bin/fleet.rs
@@ -30,7 +30,8 @@
     };
     let fleet = Fleet::start(&folder, cfg).await?;
     let admin: Vec<_> = fleet.hosts.iter().map(|h| h.cfg.admin.to_string()).collect();
-    let settings = format!("[tool]\nstore = {}\nadmin = {}\n", fleet.platform.url(), admin.join(", "));
+    let settings =
+        format!("[tool]\nstore = {}\nadmin = {}\n", fleet.platform.url(), admin.join(", "));
     let path = folder.join("tool.ini");
     std::fs::write(&path, settings).map_err(|e| e.to_string())?;
     println!("export JASMINESTAGE_CONFIG={}", path.display());
