--- a/crates/daemon/src/front/measure.rs
+++ b/crates/daemon/src/front/measure.rs
@@ -18,9 +18,9 @@
 };
 
 /// Path of look-ups; they have no objective of their own.
-pub const LOOK_UP: &str = "v1/lookup";
+pub const LOOK_UP: &str = "/v1/lookup";
 /// Path of requests.
-pub const REQUEST: &str = "v1/routes/{route}/{**rest}";
+pub const REQUEST: &str = "/v1/routes/{route}/{**rest}";
 
 /// Records what the handlers after it answer.
 pub struct Measure {
@@ -76,7 +76,11 @@
         let status = res.status_code.unwrap_or_default().as_u16();
         self.shared.metrics.answered(&self.served, code, status, took);
         self.judge(|latency| burn::judge(code, status, took, latency));
-        if self.served.template == REQUEST && self.served.workspace != burn::OPEN {
+        if self.served.template != REQUEST {
+            return;
+        }
+        self.shared.metrics.request(&self.served, code);
+        if self.served.workspace != burn::OPEN {
             self.shared.spend(self.served.workspace, code);
         }
     }
--- a/crates/daemon/src/front/mod.rs
+++ b/crates/daemon/src/front/mod.rs
@@ -60,7 +60,9 @@
     let look_up = lookup::LookUp { shared: Arc::clone(shared) };
     let request = request::Forward { shared: Arc::clone(shared) };
     let close = stop::CloseConnections { shared: Arc::clone(shared) };
-    let at = |path: &'static str| Router::with_path(path).hoop(Measure::new(shared, path));
+    let at = |path: &'static str| {
+        Router::with_path(path.trim_start_matches('/')).hoop(Measure::new(shared, path))
+    };
     Router::new()
         .hoop(close)
         .push(at(measure::LOOK_UP).get(look_up))
--- a/crates/daemon/src/metrics/mod.rs
+++ b/crates/daemon/src/metrics/mod.rs
@@ -16,7 +16,7 @@
     metrics::{Counter, Gauge, Histogram, MeterProvider, UpDownCounter},
 };
 use opentelemetry_sdk::{Resource, metrics::SdkMeterProvider};
-use prometheus::{Registry, TextEncoder};
+use prometheus::{Registry, TextEncoder, process_collector::ProcessCollector};
 use tokio::time::Instant;
 
 pub use self::names::{OTHER, Served};
@@ -68,6 +68,8 @@
     /// Instruments of a process that has just started.
     pub fn new(host: &str, domain: &str) -> Result<Self, DaemonError> {
         let registry = Registry::new();
+        let process = Box::new(ProcessCollector::for_self());
+        registry.register(process).map_err(|e| DaemonError::Metrics(e.to_string()))?;
         let exporter = opentelemetry_prometheus::exporter()
             .with_registry(registry.clone())
             .build()
@@ -129,7 +131,6 @@
     /// Records a request that was answered.
     pub fn answered(&self, served: &Served<'_>, code: Code, status: u16, took: Duration) {
         let route = KeyValue::new("jasminestage.route", served.route.to_owned());
-        let number = KeyValue::new("jasminestage.code", i64::from(code.number()));
         let labels = [
             KeyValue::new("http.request.method", served.method),
             KeyValue::new("http.route", served.template),
@@ -139,10 +140,15 @@
         ];
         self.durations.record(took.as_secs_f64(), &labels);
         if code != Code::Done {
-            self.refusals.add(1, &[route.clone(), number.clone()]);
+            self.refusals.add(1, &[route, number(code)]);
         }
+    }
+
+    /// Counts an answer to a request by its workspace.
+    pub fn request(&self, served: &Served<'_>, code: Code) {
+        let route = KeyValue::new("jasminestage.route", served.route.to_owned());
         let workspace = KeyValue::new("jasminestage.workspace", served.workspace.to_owned());
-        self.requests.add(1, &[route, workspace, number]);
+        self.requests.add(1, &[route, workspace, number(code)]);
     }
 
     /// Counts a frame that was sent to another host.
@@ -190,6 +196,10 @@
     }
 }
 
+fn number(code: Code) -> KeyValue {
+    KeyValue::new("jasminestage.code", i64::from(code.number()))
+}
+
 /// A request in flight.
 pub struct InFlight<'a> {
     metrics: &'a Metrics,
--- a/crates/standins/tests/tool.rs
+++ b/crates/standins/tests/tool.rs
@@ -8,6 +8,7 @@
 
 use jasminestage_standins::{
     fleet::{Fleet, FleetOptions},
+    metrics::scrape,
     process::{FLEET_SECRET, binary, eventually},
 };
 
@@ -171,6 +172,7 @@
             assert!(!stdout.contains(&format!("{secret}\n")) || case.args == ["get"], "{shown}");
         }
     }
+    metrics_are_bounded(&site).await;
     for args in JSON {
         let args = [args, &["--output", "json"][..]].concat();
         let out = site.run(&args);
@@ -179,6 +181,27 @@
     }
 }
 
+/// Names that are not declared add no series, and the standard names are there.
+async fn metrics_are_bounded(site: &Site) {
+    for n in 0..30 {
+        site.ask(&format!("route-{n}"), &format!("key-{n}")).await;
+    }
+    let text = scrape(site.fleet.hosts[0].cfg.admin).await.expect("the host serves metrics");
+    for name in [
+        "http_server_request_duration_seconds_bucket",
+        "http_server_active_requests",
+        "db_client_operation_duration_seconds_count",
+        "process_resident_memory_bytes",
+        "jasminestage_requests_total{jasminestage_code=\"0\",jasminestage_route=\"katalog\",\
+         jasminestage_workspace=\"gearbox\"",
+        "jasminestage_refusals_total{jasminestage_code=\"103\",jasminestage_route=\"_OTHER\"",
+        "http_route=\"/v1/routes/{route}/{**rest}\"",
+    ] {
+        assert!(text.contains(name), "{name} is missing: {text}");
+    }
+    assert!(!text.contains("route-1") && !text.contains("key-1"), "{text}");
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn keys_and_drains_change_the_declaration_and_its_effect() {
     let site = Site::start().await;
