--- a/crates/standins/tests/wire.rs
+++ b/crates/standins/tests/wire.rs
@@ -3,6 +3,7 @@
 use std::{net::SocketAddr, time::Duration};
 
 use jasminestage_standins::{
+    fleet::status,
     metrics::metric,
     platform::Platform,
     process::{HostOptions, HostProcess, eventually},
@@ -98,3 +99,64 @@
     let lines = log.lines().filter(|l| l.contains("event=50")).count();
     assert!((1..20).contains(&lines), "{lines} lines for {FLOOD} datagrams:\n{log}");
 }
+
+struct SecretCase {
+    name: &'static str,
+    /// The secret of each host and the one that it accepts besides.
+    hosts: [(&'static str, Option<&'static str>); 2],
+    hear_each_other: bool,
+}
+
+const FIRST: &str = "the first secret of a fleet";
+const SECOND: &str = "the second secret of a fleet";
+
+const SECRET_CASES: &[SecretCase] = &[
+    SecretCase {
+        name: "the first step",
+        hosts: [(FIRST, None), (FIRST, Some(SECOND))],
+        hear_each_other: true,
+    },
+    SecretCase {
+        name: "the second step",
+        hosts: [(FIRST, Some(SECOND)), (SECOND, Some(FIRST))],
+        hear_each_other: true,
+    },
+    SecretCase {
+        name: "the third step",
+        hosts: [(SECOND, Some(FIRST)), (SECOND, None)],
+        hear_each_other: true,
+    },
+    SecretCase {
+        name: "other secrets",
+        hosts: [(FIRST, None), (SECOND, None)],
+        hear_each_other: false,
+    },
+];
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn hosts_hear_each_other_throughout_a_change_of_the_secret() {
+    const SILENCE: Duration = Duration::from_secs(2);
+    let platform = Platform::start().await;
+    let http = reqwest::Client::new();
+    for case in SECRET_CASES {
+        let folder = tempfile::tempdir().expect("a folder for the test");
+        let mut all =
+            [("a", "one"), ("b", "two")].map(|(n, d)| HostOptions::new(n, d, &platform.url()));
+        let seeds: Vec<_> = all.iter().map(|h| h.peer).collect();
+        for (host, (secret, old)) in all.iter_mut().zip(case.hosts) {
+            host.seeds.clone_from(&seeds);
+            host.secret = secret.to_owned();
+            host.extra = old.map_or(String::new(), |old| format!("[fleet]\nold_secret = {old}\n"));
+        }
+        let admin = all.clone().map(|h| h.admin);
+        let start = |h| HostProcess::start(folder.path(), h).expect("it starts");
+        let _hosts = all.map(start);
+        let count = async |address| {
+            let found = status(&http, address).await.unwrap_or_default();
+            found["hosts"].as_array().map_or(0, Vec::len)
+        };
+        let hear = async || count(admin[0]).await == 2 && count(admin[1]).await == 2;
+        let limit = if case.hear_each_other { LIMIT } else { SILENCE };
+        assert_eq!(eventually(limit, hear).await, case.hear_each_other, "{}", case.name);
+    }
+}
