--- a/crates/core/src/route/balancer.rs
+++ b/crates/core/src/route/balancer.rs
@@ -150,7 +150,7 @@
                 () if Some(domain.region) == my_region => Distance::Region,
                 () => Distance::Far,
             };
-            let own = match (view.seat, distance) {
+            let own = match (view.open_seat, distance) {
                 (Some(seat), Distance::Domain) => {
                     super::share::own_slots(&server.name, server.slots, domain.seats, seat)
                 }
--- a/crates/core/tests/fleet/mod.rs
+++ b/crates/core/tests/fleet/mod.rs
@@ -19,6 +19,9 @@
 /// Wall-clock time at the start of the hosts' clocks.
 pub const UNIX: u64 = 1_800_000_000_000;
 
+/// An instant after all tests of the request path: their hosts never lose their authority.
+const PROOF: Instant = Instant::from_millis(1_000_000_000);
+
 /// A declaration with one route of each kind, `servers` servers for each, and one seat in each of
 /// `domains` failure domains.
 pub fn declaration(domains: usize, servers: usize) -> String {
@@ -89,7 +92,13 @@
     });
     let holders = seats.iter().map(|(life, since)| {
         let host = info(*life);
-        let holder = SeatHolder { host: host.name, incarnation: life.incarnation, since: *since };
+        let holder = SeatHolder {
+            host: host.name,
+            incarnation: life.incarnation,
+            peer_address: host.peer_address,
+            since: *since,
+            displaced: None,
+        };
         (host.domain, vec![Some(holder)])
     });
     let holds = seats.iter().any(|(life, _)| life.incarnation == me.incarnation);
@@ -98,6 +107,8 @@
         accepted,
         world: Arc::clone(world),
         seat: holds.then_some(0),
+        open_seat: holds.then_some(0),
+        proof: Some(PROOF),
         seats: Arc::new(holders.collect()),
         hosts: hosts.collect(),
         ..View::empty(me)
--- a/crates/standins/examples/capacity_world.rs
+++ b/crates/standins/examples/capacity_world.rs
@@ -75,7 +75,7 @@
 
 fn measure(size: Size) -> Measured {
     let text = declaration(size);
-    let chunks = config::split(&text).len();
+    let chunks = config::split(&text).bodies.len();
     let region = Region::new(ALLOCATOR);
     let start = Instant::now();
     let world = world::parse(&text).expect("the declaration is valid");
--- a/crates/standins/src/serve.rs
+++ b/crates/standins/src/serve.rs
@@ -1,8 +1,8 @@
 //! Serving a router on an ephemeral port of the loopback address.
 
 use std::{
-    hash::{BuildHasher, Hasher, RandomState},
     net::{SocketAddr, TcpListener, UdpSocket},
+    sync::atomic::{AtomicU16, Ordering},
 };
 
 use salvo::{Listener, Router, Server, conn, conn::Acceptor, server::ServerHandle};
@@ -24,15 +24,18 @@
 }
 
 /// Ports below those that the system gives to outgoing connections.
-const PORTS: std::ops::Range<u64> = 10_000..32_000;
+const PORTS: std::ops::Range<u16> = 10_000..32_000;
 
-/// An address whose port was free for TCP and UDP a moment ago, and that no outgoing connection
-/// takes.
+/// An address that is free for TCP and UDP, given out once by this process. It lies on a loopback
+/// address of this process alone, so that no other one takes it before it is bound.
 pub fn free_address() -> SocketAddr {
+    static NEXT: AtomicU16 = AtomicU16::new(PORTS.start);
+    let [_, a, b, c] = std::process::id().to_be_bytes();
+    let ip = [127, 64 | (a & 63), b, c];
     loop {
-        let random = RandomState::new().build_hasher().finish();
-        let port = PORTS.start + random % (PORTS.end - PORTS.start);
-        let address = SocketAddr::from(([127, 0, 0, 1], port as u16));
+        let port = NEXT.fetch_add(1, Ordering::Relaxed);
+        assert!(PORTS.contains(&port), "a test process uses few ports");
+        let address = SocketAddr::from((ip, port));
         if TcpListener::bind(address).is_ok() && UdpSocket::bind(address).is_ok() {
             return address;
         }
--- a/crates/standins/tests/tool.rs
+++ b/crates/standins/tests/tool.rs
@@ -38,9 +38,9 @@
     case(&["workspaces", "--admin", "ADMIN"], 0, &["gearbox", "within rate"]),
     case(&["moves"], 0, &[""]),
     case(&["get"], 0, &["[workspace gearbox"]),
-    case(&["wait", "--admin", "ADMIN"], 0, &["is in force on 2 host(s)"]),
+    case(&["wait", "--in-force", "--admin", "ADMIN"], 0, &["is in force on 2 host(s)"]),
     case(
-        &["wait", "--admin", "ADMIN", "--revision", "999", "--timeout", "0"],
+        &["wait", "--in-force", "--admin", "ADMIN", "--revision", "999", "--timeout", "0"],
         6,
         &["Revision 999 is not in force after 0 s"],
     ),
