--- a/crates/core/src/explain/mod.rs
+++ b/crates/core/src/explain/mod.rs
@@ -10,6 +10,7 @@
     config::Revision,
     lookup::{Query, look_up},
     result::Code,
+    time::Instant,
     traffic::{Request, admit},
     view::View,
     world::{Duty, KeyDigest},
@@ -24,6 +25,10 @@
     pub client: IpAddr,
     /// Digest of the caller's key.
     pub key: Option<KeyDigest>,
+    /// The latest proof that the configuration in force is the newest one.
+    pub proof: Option<Instant>,
+    /// The time of the question.
+    pub now: Instant,
 }
 
 /// One finding.
@@ -87,7 +92,7 @@
 fn workspace(view: &View, question: &Question<'_>) -> Result<String, Code> {
     let request =
         Request { route: question.route, key: None, id: None, deadline: None, fingerprint: 0 };
-    let admitted = admit(view, &request, question.key)?;
+    let admitted = admit(view, question.proof, question.now, &request, question.key)?;
     let Some(key) = admitted.workspace_key else {
         return Ok("none, the route is open".to_owned());
     };
--- a/crates/core/src/traffic/mod.rs
+++ b/crates/core/src/traffic/mod.rs
@@ -85,6 +85,11 @@
         self.view = view;
     }
 
+    /// The latest proof that the configuration in force is the newest one.
+    pub fn proof(&self) -> Option<Instant> {
+        self.proof
+    }
+
     /// Takes over a later proof that the configuration in force is the newest one.
     pub fn prove(&mut self, proof: Instant) {
         if self.view.seat.is_some() {
--- a/crates/daemon/src/front/admin/explain.rs
+++ b/crates/daemon/src/front/admin/explain.rs
@@ -13,13 +13,13 @@
 /// Answers `GET /explain?route=..&client=..&key_digest=..`; the digest is written as in the
 /// declaration.
 pub fn answer(shared: &Shared, req: &Request, res: &mut Response) {
-    match question(req) {
+    match question(shared, req) {
         Ok(question) => res.render(Json(explain(&shared.view.load(), &question))),
         Err(allowed) => refuse(res, &allowed),
     }
 }
 
-fn question(req: &Request) -> Result<Question<'_>, String> {
+fn question<'a>(shared: &Shared, req: &'a Request) -> Result<Question<'a>, String> {
     let route = req.query::<&str>("route").ok_or("route: the name of a route is required")?;
     let client = match req.query::<&str>("client") {
         Some(text) => text.parse().map_err(|_| "client: an IP address is allowed")?,
@@ -29,7 +29,8 @@
         Some(text) => fields::digests(text)?.first().copied(),
         None => None,
     };
-    Ok(Question { route, client, key })
+    let (proof, now) = shared.decide(|traffic, now| (traffic.proof(), now));
+    Ok(Question { route, client, key, proof, now })
 }
 
 fn refuse(res: &mut Response, allowed: &str) {
