--- a/crates/core/src/rollout/judge.rs
+++ b/crates/core/src/rollout/judge.rs
@@ -7,8 +7,6 @@
 
 use serde::{Deserialize, Serialize};
 
-/// Sum at which a version is found bad.
-const LIMIT: f64 = 8.0;
 /// Share of the old version above which nothing is judged.
 const HIGHEST_SHARE: f64 = 0.5;
 /// Clearly worse is this many times the share of the old version, and `worse_by` more.
@@ -68,6 +66,8 @@
     lowest: f64,
     /// Clearly worse is at least this much more.
     worse_by: f64,
+    /// Sum at which a version is found bad.
+    limit: f64,
     ended: f64,
     bad: f64,
     sum: f64,
@@ -92,7 +92,7 @@
         let good = ended.saturating_sub(bad) as f64;
         let step = good * ((1.0 - worse) / (1.0 - old)).ln() + bad as f64 * (worse / old).ln();
         self.sum = (self.sum + step).max(0.0);
-        self.sum >= LIMIT
+        self.sum >= self.limit
     }
 }
 
@@ -105,8 +105,15 @@
 
 impl Default for Judge {
     fn default() -> Self {
-        let test = |lowest, worse_by| Test { lowest, worse_by, ended: 0.0, bad: 0.0, sum: 0.0 };
-        Judge { failing: test(0.01, 0.10), slow: test(0.10, 0.30) }
+        let test = |lowest, worse_by, limit| Test {
+            lowest,
+            worse_by,
+            limit,
+            ended: 0.0,
+            bad: 0.0,
+            sum: 0.0,
+        };
+        Judge { failing: test(0.01, 0.10, 8.0), slow: test(0.10, 0.30, 12.0) }
     }
 }
 
