--- a/crates/cli/src/cli.rs
+++ b/crates/cli/src/cli.rs
@@ -57,6 +57,12 @@
         /// Apply only if this is still the revision in the store.
         #[arg(long)]
         revision: Option<u64>,
+        /// Wait until no host can act against the change any more.
+        #[arg(long)]
+        wait: bool,
+        /// Longest wait in seconds.
+        #[arg(long, default_value_t = 30)]
+        timeout: u64,
     },
     /// Print the declaration in the store.
     Get,
@@ -67,11 +73,14 @@
     },
     /// Show the revision in the store and what hosts say of themselves.
     Status,
-    /// Wait until a revision is in force on the hosts of --admin.
+    /// Wait until a revision is accepted: no host can act against it any more.
     Wait {
         /// The revision; the one in the store when it is not given.
         #[arg(long)]
         revision: Option<u64>,
+        /// Wait only until it is in force on the hosts of --admin.
+        #[arg(long)]
+        in_force: bool,
         /// Longest wait in seconds.
         #[arg(long, default_value_t = 30)]
         timeout: u64,
--- a/crates/cli/src/commands/mod.rs
+++ b/crates/cli/src/commands/mod.rs
@@ -1,5 +1,6 @@
 //! The commands, one file each.
 
+mod accept;
 mod apply;
 mod diff;
 mod drain;
@@ -15,7 +16,7 @@
 mod wait;
 mod workspaces;
 
-use std::{fs, path::Path};
+use std::{fs, path::Path, time::Duration};
 
 use jasminestage_core::world::{self, World};
 use jasminestage_store::Client;
@@ -26,14 +27,21 @@
 pub async fn run(command: &Command, cfg: &Options) -> Result<(), CliError> {
     let store = client(cfg);
     match command {
-        Command::Apply { world, dry_run, revision } => {
-            apply::run(&store, cfg, world, *dry_run, *revision).await
+        Command::Apply { world, dry_run, revision, wait, timeout } => {
+            let order = apply::Order {
+                path: world,
+                dry_run: *dry_run,
+                based: *revision,
+                wait: wait.then(|| Duration::from_secs(*timeout)),
+            };
+            apply::run(&store, cfg, &order).await
         }
         Command::Get => get::run(&store, cfg).await,
         Command::Diff { world } => diff::run(&store, cfg, world).await,
         Command::Status => status::run(&store, cfg, &cfg.admin).await,
-        Command::Wait { revision, timeout } => {
-            wait::run(&store, cfg, *revision, cfg.hosts()?, *timeout).await
+        Command::Wait { revision, in_force, timeout } => {
+            let hosts = if *in_force { cfg.hosts()? } else { &[] };
+            wait::run(&store, cfg, *revision, hosts, *timeout).await
         }
         Command::Hosts => hosts::run(cfg).await,
         Command::Routes => routes::run(&store, cfg).await,
--- a/crates/core/src/control/rollout.rs
+++ b/crates/core/src/control/rollout.rs
@@ -26,20 +26,22 @@
 
     /// Writes the next records of rollouts, if some are due and this host's turn has come.
     pub(super) fn advance_rollouts(&mut self, now: Instant, fx: &mut Vec<Effect>) {
-        let (Some(date), Some((root, version))) = (self.date(now), &self.root) else { return };
+        let Some(date) = self.date(now) else { return };
+        let root = &self.held.root;
         let written = self.wrote_rollouts.is_some_and(|at| at + WRITE_LIMIT > now);
-        let live = self.members.iter().filter(|m| m.is_live(now) && !m.last.stopping);
-        let rank = live.filter(|m| m.last.host.name < self.me.name).count();
-        if rank >= CONTROLLERS || self.stopping || written {
+        let near = self.members.live(now).filter(|m| !m.last.stopping).map(|m| &m.last.host);
+        let far = self.fleet.live().filter(|h| !h.stopping).map(|h| &h.info);
+        let rank = near.chain(far).filter(|h| h.name < self.me.name).count();
+        if root.revision == 0 || rank >= CONTROLLERS || self.stopping || written {
             return;
         }
         let mut events = Vec::new();
         let next = self.rollouts.next(date, rank, &self.world, &root.rollouts, &mut events);
         fx.extend(events.into_iter().map(Effect::Log));
         let Some(next) = next else { return };
-        let write_id = format!("{}-{version}-rollout", self.me.incarnation);
+        let write_id = format!("{}-{}-rollout", self.me.incarnation, root.revision);
         let root = root.with_rollouts(next, &write_id);
-        fx.push(Effect::SwapRoot { version: *version, root });
+        fx.push(Effect::SwapRoot(Box::new(root)));
         self.wrote_rollouts = Some(now);
     }
 }
--- a/crates/core/src/traffic/mod.rs
+++ b/crates/core/src/traffic/mod.rs
@@ -40,6 +40,8 @@
 #[derive(Clone, Debug)]
 pub struct Traffic {
     view: Arc<View>,
+    /// Instant at which the configuration in force was last proven to be the newest one.
+    proof: Option<Instant>,
     rates: Buckets,
     /// Whether new requests are refused.
     closed: bool,
@@ -58,6 +60,7 @@
     /// The state of a host that has no configuration yet.
     pub fn new(view: Arc<View>) -> Self {
         Traffic {
+            proof: view.proof,
             rates: Buckets::new(view.me.incarnation),
             view,
             closed: false,
@@ -78,9 +81,17 @@
         self.rates.install(now, &Standing::of(&view));
         self.balancer.install(now, &view);
         self.takeover.install(self.clock.unix_at(now), &view);
+        self.proof = view.proof;
         self.view = view;
     }
 
+    /// Takes over a later proof that the configuration in force is the newest one.
+    pub fn prove(&mut self, proof: Instant) {
+        if self.view.seat.is_some() {
+            self.proof = self.proof.max(Some(proof));
+        }
+    }
+
     /// Sets the secret that request ids are authenticated with and the bounds on remembering them.
     pub fn configure_once(&mut self, secret: IdSecret, limits: crate::once::Limits) {
         self.id_secret = secret;
@@ -152,7 +163,7 @@
     pub fn begin_from(&mut self, now: Instant, req: &Request<'_>, origin: &Origin) -> Step {
         let view = Arc::clone(&self.view);
         let key = origin.passed.map_or_else(|| admit::digest(req), |p| p.key);
-        let admitted = match admit::admit(&view, req, key) {
+        let admitted = match admit::admit(&view, self.proof, now, req, key) {
             Ok(admitted) => admitted,
             Err(code) => return Step::Reply(once::at_the_door(code, req, origin)),
         };
@@ -246,6 +257,11 @@
                 Some(Take::Taken) | None => state.stage = Stage::Choice,
             }
         }
+        let route = &state.view.world.routes[state.route];
+        if let Err(code) = admit::check_authority(self.proof, now, route) {
+            let code = if state.tried.is_empty() { code } else { state.otherwise };
+            return self.end(now, flight, code, code.execution() != Execution::NotRun);
+        }
         if let Some(step) = self.hold_suspect(now, flight) {
             return step;
         }
--- a/crates/core/tests/value_front_end.rs
+++ b/crates/core/tests/value_front_end.rs
@@ -51,6 +51,8 @@
         accepted: 1,
         world: Arc::new(world::parse(&declaration()).expect("the declaration is valid")),
         seat: Some(0),
+        open_seat: Some(0),
+        proof: Some(Instant::ZERO),
         hosts: vec![live],
         ..View::empty(me)
     }
--- a/crates/daemon/src/peer/answer.rs
+++ b/crates/daemon/src/peer/answer.rs
@@ -9,8 +9,12 @@
 /// Answers one call.
 pub async fn answer(shared: &Arc<Shared>, call: PeerCall) -> PeerReply {
     match call {
-        PeerCall::Root(_) => PeerReply::Root(None),
-        PeerCall::Chunks(_) => PeerReply::Chunks(Vec::new()),
+        PeerCall::Root(than) => {
+            let view = shared.view.load();
+            let root = &view.held.root;
+            PeerReply::Root((root.revision > than).then(|| root.clone()))
+        }
+        PeerCall::Chunks(wanted) => PeerReply::Chunks(shared.view.load().held.find(&wanted)),
         PeerCall::Run(request) => PeerReply::Run(run::answer_passed(shared, *request).await),
     }
 }
--- a/crates/standins/src/forwarder/mod.rs
+++ b/crates/standins/src/forwarder/mod.rs
@@ -1,9 +1,10 @@
 //! A forwarder between two addresses that can cut or hold what passes, for tests of cuts.
 
 use std::{
+    collections::HashMap,
     net::SocketAddr,
     sync::{
-        Arc,
+        Arc, Mutex, PoisonError,
         atomic::{AtomicU8, AtomicU64, Ordering},
     },
 };
@@ -24,25 +25,51 @@
     Drop,
 }
 
+/// Sockets of other forwarders by the address that stands behind each.
+type Senders = Arc<Mutex<HashMap<SocketAddr, Arc<UdpSocket>>>>;
+
 /// A running forwarder for TCP and UDP on one port.
 pub struct Forwarder {
     /// Address to send to.
     pub address: SocketAddr,
     mode: Arc<AtomicU8>,
+    dropped: Arc<Mutex<Vec<SocketAddr>>>,
+    socket: Arc<UdpSocket>,
+    senders: Senders,
     gone_silent: Arc<AtomicU64>,
 }
 
 impl Forwarder {
     /// Forwards to `target`.
     pub async fn start(target: SocketAddr) -> std::io::Result<Forwarder> {
-        let listener = TcpListener::bind(serve::any_port()).await?;
+        let listener = TcpListener::bind(serve::free_address()).await?;
         let address = listener.local_addr()?;
-        let socket = UdpSocket::bind(address).await?;
+        let socket = Arc::new(UdpSocket::bind(address).await?);
+        let senders = Senders::default();
         let mode = Arc::new(AtomicU8::new(Mode::Pass as u8));
-        tokio::spawn(forward_udp(socket, target, Arc::clone(&mode)));
+        let dropped = Arc::default();
+        let datagrams = Datagrams {
+            socket: Arc::clone(&socket),
+            target,
+            mode: Arc::clone(&mode),
+            dropped: Arc::clone(&dropped),
+            senders: Arc::clone(&senders),
+        };
+        tokio::spawn(forward_udp(datagrams));
         let gone_silent = Arc::new(AtomicU64::new(0));
         tokio::spawn(accept(listener, target, Arc::clone(&mode), Arc::clone(&gone_silent)));
-        Ok(Forwarder { address, mode, gone_silent })
+        Ok(Forwarder { address, mode, dropped, socket, senders, gone_silent })
+    }
+
+    /// Drops datagrams that come from these addresses.
+    pub fn drop_from(&self, sources: &[SocketAddr]) {
+        *self.dropped.lock().unwrap_or_else(PoisonError::into_inner) = sources.to_vec();
+    }
+
+    /// Lets datagrams from `behind` pass on as if they came from the address of `other`.
+    pub fn know(&self, behind: SocketAddr, other: &Forwarder) {
+        let mut senders = self.senders.lock().unwrap_or_else(PoisonError::into_inner);
+        senders.insert(behind, Arc::clone(&other.socket));
     }
 
     /// Sets what happens to bytes that pass, on open connections too.
@@ -60,12 +87,25 @@
     mode.load(Ordering::Relaxed) == Mode::Pass as u8
 }
 
-async fn forward_udp(socket: UdpSocket, target: SocketAddr, mode: Arc<AtomicU8>) {
+struct Datagrams {
+    socket: Arc<UdpSocket>,
+    target: SocketAddr,
+    mode: Arc<AtomicU8>,
+    dropped: Arc<Mutex<Vec<SocketAddr>>>,
+    senders: Senders,
+}
+
+async fn forward_udp(datagrams: Datagrams) {
+    let Datagrams { socket, target, mode, dropped, senders } = datagrams;
     let mut buf = vec![0; 65_536];
-    while let Ok((len, _)) = socket.recv_from(&mut buf).await {
-        if passes(&mode) {
-            let _ = socket.send_to(&buf[..len], target).await;
+    while let Ok((len, from)) = socket.recv_from(&mut buf).await {
+        let is_dropped = dropped.lock().unwrap_or_else(PoisonError::into_inner).contains(&from);
+        if !passes(&mode) || is_dropped {
+            continue;
         }
+        let sender = senders.lock().unwrap_or_else(PoisonError::into_inner).get(&from).cloned();
+        let sender = sender.unwrap_or_else(|| Arc::clone(&socket));
+        let _ = sender.send_to(&buf[..len], target).await;
     }
 }
 
