--- a/crates/cli/src/error.rs
+++ b/crates/cli/src/error.rs
@@ -67,6 +67,30 @@
         /// Who has not taken it.
         waiting: String,
     },
+    /// The seats were changed twice while hosts may still count by the first table.
+    #[error(
+        "The seats of the failure domains were changed by a revision that is not accepted yet; \
+         they can be changed again once 'wait' says that revision {revision} is accepted."
+    )]
+    SeatsNotSettled {
+        /// Revision in the store.
+        revision: u64,
+    },
+    /// A change was not accepted in time.
+    #[error(
+        "Revision {revision} is written but not accepted after {seconds} s; {majority} of the \
+         declared seats has it in force; outstanding: {outstanding}."
+    )]
+    NotAccepted {
+        /// The revision.
+        revision: u64,
+        /// Length of the wait.
+        seconds: u64,
+        /// Whether a majority has it in force.
+        majority: &'static str,
+        /// Failure domains that have not acknowledged it.
+        outstanding: String,
+    },
     /// No address of a host was given.
     #[error(
         "This command asks hosts: give their operators' addresses with --admin, in \
@@ -121,6 +145,8 @@
             CliError::Conflict { .. } => 4,
             CliError::Store(_) | CliError::NoDeclaration => 5,
             CliError::WaitTimeout { .. } => 6,
+            CliError::NotAccepted { .. } => 7,
+            CliError::SeatsNotSettled { .. } => 8,
             CliError::NoAnswer(_) => 9,
             CliError::NotFound(_) | CliError::Refused(_) => 10,
         }
--- a/crates/core/src/view.rs
+++ b/crates/core/src/view.rs
@@ -1,11 +1,12 @@
 //! What the control thread publishes for the traffic threads.
 
-use std::{collections::BTreeMap, net::SocketAddr, sync::Arc};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use crate::{
-    config::{Revision, root::SeatHolder},
+    config::{Held, Revision, SeatHolder, root::Seats},
     host::{HostInfo, Incarnation},
     rollout::Records,
+    time::Instant,
     world::World,
 };
 
@@ -35,10 +36,18 @@
     pub revision: Revision,
     /// The declaration in force.
     pub world: Arc<World>,
-    /// The seat that this host holds in its failure domain.
+    /// The root record and the chunks of the declaration in force.
+    pub held: Arc<Held>,
+    /// The seat that this host holds in its failure domain and may use for keyed routes.
     pub seat: Option<u16>,
+    /// The seat that it holds by the revision in force, also while its authority has ended: open
+    /// routes go on by it.
+    pub open_seat: Option<u16>,
+    /// Instant at which the revision was proven to be the newest one, none without a seat. Later
+    /// proofs come by [`crate::traffic::Traffic::prove`].
+    pub proof: Option<Instant>,
     /// Holders of the seats of each failure domain, by name of the domain.
-    pub seats: Arc<BTreeMap<String, Vec<Option<SeatHolder>>>>,
+    pub seats: Arc<Seats>,
     /// The highest revision that is known to be accepted: no host acts by a table of declared seats
     /// that is older than it.
     pub accepted: Revision,
@@ -57,7 +66,10 @@
             me,
             revision: 0,
             world: Arc::default(),
+            held: Arc::default(),
             seat: None,
+            open_seat: None,
+            proof: None,
             seats: Arc::default(),
             accepted: 0,
             hosts: Vec::new(),
@@ -66,7 +78,9 @@
         }
     }
 
-    /// The holder of a seat.
+    /// The holder of a seat, as of the revision in force.
+    ///
+    /// A holder that is not confirmed may not use the seat yet: nobody may.
     pub fn seat_holder(&self, domain: &str, seat: u16) -> Option<&SeatHolder> {
         self.seats.get(domain)?.get(usize::from(seat))?.as_ref()
     }
@@ -76,3 +90,8 @@
         self.hosts.iter().find(|h| h.incarnation == incarnation)
     }
 }
+
+/// Whether a host with this proof may still act for `authority` after it.
+pub fn holds_authority(now: Instant, proof: Option<Instant>, authority: Duration) -> bool {
+    proof.is_some_and(|proof| now <= proof + authority)
+}
