--- a/crates/core/src/explain/mod.rs
+++ b/crates/core/src/explain/mod.rs
@@ -10,6 +10,7 @@
     config::Revision,
     lookup::{Query, look_up},
     result::Code,
+    time::Instant,
     traffic::{Request, admit},
     view::View,
     world::{Duty, KeyDigest},
@@ -87,7 +88,9 @@
 fn workspace(view: &View, question: &Question<'_>) -> Result<String, Code> {
     let request =
         Request { route: question.route, key: None, id: None, deadline: None, fingerprint: 0 };
-    let admitted = admit(view, &request, question.key)?;
+    // Authority is not asked for here: its proofs are not in the view.
+    let now = Instant::ZERO;
+    let admitted = admit(view, Some(now), now, &request, question.key)?;
     let Some(key) = admitted.workspace_key else {
         return Ok("none, the route is open".to_owned());
     };
--- a/crates/standins/tests/stop.rs
+++ b/crates/standins/tests/stop.rs
@@ -56,6 +56,7 @@
         hosts: hosts.iter().map(|(n, d)| (n.to_string(), d.to_string())).collect(),
         service_time: Duration::from_millis(100),
         settings: SETTINGS.to_owned(),
+        ..FleetOptions::default()
     };
     let mut fleet = Fleet::start(folder.path(), cfg).await.expect("the fleet starts");
     tokio::time::sleep(Duration::from_secs(1)).await;
