--- a/crates/core/src/rate/basis.rs
+++ b/crates/core/src/rate/basis.rs
@@ -7,7 +7,7 @@
 use std::{collections::HashMap, net::SocketAddr, sync::Arc};
 
 use super::Share;
-use crate::{config::Revision, time::Instant, view::View, world::World};
+use crate::{config::Revision, host::Incarnation, time::Instant, view::View, world::World};
 
 /// Declarations that are kept while they wait for acceptance.
 const MAX_PENDING: usize = 16;
@@ -31,8 +31,17 @@
     pub seat: Option<u16>,
     /// Until when this host may use what its seat owns.
     pub usable_until: Instant,
-    /// Peer addresses of the other holders of seats, by name of the failure domain and seat.
-    pub holders: HashMap<(String, u16), SocketAddr>,
+    /// The other holders of seats, by name of the failure domain and seat.
+    pub holders: HashMap<(String, u16), Holder>,
+}
+
+/// A host that holds a seat.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Holder {
+    /// Its life.
+    pub incarnation: Incarnation,
+    /// Its peer address.
+    pub address: SocketAddr,
 }
 
 impl Standing {
@@ -43,8 +52,9 @@
             held.filter_map(move |(n, s)| Some((domain, n as u16, s.as_ref()?.incarnation)))
         });
         let others = taken.filter(|(_, _, life)| *life != view.me.incarnation);
-        let holders = others.filter_map(|(domain, seat, life)| {
-            Some(((domain.clone(), seat), view.host(life)?.peer_address))
+        let holders = others.filter_map(|(domain, seat, incarnation)| {
+            let address = view.host(incarnation)?.peer_address;
+            Some(((domain.clone(), seat), Holder { incarnation, address }))
         });
         Standing {
             revision: view.revision,
--- a/crates/core/src/rate/borrow.rs
+++ b/crates/core/src/rate/borrow.rs
@@ -6,8 +6,8 @@
     time::Duration,
 };
 
-use super::{LOAN_LIFETIME, MicroTokens, Settled, Share, TOKEN};
-use crate::time::Instant;
+use super::{Holder, LOAN_LIFETIME, MicroTokens, Settled, Share, TOKEN};
+use crate::{host::Incarnation, time::Instant};
 
 /// Time after which an unanswered question no longer counts on its answer.
 const ASK_TIMEOUT: Duration = Duration::from_millis(150);
@@ -34,6 +34,8 @@
 /// A home that another host holds.
 #[derive(Clone, Debug)]
 pub(super) struct Lender {
+    /// The life of the host that holds it.
+    pub life: Incarnation,
     pub address: SocketAddr,
     pub distance: Distance,
     pub share: Share,
@@ -48,9 +50,10 @@
 }
 
 impl Lender {
-    pub fn new(now: Instant, address: SocketAddr, distance: Distance, share: Share) -> Self {
+    pub fn new(now: Instant, holder: Holder, distance: Distance, share: Share) -> Self {
         Lender {
-            address,
+            life: holder.incarnation,
+            address: holder.address,
             distance,
             share,
             known: share.burst,
@@ -79,7 +82,7 @@
 #[derive(Clone, Debug)]
 struct Lot {
     number: u64,
-    lender: SocketAddr,
+    lender: Incarnation,
     tokens: MicroTokens,
     end: Instant,
 }
@@ -87,7 +90,7 @@
 /// A question that has not been answered.
 #[derive(Clone, Debug)]
 struct Ask {
-    lender: SocketAddr,
+    lender: Incarnation,
     tokens: MicroTokens,
     sent: Instant,
     /// Whether the answer is still counted on.
@@ -97,6 +100,7 @@
 /// A question to be sent.
 #[derive(Clone, Debug)]
 pub(super) struct Question {
+    pub lender: Incarnation,
     pub to: SocketAddr,
     pub tokens: MicroTokens,
     pub settled: Vec<Settled>,
@@ -145,7 +149,7 @@
     /// Tokens that lenders can be expected to lend at `at` besides those already asked for.
     pub fn expected(&self, at: Instant) -> MicroTokens {
         let willing = self.lenders.iter().filter(|l| at >= l.quiet_until);
-        willing.map(|l| l.expected(at).saturating_sub(self.asked_of(l.address))).sum()
+        willing.map(|l| l.expected(at).saturating_sub(self.asked_of(l.life))).sum()
     }
 
     /// At most `most` questions that together ask for `wanted` tokens: the nearest lenders first, and among
@@ -163,15 +167,16 @@
             let tokens = tokens.min(left.max(MIN_ASK));
             left = left.saturating_sub(tokens);
             let settled = std::mem::take(&mut lender.settled);
-            questions.push(Question { to: lender.address, tokens, settled });
+            let (life, to) = (lender.life, lender.address);
+            questions.push(Question { lender: life, to, tokens, settled });
         }
         questions
     }
 
     /// Notes that a question was sent.
     pub fn asked(&mut self, now: Instant, number: u64, question: &Question) {
-        let Question { to, tokens, .. } = *question;
-        self.asks.insert(number, Ask { lender: to, tokens, sent: now, counted: true });
+        let Question { lender, tokens, .. } = *question;
+        self.asks.insert(number, Ask { lender, tokens, sent: now, counted: true });
     }
 
     /// Takes in an answer; returns whether it counts. An answer counts once, from the host that
@@ -179,7 +184,7 @@
     pub fn granted(
         &mut self,
         now: Instant,
-        from: SocketAddr,
+        from: Incarnation,
         number: u64,
         tokens: MicroTokens,
         left: MicroTokens,
@@ -211,15 +216,15 @@
     /// be answered and the loans to give back, with the address of each lender.
     pub fn tick(&mut self, now: Instant) -> (Vec<u64>, Vec<(SocketAddr, Settled)>) {
         let silent: Vec<_> = self.asks.values_mut().filter(|a| a.counted).collect();
-        let mut addresses = Vec::new();
+        let mut lives = Vec::new();
         for ask in silent {
             if now.saturating_since(ask.sent) >= ASK_TIMEOUT {
                 ask.counted = false;
-                addresses.push(ask.lender);
+                lives.push(ask.lender);
             }
         }
-        for address in addresses {
-            if let Some(lender) = self.lender(address) {
+        for life in lives {
+            if let Some(lender) = self.lender(life) {
                 lender.back_off(now, SILENT_PAUSE);
             }
         }
@@ -230,20 +235,20 @@
         let mut back = Vec::new();
         while self.lots.front().is_some_and(|lot| lot.end <= now + RETURN_MARGIN) {
             let Some(lot) = self.lots.pop_front() else { break };
-            if now < lot.end {
-                let settled = Settled { number: lot.number, unused: lot.tokens };
-                back.push((lot.lender, settled));
+            let address = self.lender(lot.lender).map(|l| l.address);
+            if let Some(address) = address.filter(|_| now < lot.end) {
+                back.push((address, Settled { number: lot.number, unused: lot.tokens }));
             }
         }
         (ended, back)
     }
 
-    fn lender(&mut self, address: SocketAddr) -> Option<&mut Lender> {
-        self.lenders.iter_mut().find(|l| l.address == address)
+    fn lender(&mut self, life: Incarnation) -> Option<&mut Lender> {
+        self.lenders.iter_mut().find(|l| l.life == life)
     }
 
-    fn settle(&mut self, address: SocketAddr, settled: Settled) {
-        if let Some(lender) = self.lender(address)
+    fn settle(&mut self, life: Incarnation, settled: Settled) {
+        if let Some(lender) = self.lender(life)
             && lender.settled.len() < MAX_SETTLED
         {
             lender.settled.push(settled);
@@ -251,8 +256,8 @@
     }
 
     /// Tokens that one lender is asked for.
-    fn asked_of(&self, address: SocketAddr) -> MicroTokens {
-        let asks = self.asks.values().filter(|a| a.counted && a.lender == address);
+    fn asked_of(&self, life: Incarnation) -> MicroTokens {
+        let asks = self.asks.values().filter(|a| a.counted && a.lender == life);
         asks.map(|a| a.tokens).sum()
     }
 
@@ -260,9 +265,8 @@
     fn askable(&self, now: Instant) -> impl Iterator<Item = (usize, MicroTokens)> {
         self.lenders.iter().enumerate().filter_map(move |(n, lender)| {
             let tokens = lender.expected(now);
-            let may = now >= lender.quiet_until
-                && tokens >= MIN_ASK
-                && self.asked_of(lender.address) == 0;
+            let may =
+                now >= lender.quiet_until && tokens >= MIN_ASK && self.asked_of(lender.life) == 0;
             may.then_some((n, tokens))
         })
     }
--- a/crates/core/src/rate/buckets.rs
+++ b/crates/core/src/rate/buckets.rs
@@ -66,6 +66,8 @@
     basis: Basis,
     pools: SlotMap<PoolKey, Pool>,
     names: HashMap<String, PoolKey>,
+    /// Addresses of the other holders of seats.
+    addresses: HashMap<Incarnation, SocketAddr>,
     /// Questions without an answer.
     asked: HashMap<u64, PoolKey>,
     next_number: u64,
@@ -82,6 +84,7 @@
             basis: Basis::default(),
             pools: SlotMap::default(),
             names: HashMap::new(),
+            addresses: HashMap::new(),
             asked: HashMap::new(),
             next_number: 1,
             outbox: Outbox::default(),
@@ -93,6 +96,8 @@
     pub fn install(&mut self, now: Instant, standing: &Standing) {
         self.usable_until = standing.usable_until;
         self.basis.note(standing);
+        let addresses = standing.holders.values().map(|h| (h.incarnation, h.address));
+        self.addresses = addresses.collect();
         let world = &standing.world;
         self.drop_undeclared(world);
         for (key, workspace) in &world.workspaces {
@@ -178,8 +183,8 @@
                 let id = LoanId { asker: *asker, number: *number };
                 self.lend(now, from, id, workspace, *tokens, settled);
             }
-            RateMsg::Grant { asker, number, tokens, left } if *asker == self.me => {
-                self.granted(now, from, *number, *tokens, *left);
+            RateMsg::Grant { asker, number, lender, tokens, left } if *asker == self.me => {
+                self.granted(now, *lender, *number, *tokens, *left);
             }
             RateMsg::Grant { .. } => self.counters.answers_dropped += 1,
             RateMsg::Return { asker, workspace, settled } => {
@@ -225,7 +230,7 @@
     fn lend(
         &mut self,
         now: Instant,
-        to: SocketAddr,
+        from: SocketAddr,
         id: LoanId,
         workspace: &str,
         wanted: MicroTokens,
@@ -239,7 +244,8 @@
         let left = if may { pool.bucket.tokens(now) } else { 0 };
         self.counters.lent += tokens;
         let LoanId { asker, number } = id;
-        self.send(to, RateMsg::Grant { asker, number, tokens, left });
+        let to = self.addresses.get(&asker).copied().unwrap_or(from);
+        self.send(to, RateMsg::Grant { asker, number, lender: self.me, tokens, left });
         self.verify(key);
         self.deliver(now, key);
     }
@@ -247,7 +253,7 @@
     fn granted(
         &mut self,
         now: Instant,
-        from: SocketAddr,
+        from: Incarnation,
         number: u64,
         tokens: MicroTokens,
         left: MicroTokens,
@@ -342,16 +348,18 @@
     for home in homes {
         let domain = &world.domains[home.domain];
         let at = (domain.name.clone(), home.seat);
-        let Some(&address) = standing.holders.get(&at) else { continue };
+        let Some(&holder) = standing.holders.get(&at) else { continue };
         let distance = match () {
             () if domain.name == standing.domain => Distance::SameDomain,
             () if world.region_of(&standing.domain) == Some(domain.region) => Distance::SameRegion,
             () => Distance::OtherRegion,
         };
-        let same = |l: &Lender| l.address == address && l.share == home.share;
+        let same = |l: &Lender| {
+            l.life == holder.incarnation && l.address == holder.address && l.share == home.share
+        };
         let lender = match old.iter().position(same) {
             Some(n) => old.swap_remove(n),
-            None => Lender::new(now, address, distance, home.share),
+            None => Lender::new(now, holder, distance, home.share),
         };
         pool.borrowed.lenders.push(lender);
     }
--- a/crates/core/src/rate/mod.rs
+++ b/crates/core/src/rate/mod.rs
@@ -18,7 +18,7 @@
 use serde::{Deserialize, Serialize};
 
 pub use self::{
-    basis::Standing,
+    basis::{Holder, Standing},
     buckets::{Buckets, Counters, Take},
     share::{Home, Share, homes},
 };
@@ -67,6 +67,8 @@
         asker: Incarnation,
         /// Number of the question.
         number: u64,
+        /// The life of the host that answers.
+        lender: Incarnation,
         /// Tokens lent, in millionths.
         tokens: MicroTokens,
         /// Tokens that the home has left, in millionths.
--- a/crates/core/tests/rate_fleet/fleet.rs
+++ b/crates/core/tests/rate_fleet/fleet.rs
@@ -11,7 +11,7 @@
 use jasminestage_core::{
     control::PeerMsg,
     host::Incarnation,
-    rate::{Buckets, Counters, LOAN_HOLD, RateMsg, Standing, Take},
+    rate::{Buckets, Counters, Holder, LOAN_HOLD, RateMsg, Standing, Take},
     result::Code,
     time::Instant,
     traffic::{FlightKey, Outbox, TICK_PERIOD},
@@ -470,8 +470,10 @@
     fn install(&mut self, n: usize) {
         let held = |h: &Host| h.seat.is_some();
         let others = self.hosts.iter().enumerate().filter(|(m, h)| *m != n && held(h));
-        let holders =
-            others.filter_map(|(_, h)| Some(((domain_name(h.domain), h.seat?), h.address)));
+        let holders = others.filter_map(|(_, h)| {
+            let holder = Holder { incarnation: h.incarnation, address: h.address };
+            Some(((domain_name(h.domain), h.seat?), holder))
+        });
         let holders = holders.collect();
         let now = self.now;
         let host = &mut self.hosts[n];
--- a/crates/core/tests/rate_moves.rs
+++ b/crates/core/tests/rate_moves.rs
@@ -5,7 +5,7 @@
 use jasminestage_core::{
     control::PeerMsg,
     host::Incarnation,
-    rate::{Buckets, RateMsg, Settled, Standing, TOKEN, Take},
+    rate::{Buckets, Holder, RateMsg, Settled, Standing, TOKEN, Take},
     result::Code,
     time::Instant,
     traffic::{FlightKey, Outbox},
@@ -304,7 +304,10 @@
             admitted: [0, 0],
         };
         pair.hosts[LENDER].install(now, &pair.standing);
-        let holders = HashMap::from([(("d".to_owned(), 0), address(LENDER))]);
+        let holders = HashMap::from([(
+            ("d".to_owned(), 0),
+            Holder { incarnation: Incarnation(0), address: address(LENDER) },
+        )]);
         let other = Standing { seat: None, holders, ..pair.standing.clone() };
         pair.hosts[BORROWER].install(now, &other);
         pair
