--- a/crates/standins/tests/rate.rs
+++ b/crates/standins/tests/rate.rs
@@ -130,8 +130,8 @@
     for task in running {
         task.await.expect("a request ends");
     }
-    let admitted = admitted.lock().expect("no holder panics").clone();
-    admitted
+    let admitted = Arc::into_inner(admitted).expect("all requests have ended");
+    admitted.into_inner().expect("no holder panics")
 }
 
 /// The most that was admitted above `rate x window + burst`. A request was admitted at some moment
