--- a/crates/core/examples/sim/mod.rs
+++ b/crates/core/examples/sim/mod.rs
@@ -263,6 +263,7 @@
                 revision: 1,
                 world: Arc::clone(&world),
                 seat: Some(seat),
+                open_seat: Some(seat),
                 hosts: live.clone(),
                 ..View::empty(me)
             };
--- a/crates/daemon/src/options/load.rs
+++ b/crates/daemon/src/options/load.rs
@@ -54,6 +54,12 @@
     required("host", "domain", |o, t| put(&mut o.domain, fields::name(t))),
     required("host", "caller_address", |o, t| put(&mut o.caller_address, address(t))),
     required("host", "peer_address", |o, t| put(&mut o.peer_address, address(t))),
+    setting(
+        "host",
+        "peer_listen",
+        |o, t| put(&mut o.peer_listen, address(t).map(Some)),
+        |o| o.peer_listen.map(|a| a.to_string()).unwrap_or_default(),
+    ),
     required("host", "admin_address", |o, t| put(&mut o.admin_address, address(t))),
     required("fleet", "secret", |o, t| secret(t).map(|s| o.fleet_key.set_secret(s))),
     setting(
--- a/crates/standins/src/fleet.rs
+++ b/crates/standins/src/fleet.rs
@@ -13,6 +13,7 @@
 
 use crate::{
     backend::{Backend, Behaviour},
+    forwarder::{Forwarder, Mode},
     platform::Platform,
     process::{HostOptions, HostProcess, binary, eventually},
 };
@@ -20,6 +21,12 @@
 /// Longest wait for a fleet to be ready.
 const READY_LIMIT: Duration = Duration::from_secs(20);
 
+/// Time for the buckets of a new seat to hold some tokens.
+const FILL_TIME: Duration = Duration::from_millis(500);
+
+/// Lines of a host's log that are shown when a fleet does not start.
+const LOG_LINES: usize = 12;
+
 /// What to start.
 #[derive(Clone, Debug)]
 pub struct FleetOptions {
@@ -31,6 +38,8 @@
     pub service_time: Duration,
     /// Lines added to the settings of each host.
     pub settings: String,
+    /// Whether what goes to hosts and from them to the store passes forwarders.
+    pub forwarded: bool,
 }
 
 impl Default for FleetOptions {
@@ -40,10 +49,31 @@
             hosts: Vec::new(),
             service_time: Duration::from_millis(5),
             settings: String::new(),
+            forwarded: false,
         }
     }
 }
 
+/// What stands between one host and the others.
+pub struct Link {
+    /// Before the host, for other hosts.
+    pub peer: Forwarder,
+    /// Before the store, for this host.
+    pub store: Forwarder,
+}
+
+impl Link {
+    async fn start(host: &mut HostOptions, platform: SocketAddr) -> std::io::Result<Link> {
+        let listen = host.peer;
+        let peer = Forwarder::start(listen).await?;
+        let store = Forwarder::start(platform).await?;
+        host.listen = Some(listen);
+        host.peer = peer.address;
+        host.store = format!("http://{}", store.address);
+        Ok(Link { peer, store })
+    }
+}
+
 /// A running fleet; everything ends when it is dropped.
 pub struct Fleet {
     /// The platform.
@@ -52,6 +82,8 @@
     pub backends: HashMap<String, Backend>,
     /// Hosts in the order of the options.
     pub hosts: Vec<HostProcess>,
+    /// Forwarders before the hosts, in the same order, if there are any.
+    pub links: Vec<Link>,
     /// The declaration with the true addresses.
     pub declaration: String,
     /// Folder for settings, logs and declarations.
@@ -64,14 +96,19 @@
         let mut fleet = Fleet::start_empty(folder, cfg).await?;
         let declaration = fleet.declaration.clone();
         fleet.apply(&declaration)?;
-        if fleet.ready(READY_LIMIT).await { Ok(fleet) } else { Err("not ready in time".into()) }
+        if !fleet.ready(READY_LIMIT).await {
+            return Err(format!("not ready in time:\n{}", fleet.describe().await));
+        }
+        // The buckets of a new seat are empty at first.
+        tokio::time::sleep(FILL_TIME).await;
+        Ok(fleet)
     }
 
     /// Starts everything without applying the declaration.
     pub async fn start_empty(folder: &Path, cfg: FleetOptions) -> Result<Fleet, String> {
         let platform = Platform::start().await;
         let world = world::parse(&cfg.declaration).map_err(|e| e.to_string())?;
-        let mut declaration = cfg.declaration;
+        let mut declaration = with_seats_for(&cfg.declaration, &cfg.hosts);
         let mut backends = HashMap::new();
         for server in world.servers.values() {
             let behaviour = Behaviour {
@@ -91,6 +128,18 @@
             .iter()
             .map(|(name, domain)| HostOptions::new(name, domain, &platform.url()))
             .collect();
+        let mut links = Vec::new();
+        if cfg.forwarded {
+            for host in &mut all {
+                let link = Link::start(host, platform.address).await;
+                links.push(link.map_err(|e| e.to_string())?);
+            }
+            for link in &links {
+                for (host, other) in all.iter().zip(&links) {
+                    link.peer.know(host.listen.unwrap_or(host.peer), &other.peer);
+                }
+            }
+        }
         let seeds: Vec<SocketAddr> = all.iter().map(|h| h.peer).collect();
         for host in &mut all {
             host.seeds.clone_from(&seeds);
@@ -100,7 +149,32 @@
             .into_iter()
             .map(|host| HostProcess::start(folder, host).map_err(|e| e.to_string()))
             .collect::<Result<_, _>>()?;
-        Ok(Fleet { platform, backends, hosts, declaration, folder: folder.to_owned() })
+        Ok(Fleet { platform, backends, hosts, links, declaration, folder: folder.to_owned() })
+    }
+
+    /// Cuts the hosts of a failure domain off from all others and from the store, or joins them.
+    pub fn cut(&self, domain: &str, is_cut: bool) {
+        let mode = if is_cut { Mode::Drop } else { Mode::Pass };
+        let inside = |n: usize| self.hosts[n].cfg.domain == domain;
+        let sources: Vec<SocketAddr> = self
+            .hosts
+            .iter()
+            .filter(|h| h.cfg.domain == domain)
+            .filter_map(|h| h.cfg.listen)
+            .collect();
+        let outside: Vec<SocketAddr> = self
+            .hosts
+            .iter()
+            .filter(|h| h.cfg.domain != domain)
+            .filter_map(|h| h.cfg.listen)
+            .collect();
+        for (n, link) in self.links.iter().enumerate() {
+            let dropped = if inside(n) { &outside } else { &sources };
+            link.peer.drop_from(if is_cut { dropped } else { &[] });
+            if inside(n) {
+                link.store.set(mode);
+            }
+        }
     }
 
     /// Runs the operators' tool against the fleet's store.
@@ -125,6 +199,19 @@
         }
     }
 
+    /// What each host says of itself, with the end of its log.
+    async fn describe(&self) -> String {
+        let http = reqwest::Client::new();
+        let mut text = String::new();
+        for host in &self.hosts {
+            let status = status(&http, host.cfg.admin).await;
+            let log = fs::read_to_string(&host.log).unwrap_or_default();
+            let last: Vec<_> = log.lines().rev().take(LOG_LINES).collect();
+            text.push_str(&format!("{}: {status:?}\n{}\n", host.cfg.name, last.join("\n")));
+        }
+        text
+    }
+
     /// Waits until every host is ready and knows every other one.
     pub async fn ready(&self, limit: Duration) -> bool {
         let http = reqwest::Client::new();
@@ -142,6 +229,27 @@
     }
 }
 
+/// The declaration with no more seats in a failure domain than it has hosts here: a majority of
+/// the declared seats must be held for anything to be accepted.
+fn with_seats_for(declaration: &str, hosts: &[(String, String)]) -> String {
+    let mut domain = "";
+    let mut text = String::with_capacity(declaration.len());
+    for line in declaration.lines() {
+        if let Some(heading) = line.strip_prefix('[') {
+            domain = heading.strip_prefix("domain ").map_or("", |h| h.trim_end_matches(']'));
+        }
+        let declared = line.strip_prefix("seats = ").and_then(|n| n.parse::<usize>().ok());
+        match declared.filter(|_| !domain.is_empty()) {
+            Some(declared) => {
+                let count = hosts.iter().filter(|(_, d)| d == domain).count();
+                text.push_str(&format!("seats = {}\n", declared.min(count)));
+            }
+            None => text.push_str(&format!("{line}\n")),
+        }
+    }
+    text
+}
+
 fn knows_all(status: &serde_json::Value, count: usize) -> bool {
     status["revision"].as_u64().is_some_and(|r| r > 0)
         && status["seat"].is_u64()
