Join the rates to proof, acceptance and the seats in force

Cause: the rates took every revision as accepted and their authority as without end.

Change: the root record says which revision brought the last change of rates and bursts and which the one before, so that a host that missed one knows it. The tool waits to write other limits until the last ones are accepted. A host uses and lends what its seat owns until its proof and the longest authority end; seats that are not confirmed count as vacant.

--- a/crates/cli/src/commands/apply.rs
+++ b/crates/cli/src/commands/apply.rs
@@ -4,6 +4,7 @@
 
 use jasminestage_core::{
     config::{Acceptance, ChunkHash, Declared, Root, accept, chunk, split},
+    rate,
     world::{self, World},
 };
 use jasminestage_store::{Client, StoreError, Versioned};
@@ -14,6 +15,8 @@
 
 /// Tries of a write that other writers of the root record come before.
 const WRITE_TRIES: u32 = 50;
+/// Tries of a write that waits until the last change of seats or limits is accepted.
+const SETTLE_TRIES: u32 = 12;
 /// Tries to write one chunk.
 const CHUNK_TRIES: u32 = 4;
 /// Tries to read the root record back after a write whose answer was lost.
@@ -119,15 +122,23 @@
         index: put_chunks(store, &base, text).await?,
         seat_counts: world.seat_counts(),
         authority: world.longest_authority(),
+        limits: rate::digest(world),
     };
     let write_id = format!("{:032x}", rand::random::<u128>());
+    let mut unsettled = 0;
     for _ in 0..WRITE_TRIES {
         let acks = store.acks().await?;
         let is_settled =
             accept::acceptance(&held.value, &acks, held.value.revision) == Acceptance::Accepted;
         let next = held.value.with_declaration(declared.clone(), is_settled, &write_id);
         let Some(next) = next else {
-            return Err(CliError::SeatsNotSettled { revision: held.value.revision });
+            unsettled += 1;
+            if unsettled == SETTLE_TRIES {
+                return Err(CliError::SeatsNotSettled { revision: held.value.revision });
+            }
+            tokio::time::sleep(RESOLVE_PERIOD).await;
+            held = read_back(store).await?;
+            continue;
         };
         match store.swap_root(held.version, &next).await {
             Ok(true) => return Ok(next.revision),
--- a/crates/core/src/config/chunk.rs
+++ b/crates/core/src/config/chunk.rs
@@ -24,7 +24,7 @@
 
 /// SHA-256 of a chunk's body.
 #[derive(
-    Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, SerializeDisplay, DeserializeFromStr,
+    Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, SerializeDisplay, DeserializeFromStr,
 )]
 pub struct ChunkHash(pub [u8; 32]);
 
--- a/crates/core/src/config/root.rs
+++ b/crates/core/src/config/root.rs
@@ -70,6 +70,19 @@
     pub seat_counts: SeatCounts,
     /// Longest authority of a route.
     pub authority: Duration,
+    /// Digest of the rates and bursts and of the seats that own them.
+    pub limits: ChunkHash,
+}
+
+/// The last change of rates and bursts, or of the seats that own them.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LimitsChange {
+    /// Digest of what is in force since.
+    pub digest: Option<ChunkHash>,
+    /// The revision that brought it.
+    pub since: Revision,
+    /// The revision that brought what was in force before.
+    pub before: Revision,
 }
 
 /// The root record of the configuration.
@@ -96,6 +109,9 @@
     /// Longest authority that an earlier declaration may still give.
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     pub authority_before: Duration,
+    /// The last change of rates and bursts.
+    #[serde(default)]
+    pub limits: Box<LimitsChange>,
     /// Holders of the seats of each failure domain, by name of the domain.
     pub seats: Seats,
     /// Versions of the routes and steps of the moves between them.
@@ -211,7 +227,8 @@
     /// The next root, with another declaration; `is_settled` says that this one is accepted.
     ///
     /// A host that is cut off may count seats by this record or by one before it, so that a
-    /// majority is needed by both tables. With a third one there is no next root.
+    /// majority is needed by both tables. With a third one there is no next root. Nor is there one
+    /// with other rates and bursts before the last change of them is accepted.
     pub fn with_declaration(
         &self,
         declared: Declared,
@@ -230,6 +247,13 @@
             [table] => table.clone(),
             _ => return None,
         };
+        if self.limits.digest != Some(declared.limits) {
+            if !is_settled && self.limits.digest.is_some() {
+                return None;
+            }
+            let (since, before) = (next.revision, self.limits.since);
+            next.limits = Box::new(LimitsChange { digest: Some(declared.limits), since, before });
+        }
         next.declared = next.revision;
         next.index = declared.index;
         next.seat_counts = declared.seat_counts;
--- a/crates/core/src/explain/mod.rs
+++ b/crates/core/src/explain/mod.rs
@@ -87,7 +87,9 @@
 fn workspace(view: &View, question: &Question<'_>) -> Result<String, Code> {
     let request =
         Request { route: question.route, key: None, id: None, deadline: None, fingerprint: 0 };
-    let admitted = admit(view, &request, question.key)?;
+    // Authority counts as of the last proof that the view carries.
+    let proved = view.proof.unwrap_or_default();
+    let admitted = admit(view, view.proof, proved, &request, question.key)?;
     let Some(key) = admitted.workspace_key else {
         return Ok("none, the route is open".to_owned());
     };
--- a/crates/core/src/rate/basis.rs
+++ b/crates/core/src/rate/basis.rs
@@ -15,13 +15,11 @@
 /// What the rates need to know of the configuration and the fleet.
 #[derive(Clone, Debug)]
 pub struct Standing {
-    /// Revision in force on this host.
-    pub revision: Revision,
     /// Highest revision that is known to be accepted.
     pub accepted: Revision,
-    /// Revision by which the declaration in force was applied.
+    /// Revision that brought the limits in force.
     pub declared: Revision,
-    /// Revision by which the declaration before it was applied.
+    /// Revision that brought the limits before them.
     pub declared_before: Revision,
     /// The declaration in force.
     pub world: Arc<World>,
@@ -49,22 +47,25 @@
     pub fn of(view: &View) -> Self {
         let taken = view.seats.iter().flat_map(|(domain, row)| {
             let held = row.iter().enumerate();
-            held.filter_map(move |(n, s)| Some((domain, n as u16, s.as_ref()?.incarnation)))
+            held.filter_map(move |(n, s)| Some((domain, n as u16, s.as_ref()?)))
         });
-        let others = taken.filter(|(_, _, life)| *life != view.me.incarnation);
-        let holders = others.filter_map(|(domain, seat, incarnation)| {
+        let others =
+            taken.filter(|(_, _, s)| s.is_confirmed() && s.incarnation != view.me.incarnation);
+        let holders = others.filter_map(|(domain, seat, s)| {
+            let incarnation = s.incarnation;
             let address = view.host(incarnation)?.peer_address;
             Some(((domain.clone(), seat), Holder { incarnation, address }))
         });
+        let limits = &view.held.root.limits;
+        let authority = view.world.longest_authority();
         Standing {
-            revision: view.revision,
             accepted: view.accepted,
-            declared: view.revision,
-            declared_before: 0,
+            declared: limits.since,
+            declared_before: limits.before,
             world: Arc::clone(&view.world),
             domain: view.me.domain.clone(),
             seat: view.seat,
-            usable_until: Instant::MAX,
+            usable_until: view.proof.map_or(Instant::ZERO, |proof| proof + authority),
             holders: holders.collect(),
         }
     }
@@ -88,15 +89,16 @@
     /// Takes in the declaration in force and what is accepted.
     pub fn note(&mut self, standing: &Standing) {
         let Standing { declared, declared_before, accepted, .. } = *standing;
-        let last = self.entries.last().map(|e| e.declared);
-        let same = self.entries.last().is_some_and(|e| Arc::ptr_eq(&e.world, &standing.world));
-        if !same {
-            let missed = last.is_none_or(|last| last < declared_before);
-            if missed || self.entries.len() >= MAX_PENDING {
-                self.unknown_until = Some(declared);
-                self.entries.clear();
+        match self.entries.last_mut() {
+            Some(last) if last.declared == declared => last.world = Arc::clone(&standing.world),
+            last => {
+                let missed = last.is_none_or(|last| last.declared < declared_before);
+                if missed || self.entries.len() >= MAX_PENDING {
+                    self.unknown_until = Some(declared);
+                    self.entries.clear();
+                }
+                self.entries.push(Entry { declared, world: Arc::clone(&standing.world) });
             }
-            self.entries.push(Entry { declared, world: Arc::clone(&standing.world) });
         }
         let settled = self.entries.iter().rposition(|e| e.declared <= accepted).unwrap_or(0);
         self.entries.drain(..settled);
--- a/crates/core/src/rate/buckets.rs
+++ b/crates/core/src/rate/buckets.rs
@@ -120,6 +120,11 @@
         }
     }
 
+    /// Goes on until a later instant with what this host's seat owns.
+    pub fn extend(&mut self, usable_until: Instant) {
+        self.usable_until = self.usable_until.max(usable_until);
+    }
+
     /// Asks for a token of a workspace, for a request that has arrived or was woken.
     pub fn take(
         &mut self,
--- a/crates/core/src/rate/mod.rs
+++ b/crates/core/src/rate/mod.rs
@@ -20,7 +20,7 @@
 pub use self::{
     basis::{Holder, Standing},
     buckets::{Buckets, Counters, Take},
-    share::{Home, Share, homes},
+    share::{Home, Share, digest, homes},
 };
 use crate::host::Incarnation;
 
--- a/crates/core/src/rate/share.rs
+++ b/crates/core/src/rate/share.rs
@@ -3,7 +3,10 @@
 use sha2::{Digest, Sha256};
 
 use super::{MicroTokens, TOKEN};
-use crate::world::{DomainKey, Workspace, World};
+use crate::{
+    config::ChunkHash,
+    world::{DomainKey, Workspace, World},
+};
 
 /// Smallest burst that a failure domain gets when there is a choice.
 const MIN_DOMAIN_BURST: MicroTokens = 2 * TOKEN;
@@ -71,6 +74,20 @@
     homes
 }
 
+/// Digest of all shares: equal when no seat's share of any workspace differs.
+pub fn digest(world: &World) -> ChunkHash {
+    let mut lines: Vec<String> = Vec::new();
+    for (key, workspace) in &world.workspaces {
+        lines.extend(world.homes_of(key).iter().map(|home| {
+            let domain = &world.domains[home.domain].name;
+            let Home { seat, share: Share { rate, burst }, .. } = home;
+            format!("{} {domain} {seat} {rate} {burst}\n", workspace.name)
+        }));
+    }
+    lines.sort_unstable();
+    ChunkHash::of(&lines.concat())
+}
+
 /// Rendezvous rank, the same on every host and in every build.
 fn rank(workspace: &str, domain: &str, seat: Option<u16>) -> [u8; 32] {
     let mut hash = Sha256::new();
--- a/crates/core/src/traffic/early.rs
+++ b/crates/core/src/traffic/early.rs
@@ -14,7 +14,8 @@
     /// here, because a resend is due the answer of its first try.
     pub fn refuse_early(&mut self, now: Instant, route: &str, key: Option<&[u8]>) -> Option<Code> {
         let req = Request { route, key, id: None, deadline: None, fingerprint: 0 };
-        let admitted = match admit::admit(&self.view, &req, admit::digest(&req)) {
+        let key = admit::digest(&req);
+        let admitted = match admit::admit(&self.view, self.proof, now, &req, key) {
             Ok(admitted) => admitted,
             Err(code @ (Code::KeyMissing | Code::KeyUnknown | Code::RouteNotAllowed)) => {
                 return Some(code);
--- a/crates/core/src/traffic/mod.rs
+++ b/crates/core/src/traffic/mod.rs
@@ -89,6 +89,7 @@
     pub fn prove(&mut self, proof: Instant) {
         if self.view.seat.is_some() {
             self.proof = self.proof.max(Some(proof));
+            self.rates.extend(proof + self.view.world.longest_authority());
         }
     }
 
--- a/crates/core/tests/config_net/mod.rs
+++ b/crates/core/tests/config_net/mod.rs
@@ -212,6 +212,7 @@
             index: parts.index.iter().map(|b| ChunkHash::of(b)).collect(),
             seat_counts: world.seat_counts(),
             authority: world.longest_authority(),
+            limits: jasminestage_core::rate::digest(&world),
         };
         let held = &self.store.root;
         let is_settled =
--- a/crates/core/tests/rate_fleet/fleet.rs
+++ b/crates/core/tests/rate_fleet/fleet.rs
@@ -478,7 +478,6 @@
         let now = self.now;
         let host = &mut self.hosts[n];
         let standing = Standing {
-            revision: host.declared as u64,
             accepted: host.accepted as u64,
             declared: host.declared as u64,
             declared_before: host.declared as u64 - 1,
--- a/crates/core/tests/rate_moves.rs
+++ b/crates/core/tests/rate_moves.rs
@@ -283,7 +283,6 @@
     fn new() -> Self {
         let now = Instant::from_millis(1000);
         let standing = Standing {
-            revision: 1,
             accepted: 1,
             declared: 1,
             declared_before: 0,
@@ -349,7 +348,6 @@
     fn apply(&mut self, rate: u32, burst: u32, missed: u64) {
         self.standing.declared_before = self.standing.declared + missed;
         self.standing.declared += 1 + missed;
-        self.standing.revision = self.standing.declared;
         self.standing.world = declared(rate, burst);
         self.hosts[LENDER].install(self.now, &self.standing);
     }
--- a/crates/standins/tests/stop.rs
+++ b/crates/standins/tests/stop.rs
@@ -51,6 +51,7 @@
     let folder = tempfile::tempdir().expect("a folder for the test");
     let hosts = [("z1", "zurich-1"), ("z2", "zurich-2"), ("g1", "geneva-1")];
     let cfg = FleetOptions {
+        forwarded: false,
         declaration: include_str!("../../../samples/lagerwerk.ini")
             .replace("rate = 300\nburst = 300", "rate = 3000\nburst = 3000"),
         hosts: hosts.iter().map(|(n, d)| (n.to_string(), d.to_string())).collect(),
