Let requests wait while a host has only just come to its seat

Cause: a test of the configuration found a request refused as over rate at the start of a fleet: a new seat's room is blocked for 420 ms and its share is not known before the limits are accepted.

Change: until then a request waits up to 1.5 s instead of being refused.

--- a/crates/core/src/rate/basis.rs
+++ b/crates/core/src/rate/basis.rs
@@ -107,6 +107,11 @@
         }
     }
 
+    /// Whether some share is known for certain.
+    pub fn is_known(&self) -> bool {
+        self.unknown_until.is_none()
+    }
+
     /// What a seat owns of a workspace for certain.
     pub fn share(&self, domain: &str, seat: u16, workspace: &str) -> Share {
         if self.unknown_until.is_some() {
--- a/crates/core/src/rate/bucket.rs
+++ b/crates/core/src/rate/bucket.rs
@@ -75,6 +75,12 @@
         self.tokens = self.tokens.min(self.room());
     }
 
+    /// Whether the whole room is still blocked, as it is when a seat was taken just now.
+    pub fn is_blocked(&mut self, now: Instant) -> bool {
+        self.fill(now);
+        !self.blocks.is_empty() && self.room() == 0
+    }
+
     /// Tokens at this moment.
     pub fn tokens(&mut self, now: Instant) -> MicroTokens {
         self.fill(now);
--- a/crates/core/src/rate/buckets.rs
+++ b/crates/core/src/rate/buckets.rs
@@ -115,6 +115,7 @@
                 rate: u64::from(workspace.rate) * TOKEN,
                 burst: u64::from(workspace.burst) * TOKEN,
             };
+            pool.is_known = self.basis.is_known();
             pool.bucket.set_share(now, share);
             set_lenders(now, pool, world.homes_of(key), standing);
         }
--- a/crates/core/src/rate/pool.rs
+++ b/crates/core/src/rate/pool.rs
@@ -12,6 +12,8 @@
     traffic::{FlightKey, TICK_PERIOD},
 };
 
+/// Longest wait of a request for a token on a host that has only just come to its seat.
+const MAX_START_WAIT: Duration = Duration::from_millis(1500);
 /// Requests of one workspace that wait on one host.
 const MAX_WAITING: usize = 64;
 /// Time in which a woken request must be resumed to use its token.
@@ -54,6 +56,8 @@
     pub name: String,
     /// Declared rate and burst of the workspace.
     pub whole: Share,
+    /// Whether the share of this host's seat is known.
+    pub is_known: bool,
     pub bucket: Bucket,
     pub borrowed: Borrowed,
     waiting: VecDeque<Waiting>,
@@ -69,6 +73,7 @@
         Pool {
             name: name.to_owned(),
             whole: Share::default(),
+            is_known: false,
             bucket: Bucket::new(now),
             borrowed: Borrowed::default(),
             waiting: VecDeque::new(),
@@ -88,7 +93,8 @@
         if self.is_exhausted(now) {
             return Entry::Refused;
         }
-        let until = deadline.min(now + MAX_WAIT);
+        let longest = if self.is_starting(now) { MAX_START_WAIT } else { MAX_WAIT };
+        let until = deadline.min(now + longest);
         self.waiting.push_back(Waiting { flight, until });
         Entry::Waiting(until)
     }
@@ -116,6 +122,9 @@
         if self.waiting.len() >= MAX_WAITING {
             return true;
         }
+        if self.is_starting(now) {
+            return false;
+        }
         let refill = tokens_in(self.bucket.share().rate, MAX_WAIT);
         let supply = self.at_hand(now) + refill + self.borrowed.expected(now + MAX_WAIT);
         supply < self.needed() + TOKEN
@@ -195,6 +204,12 @@
         self.bucket.tokens(now) + self.borrowed.tokens(now) + self.borrowed.pending()
     }
 
+    /// Whether this host has only just come to its seat, or to a change that it knows not to be
+    /// accepted: its tokens come soon.
+    fn is_starting(&mut self, now: Instant) -> bool {
+        !self.is_known || self.bucket.is_blocked(now)
+    }
+
     /// Tokens that the requests here need.
     fn needed(&self) -> MicroTokens {
         (self.waiting.len() + self.ready.len()) as u64 * TOKEN
