--- a/crates/core/src/lookup/mod.rs
+++ b/crates/core/src/lookup/mod.rs
@@ -7,7 +7,7 @@
 use crate::{
     result::Code,
     view::{LiveHost, View},
-    world::{KeyDigest, WorkspaceKey},
+    world::{Access, KeyDigest, RegionKey, WorkspaceKey},
 };
 
 /// Hosts named in one answer.
@@ -47,16 +47,35 @@
     let near =
         view.world.blocks.region(query.client).or_else(|| view.world.region_of(&view.me.domain));
     let workspace = query.key.and_then(|key| workspace_of(view, key));
-    let mut hosts: Vec<_> = view.hosts.iter().filter(|h| h.taking).collect();
+    let is_keyed = view.world.route(query.route).is_some_and(|(_, r)| r.access == Access::Keyed);
+    let serves = |h: &LiveHost| h.taking && (!is_keyed || has_seat(view, h));
+    let mut hosts = hosts_near(view, near);
+    hosts.retain(|h| serves(h));
+    if hosts.len() < MAX_HOSTS {
+        hosts = view.hosts.iter().filter(|h| h.taking).collect();
+    }
     hosts.sort_by_cached_key(|h| {
         let far = view.world.region_of(&h.domain) != near;
         let astray = workspace.is_some_and(|w| !is_home(view, w, h));
-        (far, astray, weight(&h.name, query.client))
+        (!serves(h), far, astray, weight(&h.name, query.client))
     });
     hosts.truncate(MAX_HOSTS);
     if hosts.is_empty() { Err(Code::NoServer) } else { Ok(Answer { hosts, lifetime: LIFETIME }) }
 }
 
+/// Live hosts of the failure domains of a region.
+fn hosts_near(view: &View, region: Option<RegionKey>) -> Vec<&LiveHost> {
+    let domains = view.world.domains.values().filter(|d| Some(d.region) == region);
+    let names: Vec<&str> = domains.map(|d| d.name.as_str()).collect();
+    view.hosts.iter().filter(|h| names.contains(&h.domain.as_str())).collect()
+}
+
+/// Whether a host holds a seat that it may use: only such a host serves keyed routes.
+fn has_seat(view: &View, host: &LiveHost) -> bool {
+    let mut row = view.seats.get(&host.domain).into_iter().flatten().flatten();
+    row.any(|s| s.incarnation == host.incarnation && s.is_confirmed())
+}
+
 fn workspace_of(view: &View, key: &[u8]) -> Option<WorkspaceKey> {
     let digest: KeyDigest = Sha256::digest(key).into();
     view.world.key_owners.get(&digest).copied()
--- a/crates/core/src/rate/basis.rs
+++ b/crates/core/src/rate/basis.rs
@@ -51,10 +51,9 @@
         });
         let others =
             taken.filter(|(_, _, s)| s.is_confirmed() && s.incarnation != view.me.incarnation);
-        let holders = others.filter_map(|(domain, seat, s)| {
-            let incarnation = s.incarnation;
-            let address = view.host(incarnation)?.peer_address;
-            Some(((domain.clone(), seat), Holder { incarnation, address }))
+        let holders = others.map(|(domain, seat, s)| {
+            let holder = Holder { incarnation: s.incarnation, address: s.peer_address };
+            ((domain.clone(), seat), holder)
         });
         let limits = &view.held.root.limits;
         let authority = view.world.longest_authority();
--- a/crates/core/src/rate/borrow.rs
+++ b/crates/core/src/rate/borrow.rs
@@ -12,7 +12,7 @@
 /// Time after which an unanswered question no longer counts on its answer.
 const ASK_TIMEOUT: Duration = Duration::from_millis(150);
 /// First and longest pause after an empty answer.
-const EMPTY_PAUSE: (Duration, Duration) = (Duration::from_millis(50), Duration::from_millis(400));
+const EMPTY_PAUSE: (Duration, Duration) = (Duration::from_millis(50), Duration::from_millis(1600));
 /// First and longest pause after no answer.
 const SILENT_PAUSE: (Duration, Duration) = (Duration::from_secs(1), Duration::from_secs(8));
 /// Time before the end of a loan at which what is left of it is given back.
--- /dev/null
+++ b/crates/core/tests/lookup.rs
@@ -0,0 +1,138 @@
+//! Which hosts a look-up names, and in which order.
+
+use std::{collections::BTreeMap, sync::Arc};
+
+use jasminestage_core::{
+    config::SeatHolder,
+    host::{HostInfo, Incarnation},
+    lookup::{Query, look_up},
+    view::{LiveHost, View},
+    world,
+};
+use sha2::{Digest, Sha256};
+
+/// Name, failure domain and seat of each host; `n` and `m` stand in the caller's region.
+const HOSTS: &[(&str, &str, Option<usize>)] =
+    &[("n", "near", Some(0)), ("m", "near", Some(1)), ("x", "near", None), ("f", "far", Some(0))];
+
+struct Case {
+    name: &'static str,
+    route: &'static str,
+    key: Option<&'static str>,
+    leaving: &'static [&'static str],
+    /// The first hosts of the answer, each group in any order.
+    groups: &'static [&'static [&'static str]],
+}
+
+const CASES: &[Case] = &[
+    Case {
+        name: "near hosts with a seat first, the one without a seat last",
+        route: "read",
+        key: None,
+        leaving: &[],
+        groups: &[&["n", "m"], &["f"], &["x"]],
+    },
+    Case {
+        name: "open routes need no seat",
+        route: "open",
+        key: None,
+        leaving: &[],
+        groups: &[&["n", "m", "x"], &["f"]],
+    },
+    Case {
+        name: "a small workspace's home in the caller's region first",
+        route: "read",
+        key: Some("key"),
+        leaving: &[],
+        groups: &[&["HOME"], &["OTHER"], &["f"], &["x"]],
+    },
+    Case {
+        name: "an unknown key leads nowhere else",
+        route: "read",
+        key: Some("none"),
+        leaving: &[],
+        groups: &[&["n", "m"], &["f"], &["x"]],
+    },
+    Case {
+        name: "hosts that leave are not named",
+        route: "read",
+        key: Some("key"),
+        leaving: &["n"],
+        groups: &[&["m"], &["f"], &["x"]],
+    },
+];
+
+fn view(leaving: &[&str]) -> View {
+    let text = format!(
+        "[region r]\n[region s]\n[domain near]\nregion = r\nseats = 2\n\
+         [domain far]\nregion = s\nseats = 1\n[route read]\naccess = keyed\nrepeat = idempotent\n\
+         [route open]\naccess = open\nrepeat = idempotent\n\
+         [workspace w]\nkeys = sha256:{}\nrate = 5\nburst = 4\n[clients]\n10.0.0.0/8 = r\n",
+        hex::encode(Sha256::digest("key"))
+    );
+    let address = ([127, 0, 0, 1], 1).into();
+    let mut seats: BTreeMap<String, Vec<Option<SeatHolder>>> =
+        BTreeMap::from([("near".into(), vec![None; 2]), ("far".into(), vec![None])]);
+    let mut hosts = Vec::new();
+    for (n, (name, domain, seat)) in HOSTS.iter().enumerate() {
+        let incarnation = Incarnation(n as u64 + 1);
+        hosts.push(LiveHost {
+            name: name.to_string(),
+            domain: domain.to_string(),
+            caller_address: address,
+            peer_address: address,
+            incarnation,
+            taking: !leaving.contains(name),
+        });
+        if let Some(seat) = seat {
+            let host = name.to_string();
+            let row = seats.get_mut(*domain).expect("the domain is declared");
+            let peer_address = address;
+            row[*seat] =
+                Some(SeatHolder { host, incarnation, peer_address, since: 1, displaced: None });
+        }
+    }
+    let me = HostInfo {
+        name: "n".into(),
+        domain: "near".into(),
+        caller_address: address,
+        peer_address: address,
+        incarnation: Incarnation(1),
+    };
+    let world = Arc::new(world::parse(&text).expect("the declaration is valid"));
+    View { revision: 1, world, seats: seats.into(), hosts, ..View::empty(me) }
+}
+
+/// The near host that holds the workspace's home, and the other one.
+fn home_and_other(view: &View) -> (&'static str, &'static str) {
+    let key = view.world.workspace_names["w"];
+    let near = view.world.domain("near");
+    let homes = view.world.homes_of(key);
+    let seat = homes.iter().find(|h| Some(h.domain) == near).expect("a home is near").seat;
+    if seat == 0 { ("n", "m") } else { ("m", "n") }
+}
+
+#[test]
+fn callers_are_led_to_hosts_that_can_serve_them() {
+    for case in CASES {
+        let view = view(case.leaving);
+        let (home, other) = home_and_other(&view);
+        let key = case.key.map(str::as_bytes);
+        let query = Query { route: case.route, client: [10, 2, 0, 1].into(), key };
+        let answer = look_up(&view, &query).expect(case.name);
+        let mut named = answer.hosts.iter().map(|h| h.name.as_str());
+        for group in case.groups {
+            let true_name = |n: &&'static str| match *n {
+                "HOME" => home,
+                "OTHER" => other,
+                name => name,
+            };
+            let mut expected: Vec<_> = group.iter().map(true_name).collect();
+            let mut found: Vec<_> = named.by_ref().take(group.len()).collect();
+            expected.sort_unstable();
+            found.sort_unstable();
+            assert_eq!(found, expected, "{}", case.name);
+        }
+        assert_eq!(named.next(), None, "{}", case.name);
+    }
+}
--- a/crates/standins/tests/rate.rs
+++ b/crates/standins/tests/rate.rs
@@ -54,19 +54,31 @@
     killed: Option<usize>,
     /// Host that is paused from the half to three quarters of the time.
     paused: Option<usize>,
+    /// Failure domain that is cut off from the half to three quarters of the time.
+    cut: Option<&'static str>,
     /// Least share of `rate x time` that is admitted all the same.
     least: f64,
 }
 
+const CALM: Case = Case {
+    name: "through all hosts",
+    used: &[0, 1, 2],
+    killed: None,
+    paused: None,
+    cut: None,
+    least: 0.7,
+};
+
 const CASES: &[Case] = &[
-    Case { name: "through all hosts", used: &[0, 1, 2], killed: None, paused: None, least: 0.7 },
-    Case { name: "through one host", used: &[0], killed: None, paused: None, least: 0.7 },
+    CALM,
+    Case { name: "through one host", used: &[0], ..CALM },
+    Case { name: "one failure domain is cut off", cut: Some("d2"), least: 0.3, ..CALM },
     Case {
         name: "one host dies, one is paused",
-        used: &[0, 1, 2],
         killed: Some(2),
         paused: Some(1),
         least: 0.3,
+        ..CALM
     },
 ];
 
@@ -78,6 +90,7 @@
             declaration: declaration(),
             hosts: HOSTS.iter().map(|(n, d)| (n.to_string(), d.to_string())).collect(),
             service_time: Duration::from_millis(1),
+            forwarded: case.cut.is_some(),
             ..FleetOptions::default()
         };
         let mut fleet = Fleet::start(folder.path(), cfg).await.expect("the fleet starts");
@@ -89,6 +102,11 @@
             fleet.hosts[n].kill();
         }
         sleep(LENGTH / 4).await;
+        if let Some(domain) = case.cut {
+            fleet.cut(domain, true);
+            sleep(LENGTH / 4).await;
+            fleet.cut(domain, false);
+        }
         if let Some(n) = case.paused {
             fleet.hosts[n].signal("STOP").expect("the host is paused");
             sleep(LENGTH / 4).await;
