--- a/crates/core/examples/config.rs
+++ b/crates/core/examples/config.rs
@@ -65,7 +65,8 @@
         let text = target(changed);
         let (chunks, index) = chunks_of(&text);
         let seat_counts = world::parse(&text).expect("the declaration is valid").seat_counts();
-        let declared = Declared { index, seat_counts, authority: 3 * SECOND };
+        let limits = ChunkHash::default();
+        let declared = Declared { index, seat_counts, authority: 3 * SECOND, limits };
         root = root.with_declaration(declared, true, &n.to_string()).expect("one table of seats");
         let named = chunks.iter().map(|c| c.hash).collect();
         let new: Vec<_> = chunks.into_iter().filter(|c| !known.contains(&c.hash)).collect();
--- a/crates/core/src/lookup/mod.rs
+++ b/crates/core/src/lookup/mod.rs
@@ -7,7 +7,7 @@
 use crate::{
     result::Code,
     view::{LiveHost, View},
-    world::{Access, KeyDigest, WorkspaceKey},
+    world::{Access, KeyDigest, RegionKey, WorkspaceKey},
 };
 
 /// Hosts named in one answer.
@@ -47,17 +47,28 @@
     let near =
         view.world.blocks.region(query.client).or_else(|| view.world.region_of(&view.me.domain));
     let workspace = query.key.and_then(|key| workspace_of(view, key));
-    let mut hosts: Vec<_> = view.hosts.iter().filter(|h| h.taking).collect();
+    let serves = |h: &LiveHost| !is_keyed || view.has_seat(h);
+    let mut hosts = hosts_near(view, near);
+    hosts.retain(|h| h.taking && serves(h));
+    if hosts.len() < MAX_HOSTS {
+        hosts = view.hosts.iter().filter(|h| h.taking).collect();
+    }
     hosts.sort_by_cached_key(|h| {
         let far = view.world.region_of(&h.domain) != near;
         let astray = workspace.is_some_and(|w| !is_home(view, w, h));
-        let seatless = is_keyed && !view.has_seat(h);
-        (seatless, far, astray, weight(&h.name, query.client))
+        (!serves(h), far, astray, weight(&h.name, query.client))
     });
     hosts.truncate(MAX_HOSTS);
     if hosts.is_empty() { Err(Code::NoServer) } else { Ok(Answer { hosts, lifetime: LIFETIME }) }
 }
 
+/// Live hosts of the failure domains of a region.
+fn hosts_near(view: &View, region: Option<RegionKey>) -> Vec<&LiveHost> {
+    let domains = view.world.domains.values().filter(|d| Some(d.region) == region);
+    let names: Vec<&str> = domains.map(|d| d.name.as_str()).collect();
+    view.hosts.iter().filter(|h| names.contains(&h.domain.as_str())).collect()
+}
+
 fn workspace_of(view: &View, key: &[u8]) -> Option<WorkspaceKey> {
     let digest: KeyDigest = Sha256::digest(key).into();
     view.world.key_owners.get(&digest).copied()
--- a/crates/core/src/rate/basis.rs
+++ b/crates/core/src/rate/basis.rs
@@ -7,7 +7,7 @@
 use std::{collections::HashMap, net::SocketAddr, sync::Arc};
 
 use super::Share;
-use crate::{config::Revision, time::Instant, view::View, world::World};
+use crate::{config::Revision, host::Incarnation, time::Instant, view::View, world::World};
 
 /// Declarations that are kept while they wait for acceptance.
 const MAX_PENDING: usize = 16;
@@ -15,13 +15,11 @@
 /// What the rates need to know of the configuration and the fleet.
 #[derive(Clone, Debug)]
 pub struct Standing {
-    /// Revision in force on this host.
-    pub revision: Revision,
     /// Highest revision that is known to be accepted.
     pub accepted: Revision,
-    /// Revision by which the declaration in force was applied.
+    /// Revision that brought the limits in force.
     pub declared: Revision,
-    /// Revision by which the declaration before it was applied.
+    /// Revision that brought the limits before them.
     pub declared_before: Revision,
     /// The declaration in force.
     pub world: Arc<World>,
@@ -31,8 +29,17 @@
     pub seat: Option<u16>,
     /// Until when this host may use what its seat owns.
     pub usable_until: Instant,
-    /// Peer addresses of the other holders of seats, by name of the failure domain and seat.
-    pub holders: HashMap<(String, u16), SocketAddr>,
+    /// The other holders of seats, by name of the failure domain and seat.
+    pub holders: HashMap<(String, u16), Holder>,
+}
+
+/// A host that holds a seat.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Holder {
+    /// Its life.
+    pub incarnation: Incarnation,
+    /// Its peer address.
+    pub address: SocketAddr,
 }
 
 impl Standing {
@@ -40,21 +47,24 @@
     pub fn of(view: &View) -> Self {
         let taken = view.seats.iter().flat_map(|(domain, row)| {
             let held = row.iter().enumerate();
-            held.filter_map(move |(n, s)| Some((domain, n as u16, s.as_ref()?.incarnation)))
+            held.filter_map(move |(n, s)| Some((domain, n as u16, s.as_ref()?)))
         });
-        let others = taken.filter(|(_, _, life)| *life != view.me.incarnation);
-        let holders = others.filter_map(|(domain, seat, life)| {
-            Some(((domain.clone(), seat), view.host(life)?.peer_address))
+        let others =
+            taken.filter(|(_, _, s)| s.is_confirmed() && s.incarnation != view.me.incarnation);
+        let holders = others.map(|(domain, seat, s)| {
+            let holder = Holder { incarnation: s.incarnation, address: s.peer_address };
+            ((domain.clone(), seat), holder)
         });
+        let limits = &view.held.root.limits;
+        let authority = view.world.longest_authority();
         Standing {
-            revision: view.revision,
             accepted: view.accepted,
-            declared: view.revision,
-            declared_before: 0,
+            declared: limits.since,
+            declared_before: limits.before,
             world: Arc::clone(&view.world),
             domain: view.me.domain.clone(),
             seat: view.seat,
-            usable_until: Instant::MAX,
+            usable_until: view.proof.map_or(Instant::ZERO, |proof| proof + authority),
             holders: holders.collect(),
         }
     }
@@ -78,15 +88,16 @@
     /// Takes in the declaration in force and what is accepted.
     pub fn note(&mut self, standing: &Standing) {
         let Standing { declared, declared_before, accepted, .. } = *standing;
-        let last = self.entries.last().map(|e| e.declared);
-        let same = self.entries.last().is_some_and(|e| Arc::ptr_eq(&e.world, &standing.world));
-        if !same {
-            let missed = last.is_none_or(|last| last < declared_before);
-            if missed || self.entries.len() >= MAX_PENDING {
-                self.unknown_until = Some(declared);
-                self.entries.clear();
+        match self.entries.last_mut() {
+            Some(last) if last.declared == declared => last.world = Arc::clone(&standing.world),
+            last => {
+                let missed = last.is_none_or(|last| last.declared < declared_before);
+                if missed || self.entries.len() >= MAX_PENDING {
+                    self.unknown_until = Some(declared);
+                    self.entries.clear();
+                }
+                self.entries.push(Entry { declared, world: Arc::clone(&standing.world) });
             }
-            self.entries.push(Entry { declared, world: Arc::clone(&standing.world) });
         }
         let settled = self.entries.iter().rposition(|e| e.declared <= accepted).unwrap_or(0);
         self.entries.drain(..settled);
@@ -95,6 +106,11 @@
         }
     }
 
+    /// Whether some share is known for certain.
+    pub fn is_known(&self) -> bool {
+        self.unknown_until.is_none()
+    }
+
     /// What a seat owns of a workspace for certain.
     pub fn share(&self, domain: &str, seat: u16, workspace: &str) -> Share {
         if self.unknown_until.is_some() {
--- a/crates/core/src/rate/mod.rs
+++ b/crates/core/src/rate/mod.rs
@@ -18,9 +18,9 @@
 use serde::{Deserialize, Serialize};
 
 pub use self::{
-    basis::Standing,
+    basis::{Holder, Standing},
     buckets::{Buckets, Counters, Take},
-    share::{Home, Share, homes},
+    share::{Home, Share, digest, homes},
 };
 use crate::host::Incarnation;
 
@@ -67,6 +67,8 @@
         asker: Incarnation,
         /// Number of the question.
         number: u64,
+        /// The life of the host that answers.
+        lender: Incarnation,
         /// Tokens lent, in millionths.
         tokens: MicroTokens,
         /// Tokens that the home has left, in millionths.
--- a/crates/core/tests/rate_moves.rs
+++ b/crates/core/tests/rate_moves.rs
@@ -5,7 +5,7 @@
 use jasminestage_core::{
     control::PeerMsg,
     host::Incarnation,
-    rate::{Buckets, RateMsg, Settled, Standing, TOKEN, Take},
+    rate::{Buckets, Holder, RateMsg, Settled, Standing, TOKEN, Take},
     result::Code,
     time::Instant,
     traffic::{FlightKey, Outbox},
@@ -283,7 +283,6 @@
     fn new() -> Self {
         let now = Instant::from_millis(1000);
         let standing = Standing {
-            revision: 1,
             accepted: 1,
             declared: 1,
             declared_before: 0,
@@ -304,7 +303,10 @@
             admitted: [0, 0],
         };
         pair.hosts[LENDER].install(now, &pair.standing);
-        let holders = HashMap::from([(("d".to_owned(), 0), address(LENDER))]);
+        let holders = HashMap::from([(
+            ("d".to_owned(), 0),
+            Holder { incarnation: Incarnation(0), address: address(LENDER) },
+        )]);
         let other = Standing { seat: None, holders, ..pair.standing.clone() };
         pair.hosts[BORROWER].install(now, &other);
         pair
@@ -346,7 +348,6 @@
     fn apply(&mut self, rate: u32, burst: u32, missed: u64) {
         self.standing.declared_before = self.standing.declared + missed;
         self.standing.declared += 1 + missed;
-        self.standing.revision = self.standing.declared;
         self.standing.world = declared(rate, burst);
         self.hosts[LENDER].install(self.now, &self.standing);
     }
--- a/crates/standins/examples/capacity_control.rs
+++ b/crates/standins/examples/capacity_control.rs
@@ -136,6 +136,7 @@
             index: parts.index.iter().map(|b| ChunkHash::of(b)).collect(),
             seat_counts: world.seat_counts(),
             authority: world.longest_authority(),
+            limits: jasminestage_core::rate::digest(&world),
         };
         let write_id = format!("{:?}", self.now);
         let next = self.store.root.with_declaration(declared, true, &write_id);
