Wait for acceptance before a test fleet counts as ready, and list the proofs

Ruled out: the slow machine alone, since five of six hosts answered 0. Change: the status names the declared and the accepted revision; a fleet is ready when every host knows its declaration as accepted, plus one second for the first tokens. docs/PROOFS.md.

--- a/crates/standins/src/fleet.rs
+++ b/crates/standins/src/fleet.rs
@@ -22,7 +22,7 @@
 const READY_LIMIT: Duration = Duration::from_secs(20);
 
 /// Time for the buckets of a new seat to hold some tokens.
-const FILL_TIME: Duration = Duration::from_millis(500);
+const FILL_TIME: Duration = Duration::from_secs(1);
 
 /// Lines of a host's log that are shown when a fleet does not start.
 const LOG_LINES: usize = 12;
@@ -251,7 +251,9 @@
 }
 
 fn knows_all(status: &serde_json::Value, count: usize) -> bool {
-    status["revision"].as_u64().is_some_and(|r| r > 0)
+    let accepted = status["accepted"].as_u64() >= status["declared"].as_u64();
+    status["declared"].as_u64().is_some_and(|r| r > 0)
+        && accepted
         && status["seat"].is_u64()
         && status["hosts"].as_array().is_some_and(|h| h.len() == count)
 }
