Let hosts of a domain find each other from one seed, and send lists once

Cause: digests and news carried every live host each time; and a host heard only the seeds it was given and those that beat to it, so two hosts that were no seeds never met, both could take themselves for a relay, and their lists of the domain's hosts differed for ever, with a full list sent at each change of the delegate heard last. Ruled out: start-up traffic (the same after 30 s of virtual time). Change: a digest leaves the list out when the receiver says that it holds it (by hash); news confirm by hash and are asked for when the hash is not known; a host that is new to a member is told the domain's other hosts.

--- a/crates/core/src/control/membership.rs
+++ b/crates/core/src/control/membership.rs
@@ -8,12 +8,15 @@
     host::HostInfo,
     member::{
         Digest, DomainHost, Heard, Heartbeat, MemberMsg, News, Told,
-        fleet::{DOMAIN_SILENCE_LIMIT, NEWS_LIMIT},
+        fleet::{DOMAIN_SILENCE_LIMIT, MAX_DOMAIN_HOSTS, NEWS_LIMIT},
+        list_hash,
     },
     time::Instant,
     view::{LiveHost, View},
 };
 
+/// Ticks between two confirmations of what is known of a failure domain.
+const TICKS_PER_NEWS: u64 = 2;
 /// Addresses of hosts not heard yet that are tried at each tick.
 const HINTS_PER_TICK: usize = 8;
 
@@ -53,6 +56,9 @@
             }
             MemberMsg::News(news) if news.domain != self.me.domain => {
                 let told = self.fleet.learn(now, news);
+                if told == Told::Missing {
+                    send(from, MemberMsg::WantNews { domain: news.domain.clone() }, fx);
+                }
                 if told == Told::Changed {
                     self.publish(now, fx);
                     if !self.members.has_address(from) {
@@ -60,6 +66,12 @@
                     }
                 }
             }
+            MemberMsg::News(news) if news.domain == self.me.domain => self.meet_members(news),
+            MemberMsg::WantNews { domain } => {
+                if let Some(news) = self.news_of(domain, true) {
+                    send(from, MemberMsg::News(news), fx);
+                }
+            }
             _ => {}
         }
     }
@@ -72,6 +84,9 @@
         if heard == Heard::Joined {
             self.log(Kind::MemberJoined, &beat.host.name, fx);
             self.send_heartbeat(now, beat.host.peer_address, fx);
+            // It may have come by one seed only and not know the others.
+            let own = self.own_news(now);
+            send(beat.host.peer_address, MemberMsg::News(own), fx);
         }
         if matches!(heard, Heard::Joined | Heard::Changed) {
             self.publish(now, fx);
@@ -85,6 +100,18 @@
         self.prove_by_peer(now, beat.revision, beat.echo, fx);
     }
 
+    /// Notes the addresses of hosts of this failure domain that have not been heard.
+    fn meet_members(&mut self, news: &News) {
+        let hosts = news.hosts.iter().flatten().take(MAX_DOMAIN_HOSTS);
+        for address in hosts.map(|h| h.info.peer_address) {
+            let is_new = address != self.me.peer_address && !self.members.has_address(address);
+            let has_room = self.met.len() < MAX_DOMAIN_HOSTS;
+            if is_new && has_room && !self.met.contains(&address) {
+                self.met.push(address);
+            }
+        }
+    }
+
     fn hear_stranger(&mut self, now: Instant, beat: &Heartbeat, fx: &mut Vec<Effect>) {
         self.see_revision(now, beat.revision, beat.host.peer_address, fx);
         if self.fleet.meet(now, beat) == Told::Same {
@@ -120,7 +147,9 @@
         let unknown = |a: &&SocketAddr| {
             **a != self.me.peer_address && !members.contains(a) && !self.fleet.has_address(**a)
         };
-        let hints: Vec<_> = self.seeds.iter().chain(&self.listed).filter(unknown).collect();
+        self.met.retain(|a| !members.contains(a));
+        let all = self.met.iter().chain(&self.seeds).chain(&self.listed);
+        let hints: Vec<_> = all.filter(unknown).collect();
         let first = self.ticks as usize * HINTS_PER_TICK;
         let tried = (0..hints.len().min(HINTS_PER_TICK)).map(|n| *hints[(first + n) % hints.len()]);
         let mut targets: Vec<SocketAddr> = members.iter().copied().chain(tried).collect();
@@ -152,10 +181,16 @@
         if !self.members.is_relay(now, &self.me) {
             return;
         }
-        let hosts = self.own_hosts(now);
+        let mut hosts = self.own_hosts(now);
+        hosts.truncate(MAX_DOMAIN_HOSTS);
+        let list = list_hash(&hosts);
         for to in self.fleet.digest_targets() {
             self.sequence += 1;
-            let (echo, vouching) = match self.fleet.delegate_at(to) {
+            let delegate = self.fleet.delegate_at(to);
+            let is_held = delegate.is_some_and(|d| d.holds == list);
+            let other = delegate.and_then(|d| self.fleet.get(&d.host.domain));
+            let holds = other.map_or(0, |d| d.list);
+            let (echo, vouching) = match delegate {
                 Some(delegate) => {
                     let (stamp, vouching) = self.best_echo(delegate.stamps.iter());
                     (stamp.map(|s| delegate.echo(s, self.proof)), vouching)
@@ -170,7 +205,9 @@
                 stamp: now,
                 echo,
                 vouching,
-                hosts: hosts.clone(),
+                list,
+                hosts: (!is_held).then(|| hosts.clone()),
+                holds,
             };
             send(to, MemberMsg::Digest(digest), fx);
         }
@@ -191,40 +228,56 @@
         best
     }
 
-    /// Passes on what is known of one other failure domain, each in its turn.
+    /// Confirms what is known of one other failure domain, each in its turn.
     pub(super) fn pass_news_on(&mut self, now: Instant, fx: &mut Vec<Effect>) {
-        if !self.members.is_relay(now, &self.me) {
+        let is_due = self.ticks.is_multiple_of(TICKS_PER_NEWS);
+        if !is_due || !self.members.is_relay(now, &self.me) {
             return;
         }
         let names: Vec<String> = self.fleet.iter().map(|(name, _)| name.to_owned()).collect();
         if !names.is_empty() {
-            let name = &names[self.ticks as usize % names.len()];
-            self.tell_members(now, name, fx);
+            let turn = self.ticks / TICKS_PER_NEWS;
+            let name = &names[turn as usize % names.len()];
+            self.tell_live(now, name, false, fx);
         }
     }
 
-    /// Tells the hosts of this failure domain about another one.
+    /// Tells the hosts of this failure domain about another one that has changed.
     fn tell_members(&mut self, now: Instant, domain: &str, fx: &mut Vec<Effect>) {
-        let Some(known) = self.fleet.get(domain) else { return };
-        if !self.members.is_relay(now, &self.me) {
-            return;
+        if self.members.is_relay(now, &self.me) {
+            self.tell_live(now, domain, true, fx);
         }
+    }
+
+    fn tell_live(&mut self, now: Instant, domain: &str, is_full: bool, fx: &mut Vec<Effect>) {
+        let Some(news) = self.news_of(domain, is_full) else { return };
+        for member in self.members.live(now) {
+            send(member.last.host.peer_address, MemberMsg::News(news.clone()), fx);
+        }
+    }
+
+    /// What this host knows of another failure domain, with its hosts or only with their hash.
+    fn news_of(&mut self, domain: &str, is_full: bool) -> Option<News> {
+        let known = self.fleet.get(domain)?;
         let (from, sequence) = match known.source {
             Some(source) if !known.is_silent => source,
             _ => (self.me.incarnation, self.sequence + 1),
         };
-        let hosts = if known.is_silent { Vec::new() } else { known.hosts.clone() };
-        let news = News { domain: domain.to_owned(), from, sequence, hosts };
+        let hosts = match known.is_silent {
+            true => Some(Vec::new()),
+            false => (is_full || known.list == 0).then(|| known.hosts.clone()),
+        };
+        let news = News { domain: domain.to_owned(), from, sequence, list: known.list, hosts };
         self.sequence += 1;
-        for member in self.members.live(now) {
-            send(member.last.host.peer_address, MemberMsg::News(news.clone()), fx);
-        }
+        Some(news)
     }
 
     fn own_news(&mut self, now: Instant) -> News {
         self.sequence += 1;
         let (domain, from) = (self.me.domain.clone(), self.me.incarnation);
-        News { domain, from, sequence: self.sequence, hosts: self.own_hosts(now) }
+        let mut hosts = self.own_hosts(now);
+        hosts.truncate(MAX_DOMAIN_HOSTS);
+        News { domain, from, sequence: self.sequence, list: list_hash(&hosts), hosts: Some(hosts) }
     }
 
     fn own_hosts(&self, now: Instant) -> Vec<DomainHost> {
--- a/crates/core/src/control/mod.rs
+++ b/crates/core/src/control/mod.rs
@@ -135,6 +135,8 @@
     me: HostInfo,
     seeds: Vec<SocketAddr>,
     listed: Vec<SocketAddr>,
+    /// Addresses of this failure domain that another host named.
+    met: Vec<SocketAddr>,
     members: Members,
     fleet: Fleet,
     held: Arc<Held>,
@@ -172,6 +174,7 @@
             me,
             seeds: seeds.to_vec(),
             listed: Vec::new(),
+            met: Vec::new(),
             members: Members::default(),
             fleet: Fleet::default(),
             held: Arc::default(),
--- a/crates/core/src/member/fleet.rs
+++ b/crates/core/src/member/fleet.rs
@@ -2,7 +2,9 @@
 
 use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
 
-use super::{Digest, DomainHost, Echo, Heartbeat, News, RELAYS, duty_order, own::Stamps};
+use super::{
+    Digest, DomainHost, Echo, Heartbeat, ListHash, News, RELAYS, duty_order, list_hash, own::Stamps,
+};
 use crate::{
     config::Revision,
     host::{HostInfo, Incarnation},
@@ -31,6 +33,8 @@
     pub echoed: Option<Instant>,
     /// Seats whose holders were heard from since.
     pub vouching: Vec<u16>,
+    /// Hash of the list of this host's failure domain that it holds.
+    pub holds: ListHash,
     /// Its own stamps.
     pub stamps: Stamps,
 }
@@ -48,6 +52,8 @@
     pub source: Option<(Incarnation, u64)>,
     /// Delegates that spoke to this host.
     pub delegates: BTreeMap<Incarnation, Delegate>,
+    /// Hash of its list of hosts, 0 when there is none from a delegate.
+    pub list: ListHash,
     sequences: BTreeMap<Incarnation, u64>,
 }
 
@@ -58,6 +64,8 @@
     Changed,
     /// Nothing but the time.
     Same,
+    /// The message names a list of hosts that is not held here.
+    Missing,
     /// The message is older than one already seen.
     Old,
 }
@@ -75,27 +83,35 @@
         now: Instant,
         from: Incarnation,
         sequence: u64,
-        hosts: &[DomainHost],
+        list: ListHash,
+        hosts: Option<&[DomainHost]>,
     ) -> Told {
-        let last = self.sequences.entry(from).or_default();
-        if *last >= sequence {
+        if self.sequences.get(&from).is_some_and(|last| *last >= sequence) {
             return Told::Old;
         }
-        *last = sequence;
+        if hosts.is_none() && (self.list != list || self.hosts.is_empty()) {
+            return Told::Missing;
+        }
+        self.sequences.insert(from, sequence);
         if self.sequences.len() > MAX_DELEGATES {
             let keep = self.delegates.clone();
             self.sequences.retain(|life, _| *life == from || keep.contains_key(life));
         }
-        let hosts = &hosts[..hosts.len().min(MAX_DOMAIN_HOSTS)];
-        let is_same = self.hosts == hosts && !self.is_silent && self.heard.is_some();
+        let hosts = hosts.map(|h| &h[..h.len().min(MAX_DOMAIN_HOSTS)]);
+        let is_list_same = hosts.is_none_or(|h| self.hosts == h);
+        let is_same = is_list_same && !self.is_silent && self.heard.is_some();
         self.heard = Some(now);
         self.source = Some((from, sequence));
-        self.is_silent = hosts.is_empty();
+        self.is_silent = hosts.is_some_and(<[_]>::is_empty);
+        let Some(hosts) = hosts else {
+            return if is_same { Told::Same } else { Told::Changed };
+        };
         if self.is_silent {
             // The addresses are kept, to find the domain again.
             return Told::Changed;
         }
         self.hosts = hosts.to_vec();
+        self.list = list_hash(hosts);
         if is_same { Told::Same } else { Told::Changed }
     }
 
@@ -112,10 +128,13 @@
     pub fn hear(&mut self, now: Instant, me: Incarnation, digest: &Digest) -> Told {
         let domain = self.domains.entry(digest.host.domain.clone()).or_default();
         let life = digest.host.incarnation;
-        let told = domain.tell(now, life, digest.sequence, &digest.hosts);
+        let hosts = digest.hosts.as_deref();
+        let told = domain.tell(now, life, digest.sequence, digest.list, hosts);
         if told == Told::Old {
             return told;
         }
+        // The next digest has a number of its own, so that this one counts once.
+        domain.sequences.insert(life, digest.sequence);
         domain.delegates.retain(|_, d| now.saturating_since(d.heard) <= DOMAIN_SILENCE_LIMIT);
         let delegate = domain.delegates.entry(life).or_insert_with(|| Delegate {
             host: digest.host.clone(),
@@ -123,8 +142,10 @@
             revision: 0,
             echoed: None,
             vouching: Vec::new(),
+            holds: 0,
             stamps: Stamps::default(),
         });
+        delegate.holds = digest.holds;
         delegate.heard = now;
         delegate.revision = digest.revision;
         delegate.stamps.push(now, digest.stamp);
@@ -136,7 +157,7 @@
     /// Takes in what a delegate of this failure domain passed on.
     pub fn learn(&mut self, now: Instant, news: &News) -> Told {
         let domain = self.domains.entry(news.domain.clone()).or_default();
-        domain.tell(now, news.from, news.sequence, &news.hosts)
+        domain.tell(now, news.from, news.sequence, news.list, news.hosts.as_deref())
     }
 
     /// Notes a host of another failure domain that was heard before any delegate of it.
@@ -149,6 +170,7 @@
         }
         domain.hosts.retain(|h| h.info.name != beat.host.name);
         domain.hosts.push(DomainHost { info: beat.host.clone(), stopping: beat.stopping });
+        domain.list = 0;
         Told::Changed
     }
 
--- a/crates/core/src/member/mod.rs
+++ b/crates/core/src/member/mod.rs
@@ -11,7 +11,7 @@
 
 pub use self::{
     fleet::{Fleet, Told},
-    msg::{Digest, DomainHost, Echo, Heartbeat, MemberMsg, News},
+    msg::{Digest, DomainHost, Echo, Heartbeat, ListHash, MemberMsg, News, list_hash},
     own::{Heard, Member, Members},
 };
 
--- a/crates/core/src/member/msg.rs
+++ b/crates/core/src/member/msg.rs
@@ -1,6 +1,7 @@
 //! Messages about membership.
 
 use serde::{Deserialize, Serialize};
+use sha2::{Digest as _, Sha256};
 
 use crate::{
     config::Revision,
@@ -17,6 +18,11 @@
     Digest(Digest),
     /// From a delegate to the hosts of its failure domain, about another domain.
     News(News),
+    /// Asks a delegate of the same failure domain for its full news of a domain.
+    WantNews {
+        /// Name of the failure domain.
+        domain: String,
+    },
 }
 
 /// Stamps of the receiver that come back to it.
@@ -67,8 +73,12 @@
     /// Seats of the domain whose holders have this revision in force and have been heard from
     /// since the echoed stamp arrived.
     pub vouching: Vec<u16>,
-    /// Live hosts of the domain.
-    pub hosts: Vec<DomainHost>,
+    /// Hash of the list of the domain's live hosts.
+    pub list: ListHash,
+    /// Live hosts of the domain; left out when the receiver holds this very list.
+    pub hosts: Option<Vec<DomainHost>>,
+    /// Hash of the list of the receiver's domain that the sender holds, 0 when it holds none.
+    pub holds: ListHash,
 }
 
 /// A live host as others name it.
@@ -80,6 +90,25 @@
     pub stopping: bool,
 }
 
+/// Hash of a list of hosts: hosts that hold the same one need not be sent it again.
+pub type ListHash = u64;
+
+/// Hash of a list of hosts in its order.
+pub fn list_hash(hosts: &[DomainHost]) -> ListHash {
+    let mut hash = Sha256::new();
+    for DomainHost { info, stopping } in hosts {
+        let addresses = (info.caller_address, info.peer_address);
+        let line = format!(
+            "{} {} {addresses:?} {} {stopping}\n",
+            info.name, info.domain, info.incarnation
+        );
+        hash.update(line);
+    }
+    let hash = hash.finalize();
+    let (first, _) = hash.split_at(8);
+    first.iter().fold(0, |sum, byte| sum << 8 | ListHash::from(*byte))
+}
+
 /// Live hosts of another failure domain, passed on inside a domain.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct News {
@@ -89,6 +118,8 @@
     pub from: Incarnation,
     /// Number of its digest.
     pub sequence: u64,
-    /// Its live hosts; empty when the domain has fallen silent.
-    pub hosts: Vec<DomainHost>,
+    /// Hash of the list of its live hosts.
+    pub list: ListHash,
+    /// Its live hosts, empty when the domain has fallen silent; left out to confirm a list.
+    pub hosts: Option<Vec<DomainHost>>,
 }
--- a/crates/standins/examples/capacity_control.rs
+++ b/crates/standins/examples/capacity_control.rs
@@ -31,9 +31,9 @@
 /// Bytes of a datagram besides its body: UDP and IP headers, keyed hash, sender and receiver.
 const DATAGRAM_OVERHEAD: usize = 28 + 1 + 32 + 24;
 /// Virtual time for the fleet to settle.
-const SETTLE: Duration = Duration::from_secs(6);
+const SETTLE: Duration = Duration::from_secs(30);
 /// Virtual time that is measured.
-const MEASURED: Duration = Duration::from_secs(8);
+const MEASURED: Duration = Duration::from_secs(6);
 /// Blocks of clients in the declaration.
 const BLOCKS: usize = 2_000;
 
