Send digests in turns when there are many delegates

Cause: a delegate of 24 domains sends 46 digests every 250 ms. Change: at rest at most about 16 digests a tick, each delegate at least every second; changes and stops are still told to all at once. Small fleets are as before.

--- a/crates/core/src/control/membership.rs
+++ b/crates/core/src/control/membership.rs
@@ -15,6 +15,10 @@
     view::{LiveHost, View},
 };
 
+/// Digests that a delegate sends in one tick when nothing has changed.
+const DIGESTS_PER_TICK: usize = 16;
+/// Most ticks from one digest to the next for the same delegate.
+const MAX_DIGEST_TURNS: usize = 4;
 /// Ticks between two confirmations of what is known of a failure domain.
 const TICKS_PER_NEWS: u64 = 2;
 /// Addresses of hosts not heard yet that are tried at each tick.
@@ -176,15 +180,28 @@
         send(to, MemberMsg::Heartbeat(beat), fx);
     }
 
+    /// Sends digests to those delegates whose turn it is.
+    pub(super) fn tick_digests(&mut self, now: Instant, fx: &mut Vec<Effect>) {
+        let targets = self.fleet.digest_targets();
+        let turns = targets.len().div_ceil(DIGESTS_PER_TICK).clamp(1, MAX_DIGEST_TURNS);
+        let turn = self.ticks as usize % turns;
+        let due: Vec<_> = targets.into_iter().skip(turn).step_by(turns).collect();
+        self.send_digests_to(now, &due, fx);
+    }
+
     /// Sends a digest of this failure domain to the delegates of each other one.
     pub(super) fn send_digests(&mut self, now: Instant, fx: &mut Vec<Effect>) {
+        self.send_digests_to(now, &self.fleet.digest_targets(), fx);
+    }
+
+    fn send_digests_to(&mut self, now: Instant, targets: &[SocketAddr], fx: &mut Vec<Effect>) {
         if !self.members.is_relay(now, &self.me) {
             return;
         }
         let mut hosts = self.own_hosts(now);
         hosts.truncate(MAX_DOMAIN_HOSTS);
         let list = list_hash(&hosts);
-        for to in self.fleet.digest_targets() {
+        for &to in targets {
             self.sequence += 1;
             let delegate = self.fleet.delegate_at(to);
             let is_held = delegate.is_some_and(|d| d.holds == list);
--- a/crates/core/src/control/mod.rs
+++ b/crates/core/src/control/mod.rs
@@ -246,7 +246,7 @@
         self.tick_store(now, fx);
         self.prove_by_echoes(now, fx);
         self.send_heartbeats(now, fx);
-        self.send_digests(now, fx);
+        self.tick_digests(now, fx);
         self.pass_news_on(now, fx);
         self.tick_seat(now, fx);
         self.tick_acks(now, fx);
