Try further servers for an idempotent request while no connection is made

Cause: after two servers had died, an innocent request met both and got 108, although others were up; the check had been weakened to 'not 116' for it.

--- a/crates/core/src/traffic/mod.rs
+++ b/crates/core/src/traffic/mod.rs
@@ -33,6 +33,8 @@
 const SHED_STATUS: u16 = 503;
 /// Tries of an idempotent request, the first one included.
 pub const MAX_TRIES: usize = 2;
+/// Tries of an idempotent request while no connection was made.
+pub const MAX_CONNECT_TRIES: usize = 4;
 /// Time between two calls of [`Traffic::tick`].
 pub const TICK_PERIOD: Duration = Duration::from_millis(50);
 
@@ -233,7 +235,8 @@
         }
         let shed = outcome == Outcome::Answered(SHED_STATUS) && !once;
         let again = !sent || !once;
-        if (code == Code::Done && !shed) || !again || tries >= MAX_TRIES {
+        let limit = if sent || once { MAX_TRIES } else { MAX_CONNECT_TRIES };
+        if (code == Code::Done && !shed) || !again || tries >= limit {
             return self.end(now, flight, code, sent);
         }
         self.advance(now, flight)
--- a/crates/standins/tests/crash.rs
+++ b/crates/standins/tests/crash.rs
@@ -67,7 +67,7 @@
         for host in &fleet.hosts {
             let innocent = Sending { body: "innocent", ..sending.clone() };
             let told = send(&http, host.cfg.caller, &innocent).await;
-            assert_ne!(told.code, 116, "{}: {told:?}", case.name);
+            assert_eq!(told.code, 0, "{}: {told:?}", case.name);
             let told = send(&http, host.cfg.caller, &sending).await;
             assert_eq!(told.code, 116, "{}: all hosts hold it back: {told:?}", case.name);
         }
