Serve the target platform: steering core, platform adapter, edge process

Cause: nothing of jasminestage ran on the users' machines. Change: core/steer decides (catalog, server choice, quotas, retries, cold servers, rollouts, crashing requests) without input or output; platform/ decodes the platform's names once and holds the one client of its store; crates/edge has one control thread and one traffic thread.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod result;
 pub mod rollout;
 pub mod route;
+pub mod steer;
 pub mod time;
 pub mod traffic;
 pub mod usage;
--- /dev/null
+++ b/crates/core/src/steer/pick.rs
@@ -0,0 +1,90 @@
+//! Choice of a server within a region by the latency that this host expects.
+
+use super::{
+    server::{Server, ServerKey},
+    stable_hash,
+};
+use crate::time::Instant;
+
+/// Factor on the latency of a server that has handled the object lately.
+const WARM: f64 = 1.0;
+/// Factor on the latency of the second choice for an object.
+const SECOND: f64 = 1.5;
+/// Factor on the latency of a server that has not handled the object.
+const COLD: f64 = 2.5;
+/// Factor on the latency of a server in another failure domain, for the bytes that cross.
+const OTHER_ZONE: f64 = 1.1;
+/// A server this many times slower than its service counts as slow.
+const SLOW_RATIO: f64 = 2.0;
+/// Weight of the failure rate: a failure costs the caller more than a slow answer.
+const FAILURE_COST: f64 = 6.0;
+
+/// What the choice depends on besides the servers.
+#[derive(Clone, Copy, Debug)]
+pub struct Want<'a> {
+    /// Hash of the object that the request concerns.
+    pub object: Option<u64>,
+    /// Failure domain of this host.
+    pub zone: &'a str,
+    /// Latency of an idle server that knows the object, in seconds.
+    pub base: f64,
+}
+
+/// A server with the latency that is expected of it.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Estimate {
+    /// The server.
+    pub server: ServerKey,
+    /// Expected latency in seconds, raised by the risk of failure.
+    pub cost: f64,
+    /// Expected latency in seconds.
+    pub latency: f64,
+    /// Expected latency as a multiple of that of an idle server that knows the object.
+    pub multiple: f64,
+}
+
+/// The server with the lowest cost.
+pub fn best(now: Instant, want: &Want<'_>, servers: &[(ServerKey, &Server)]) -> Option<Estimate> {
+    let ranks = want.object.map(|object| ranks(object, servers));
+    let estimates = servers.iter().enumerate().map(|(n, (key, server))| {
+        let rank = ranks.as_ref().map(|r| r[n]);
+        estimate(now, want, *key, server, rank)
+    });
+    estimates.min_by(|a, b| a.cost.total_cmp(&b.cost))
+}
+
+/// The rank of each server for an object among those of its failure domain.
+fn ranks(object: u64, servers: &[(ServerKey, &Server)]) -> Vec<usize> {
+    let weights: Vec<u64> =
+        servers.iter().map(|(_, s)| stable_hash(object, &s.hash.to_le_bytes())).collect();
+    let better = |n: usize, m: usize| {
+        servers[m].1.entry.zone == servers[n].1.entry.zone && weights[m] > weights[n]
+    };
+    (0..servers.len()).map(|n| (0..servers.len()).filter(|m| better(n, *m)).count()).collect()
+}
+
+fn estimate(
+    now: Instant,
+    want: &Want<'_>,
+    key: ServerKey,
+    server: &Server,
+    rank: Option<usize>,
+) -> Estimate {
+    let slots = f64::from(server.entry.slots.max(1));
+    let queued = (server.load(now) + 1.0 - slots).max(0.0) / slots;
+    let familiar = match (rank, want.object) {
+        (Some(0), _) | (None, _) => WARM,
+        (_, Some(object)) if server.knows(object) => WARM,
+        (Some(1), _) => SECOND,
+        _ => COLD,
+    };
+    let ratio = server.latency().map_or(1.0, |l| l / want.base.max(0.001));
+    let slow = if ratio > SLOW_RATIO { ratio } else { 1.0 };
+    let multiple = familiar * (1.0 + queued);
+    let latency = want.base * slow * multiple;
+    let zone = if server.entry.zone == want.zone { 1.0 } else { OTHER_ZONE };
+    // The idle share of a server breaks ties between servers without a queue.
+    let busy = 1.0 + 0.1 * server.load(now) / slots;
+    let risk = 1.0 + FAILURE_COST * server.failure_rate(now);
+    Estimate { server: key, cost: latency * zone * busy * risk, latency, multiple }
+}
--- /dev/null
+++ b/crates/core/src/steer/rollout.rs
@@ -0,0 +1,121 @@
+//! Moves of a service to a new version: its share over time and the verdict on it.
+
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use super::digest::Trial;
+use crate::time::Instant;
+
+/// Share of requests that an unproven version gets.
+const CANARY_SHARE: f64 = 0.05;
+/// Part of the time of a rollout after which the share grows, with the share.
+const STEPS: [(f64, f64); 4] = [(0.50, 0.15), (0.57, 0.30), (0.64, 0.60), (0.71, 1.0)];
+/// Part of the time of a rollout after which a version without faults has succeeded.
+const SUCCESS_AT: f64 = 0.82;
+/// Failures that prove a fault, together with a failure rate above the other versions'.
+const MIN_FAILURES: u32 = 4;
+/// Failure rate above twice that of the other versions that proves a fault.
+const EXCESS_FAILURE_RATE: f64 = 0.12;
+/// Answers of the other versions below which their failure rate counts as zero.
+const MIN_OTHER_ANSWERS: u32 = 10;
+
+/// An operator's order to move a service to a version.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RolloutOrder {
+    /// Service whose traffic moves.
+    pub service: String,
+    /// The version that takes over.
+    pub version: String,
+    /// Time in which the move must end.
+    pub duration: Duration,
+    /// Revision of the order in the store.
+    pub revision: u64,
+}
+
+/// How far a rollout is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub enum RolloutState {
+    /// The version is on trial.
+    Running,
+    /// The version serves all requests.
+    Succeeded,
+    /// The version serves none.
+    RolledBack,
+}
+
+/// A rollout as one host knows it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Rollout {
+    /// The order.
+    pub order: RolloutOrder,
+    /// Its recorded state.
+    pub state: RolloutState,
+    /// When it started, on the clock of this host.
+    pub started: Instant,
+}
+
+impl Rollout {
+    /// The share of requests that the new version gets.
+    pub fn share(&self, now: Instant, is_faulty: bool) -> f64 {
+        match self.state {
+            RolloutState::Succeeded => 1.0,
+            RolloutState::RolledBack => 0.0,
+            RolloutState::Running if is_faulty => 0.0,
+            RolloutState::Running => {
+                let part = self.elapsed_part(now);
+                let step = STEPS.iter().rev().find(|(from, _)| part >= *from);
+                step.map_or(CANARY_SHARE, |(_, share)| *share)
+            }
+        }
+    }
+
+    /// The state to record now, if it differs from the recorded one.
+    pub fn next_state(&self, now: Instant, is_faulty: bool) -> Option<RolloutState> {
+        if self.state != RolloutState::Running {
+            return None;
+        }
+        if is_faulty {
+            return Some(RolloutState::RolledBack);
+        }
+        (self.elapsed_part(now) >= SUCCESS_AT).then_some(RolloutState::Succeeded)
+    }
+
+    /// Follows a recorded state; a rollout that has ended does not run again.
+    pub fn advance(&mut self, state: RolloutState) -> bool {
+        let advances = self.state == RolloutState::Running && state != RolloutState::Running;
+        if advances {
+            self.state = state;
+        }
+        advances
+    }
+
+    fn elapsed_part(&self, now: Instant) -> f64 {
+        let elapsed = now.saturating_since(self.started).as_secs_f64();
+        elapsed / self.order.duration.as_secs_f64().max(0.001)
+    }
+}
+
+/// Whether what the hosts have seen of a version proves a fault.
+pub fn is_faulty<'a>(trials: impl Iterator<Item = &'a Trial>) -> bool {
+    let mut sum = Trial::default();
+    for trial in trials {
+        if trial.stopped {
+            return true;
+        }
+        sum.answers += trial.answers;
+        sum.failures += trial.failures;
+        sum.other_answers += trial.other_answers;
+        sum.other_failures += trial.other_failures;
+    }
+    if sum.failures < MIN_FAILURES {
+        return false;
+    }
+    let rate = f64::from(sum.failures) / f64::from(sum.answers.max(1));
+    let other = if sum.other_answers < MIN_OTHER_ANSWERS {
+        0.0
+    } else {
+        f64::from(sum.other_failures) / f64::from(sum.other_answers)
+    };
+    rate > EXCESS_FAILURE_RATE + 2.0 * other
+}
--- a/crates/core/src/world/fields.rs
+++ b/crates/core/src/world/fields.rs
@@ -126,19 +126,20 @@
     }
 }
 
-/// A length of time such as `300 ms`, `3 s`, `10 min` or `1 h`.
+/// A length of time such as `300 ms`, `2.5 s`, `10 min` or `1 h`.
 pub fn duration(text: &str) -> Result<Duration, String> {
-    let split = text.find(|c: char| !c.is_ascii_digit()).unwrap_or(text.len());
+    let split = text.find(|c: char| !c.is_ascii_digit() && c != '.').unwrap_or(text.len());
     let (digits, unit) = text.split_at(split);
-    let factor = match unit.trim() {
-        "ms" => 1,
-        "s" => 1000,
-        "min" => 60_000,
-        "h" => 3_600_000,
-        _ => 0,
+    let seconds = match unit.trim() {
+        "ms" => 0.001,
+        "s" => 1.0,
+        "min" => 60.0,
+        "h" => 3600.0,
+        _ => 0.0,
     };
-    match digits.parse::<u64>().ok().and_then(|n| n.checked_mul(factor)) {
-        Some(millis) if factor > 0 && millis > 0 => Ok(Duration::from_millis(millis)),
+    let span = digits.parse::<f64>().ok().map(|n| Duration::try_from_secs_f64(n * seconds));
+    match span {
+        Some(Ok(span)) if span >= Duration::from_millis(1) => Ok(span),
         _ => Err("a positive number with 'ms', 's', 'min' or 'h' is allowed".to_owned()),
     }
 }
--- /dev/null
+++ b/crates/edge/src/control/beliefs.rs
@@ -0,0 +1,302 @@
+//! The state of the control thread.
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::HashSet,
+    net::SocketAddr,
+    sync::Arc,
+    time::Duration,
+};
+
+use jasminestage_core::{
+    steer::{
+        control::{Change, Control, DueRecord},
+        digest::Digest,
+        mirror::{ItemChange, Mirror, Snapshot},
+    },
+    time::Instant,
+};
+use jasminestage_daemon::clock;
+use jasminestage_platform::entries;
+
+use crate::shared::Shared;
+
+/// Time after the store's return during which a missing announcement may still come back.
+const RETURN_DELAY: Duration = Duration::from_millis(2300);
+
+/// Which copy of the store's items.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Kind {
+    /// What operators wrote.
+    Orders,
+    /// Announcements of servers.
+    Servers,
+    /// Announcements of hosts and starts of rollouts.
+    Own,
+    /// States of rollouts.
+    States,
+}
+
+/// Copies of the store's items and what follows from them.
+pub struct Beliefs {
+    /// What the threads share.
+    pub shared: Arc<Shared>,
+    control: RefCell<Control>,
+    orders: RefCell<Mirror>,
+    servers: RefCell<Mirror>,
+    own: RefCell<Mirror>,
+    states: RefCell<Mirror>,
+    /// Until when removals of server entries are held back after an outage of the store.
+    hold_removals: Cell<Instant>,
+    held: RefCell<HashSet<String>>,
+    /// When the store last answered a read of the servers.
+    servers_read: Cell<Instant>,
+    is_store_lost: Cell<bool>,
+}
+
+impl Beliefs {
+    /// The state of a process that has just started.
+    pub fn new(shared: Arc<Shared>) -> Self {
+        let cfg = &shared.cfg;
+        let control = Control::new(cfg.terms.clone(), shared.me.clone(), cfg.domains.clone());
+        Beliefs {
+            control: RefCell::new(control),
+            orders: RefCell::default(),
+            servers: RefCell::default(),
+            own: RefCell::default(),
+            states: RefCell::default(),
+            hold_removals: Cell::new(Instant::ZERO),
+            held: RefCell::default(),
+            servers_read: Cell::new(clock::now()),
+            is_store_lost: Cell::new(false),
+            shared,
+        }
+    }
+
+    fn mirror(&self, kind: Kind) -> &RefCell<Mirror> {
+        match kind {
+            Kind::Orders => &self.orders,
+            Kind::Servers => &self.servers,
+            Kind::Own => &self.own,
+            Kind::States => &self.states,
+        }
+    }
+
+    /// Revision up to which a copy is complete.
+    pub fn at(&self, kind: Kind) -> u64 {
+        self.mirror(kind).borrow().at()
+    }
+
+    /// Revision of the newest change that a copy has seen.
+    pub fn changed(&self, kind: Kind) -> u64 {
+        self.mirror(kind).borrow().changed()
+    }
+
+    /// A copy as another host can take it over.
+    pub fn snapshot(&self, kind: Kind) -> Snapshot {
+        self.mirror(kind).borrow().snapshot()
+    }
+
+    /// Takes over changes from the store.
+    pub fn apply(&self, kind: Kind, changes: Vec<ItemChange>, at: u64) {
+        let fresh = self.mirror(kind).borrow_mut().apply(changes, at);
+        self.follow(kind, &fresh);
+    }
+
+    /// Takes over a whole copy from the store or another host.
+    pub fn replace(&self, kind: Kind, snapshot: Snapshot) {
+        let fresh = self.mirror(kind).borrow_mut().replace(snapshot);
+        self.follow(kind, &fresh);
+    }
+
+    fn follow(&self, kind: Kind, fresh: &[ItemChange]) {
+        if fresh.is_empty() {
+            return;
+        }
+        let mut changes = entries::decode_all(fresh);
+        if kind == Kind::Servers {
+            self.hold_back_removals(&mut changes);
+        }
+        self.log(&changes);
+        self.control.borrow_mut().apply(clock::now(), clock::unix_millis(), changes);
+        self.publish();
+    }
+
+    /// Keeps servers whose entries lapsed while the store was away until they had time to return.
+    fn hold_back_removals(&self, changes: &mut Vec<Change>) {
+        let is_holding = self.is_store_lost.get() || clock::now() < self.hold_removals.get();
+        let mut held = self.held.borrow_mut();
+        let control = self.control.borrow();
+        let servers = &control.view().servers;
+        changes.retain(|change| match change {
+            Change::ServerAnnounced(entry) => {
+                held.remove(&entry.id);
+                true
+            }
+            Change::ServerRemoved(id) if is_holding => {
+                let is_draining = servers.get(id).is_some_and(|s| s.draining);
+                if !is_draining {
+                    held.insert(id.clone());
+                }
+                is_draining
+            }
+            _ => true,
+        });
+    }
+
+    fn release_removals(&self, now: Instant) {
+        if self.is_store_lost.get() || now < self.hold_removals.get() {
+            return;
+        }
+        let gone: Vec<Change> = self.held.borrow_mut().drain().map(Change::ServerRemoved).collect();
+        if !gone.is_empty() {
+            self.log(&gone);
+            self.control.borrow_mut().apply(now, clock::unix_millis(), gone);
+        }
+    }
+
+    /// Notes that a read of the servers succeeded.
+    pub fn store_answered(&self) {
+        let now = clock::now();
+        self.servers_read.set(now);
+        if self.is_store_lost.replace(false) {
+            self.hold_removals.set(now + RETURN_DELAY);
+        }
+    }
+
+    /// Notes that a read of the servers failed.
+    pub fn store_failed(&self) {
+        self.is_store_lost.set(true);
+    }
+
+    /// Time since the store last answered.
+    pub fn store_silence(&self) -> Duration {
+        clock::now().saturating_since(self.servers_read.get())
+    }
+
+    fn log(&self, changes: &[Change]) {
+        let control = self.control.borrow();
+        for change in changes {
+            match change {
+                Change::Configured(catalog) => {
+                    let (version, before) = (catalog.version, control.view().catalog.version);
+                    tracing::info!(event = 330, version, before, "A configuration is in force.");
+                }
+                Change::RolloutOrdered(order) => tracing::info!(
+                    event = 331,
+                    service = order.service,
+                    version = order.version,
+                    revision = order.revision,
+                    "A rollout was ordered."
+                ),
+                Change::RolloutWithdrawn(service) => {
+                    tracing::info!(event = 332, service, "A rollout order was taken back.");
+                }
+                Change::RolloutRecorded(record) => tracing::info!(
+                    event = 333,
+                    service = record.service,
+                    version = record.version,
+                    state = ?record.state,
+                    "The state of a rollout was recorded."
+                ),
+                Change::Evacuated(domain) => {
+                    tracing::info!(event = 334, domain, "A failure domain is evacuated.");
+                }
+                Change::Reopened(domain) => {
+                    tracing::info!(event = 335, domain, "A failure domain is open again.");
+                }
+                Change::ServerAnnounced(entry) => {
+                    let known = control.view().servers.get(&entry.id);
+                    let is_news =
+                        known.is_none_or(|k| k.draining != entry.draining || k.born != entry.born);
+                    if is_news {
+                        tracing::info!(
+                            event = 336,
+                            server = entry.id,
+                            service = entry.service,
+                            draining = entry.draining,
+                            "A server announced itself."
+                        );
+                    }
+                }
+                Change::ServerRemoved(server) => {
+                    tracing::info!(event = 337, server, "A server is gone.");
+                }
+                Change::HostAnnounced(host) => {
+                    tracing::info!(event = 338, host = host.name, "A host announced itself.");
+                }
+                Change::HostRemoved(host) => {
+                    tracing::info!(event = 339, host, "The store no longer lists a host.");
+                }
+                Change::RolloutStarted(_) => {}
+            }
+        }
+    }
+
+    /// Takes in what another host says.
+    pub fn hear(&self, digest: Digest) {
+        self.control.borrow_mut().hear(clock::now(), &digest);
+        self.shared.decide(|steering, now| steering.hear(now, digest));
+        self.publish();
+    }
+
+    /// Does what is due.
+    pub fn tick(&self) {
+        let now = clock::now();
+        self.release_removals(now);
+        self.control.borrow_mut().tick(now);
+        self.publish();
+        self.shared.decide(|steering, now| steering.tick(now));
+    }
+
+    /// What this host tells the others.
+    pub fn digest(&self) -> Digest {
+        let (orders, servers) = (self.changed(Kind::Orders), self.at(Kind::Servers));
+        let mut digest = self.control.borrow_mut().digest(orders, servers);
+        self.shared.decide(|steering, _| steering.report(&mut digest));
+        digest
+    }
+
+    /// Addresses of the other hosts.
+    pub fn peer_addresses(&self) -> Vec<SocketAddr> {
+        self.control.borrow().peer_addresses().collect()
+    }
+
+    /// A host that knows newer orders.
+    pub fn ahead_on_orders(&self) -> Option<SocketAddr> {
+        let own = self.changed(Kind::Orders);
+        self.control.borrow().ahead_on_orders(clock::now(), own)
+    }
+
+    /// A host that knows newer server entries.
+    pub fn ahead_on_servers(&self) -> Option<SocketAddr> {
+        let own = self.at(Kind::Servers);
+        self.control.borrow().ahead_on_servers(clock::now(), own)
+    }
+
+    /// Rollout states that this host should record.
+    pub fn due_records(&self) -> Vec<DueRecord> {
+        let shared = &self.shared;
+        self.control.borrow_mut().due_records(clock::now(), clock::unix_millis(), |service| {
+            shared.decide(|steering, _| steering.is_faulty(service))
+        })
+    }
+
+    /// Whether a rollout is under way.
+    pub fn has_rollouts(&self) -> bool {
+        !self.control.borrow().view().rollouts.is_empty()
+    }
+
+    /// Takes no new callers from now on.
+    pub fn leave(&self) {
+        self.control.borrow_mut().stop();
+        self.publish();
+    }
+
+    fn publish(&self) {
+        let view = self.control.borrow_mut().take_view();
+        if let Some(view) = view {
+            self.shared.publish(view);
+        }
+    }
+}
--- /dev/null
+++ b/crates/edge/src/control/orders.rs
@@ -0,0 +1,59 @@
+//! Follows what operators write.
+
+use std::{rc::Rc, time::Duration};
+
+use jasminestage_platform::{
+    keys,
+    store::{Freshness, Store, StoreError},
+};
+
+use super::{
+    Backoff, Dependency, STORE_TIMEOUT,
+    beliefs::{Beliefs, Kind},
+};
+
+/// Time that one watch waits for a change.
+const WATCH_WAIT: Duration = Duration::from_secs(20);
+
+/// Reads all orders, then waits for changes, for as long as the process runs.
+pub async fn follow(beliefs: Rc<Beliefs>) {
+    let mut store = Store::new(beliefs.shared.cfg.store, STORE_TIMEOUT);
+    let mut backoff = Backoff::default();
+    let mut dependency = Dependency::new("orders in the store");
+    let mut is_complete = false;
+    loop {
+        let result = if is_complete {
+            watch(&beliefs, &mut store).await
+        } else {
+            read(&beliefs, &mut store).await
+        };
+        match result {
+            Ok(()) => {
+                is_complete = true;
+                backoff.reset();
+                dependency.regained();
+            }
+            Err(StoreError::HistoryGone) => is_complete = false,
+            Err(e) => {
+                dependency.lost(&e);
+                backoff.pause().await;
+            }
+        }
+    }
+}
+
+async fn read(beliefs: &Beliefs, store: &mut Store) -> Result<(), StoreError> {
+    let result = store.range(keys::ORDERS, Freshness::Latest).await;
+    beliefs.shared.metrics.store_call("range orders", result.is_ok());
+    beliefs.replace(Kind::Orders, result?);
+    Ok(())
+}
+
+async fn watch(beliefs: &Beliefs, store: &mut Store) -> Result<(), StoreError> {
+    let after = beliefs.at(Kind::Orders);
+    let result = store.watch(keys::ORDERS, after, WATCH_WAIT).await;
+    beliefs.shared.metrics.store_call("watch orders", result.is_ok());
+    let (changes, at) = result?;
+    beliefs.apply(Kind::Orders, changes, at);
+    Ok(())
+}
--- /dev/null
+++ b/crates/edge/src/control/servers.rs
@@ -0,0 +1,69 @@
+//! Follows the announcements of servers.
+//!
+//! Servers renew their entries all the time, so a waiting watch would return at once; one call a
+//! second takes all changes together.
+
+use std::{rc::Rc, time::Duration};
+
+use jasminestage_platform::{
+    keys,
+    store::{Freshness, Store, StoreError},
+};
+
+use super::{
+    Backoff, Dependency, STORE_TIMEOUT,
+    beliefs::{Beliefs, Kind},
+};
+
+/// Time between two reads of changes.
+const PERIOD: Duration = Duration::from_millis(900);
+/// Time that a read waits when there is no change.
+const WAIT: Duration = Duration::from_millis(50);
+
+/// Reads all entries, then their changes, for as long as the process runs.
+pub async fn follow(beliefs: Rc<Beliefs>) {
+    let mut store = Store::new(beliefs.shared.cfg.store, STORE_TIMEOUT);
+    let mut backoff = Backoff::default();
+    let mut dependency = Dependency::new("servers in the store");
+    let mut is_complete = false;
+    loop {
+        let result = if is_complete {
+            read_changes(&beliefs, &mut store).await
+        } else {
+            read_all(&beliefs, &mut store).await
+        };
+        match result {
+            Ok(()) => {
+                is_complete = true;
+                backoff.reset();
+                dependency.regained();
+                tokio::time::sleep(PERIOD).await;
+            }
+            Err(StoreError::HistoryGone) => is_complete = false,
+            Err(e) => {
+                dependency.lost(&e);
+                beliefs.store_failed();
+                backoff.pause().await;
+            }
+        }
+    }
+}
+
+async fn read_all(beliefs: &Beliefs, store: &mut Store) -> Result<(), StoreError> {
+    let result = store.range(keys::SERVERS, Freshness::Latest).await;
+    beliefs.shared.metrics.store_call("range servers", result.is_ok());
+    let snapshot = result?;
+    beliefs.store_answered();
+    beliefs.replace(Kind::Servers, snapshot);
+    Ok(())
+}
+
+async fn read_changes(beliefs: &Beliefs, store: &mut Store) -> Result<(), StoreError> {
+    let after = beliefs.at(Kind::Servers);
+    let result = store.watch(keys::SERVERS, after, WAIT).await;
+    beliefs.shared.metrics.store_call("watch servers", result.is_ok());
+    let (changes, at) = result?;
+    beliefs.store_answered();
+    beliefs.apply(Kind::Servers, changes, at);
+    Ok(())
+}
--- /dev/null
+++ b/crates/edge/src/front/request.rs
@@ -0,0 +1,252 @@
+//! One request of a caller, from its head to its answer.
+
+use std::{sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use http::{HeaderMap, HeaderValue, Request, Response, header};
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use hyper::body::Incoming;
+use jasminestage_core::{
+    steer::{
+        refusal::{Reason, Refusal},
+        server::Outcome,
+        steering::{Arrival, Flight, Next},
+    },
+    time::Instant,
+    world::Repeat,
+};
+use jasminestage_daemon::clock;
+use jasminestage_platform::headers;
+use xxhash_rust::xxh3::Xxh3;
+
+use super::answer::{self, Reply};
+use crate::{
+    log,
+    shared::{Phase, Shared},
+    upstream::{Answer, Outgoing, Pool, Tried, send},
+};
+
+/// Rest of a connection after which it carries no request that must run at most once: the server
+/// may close it at that moment.
+const AT_MOST_ONCE_MAX_IDLE: Duration = Duration::from_secs(1);
+/// Time past a request's deadline in which the server's own answer to it may still come.
+const LAST_ANSWER: Duration = Duration::from_millis(60);
+
+/// Answers one request; `None` closes the connection without an answer.
+pub async fn handle(shared: Arc<Shared>, pool: Arc<Pool>, req: Request<Incoming>) -> Option<Reply> {
+    let arrived = clock::now();
+    let (parts, body) = req.into_parts();
+    let id = headers::text(&parts.headers, &headers::REQUEST_ID).unwrap_or_default().to_owned();
+    let mut trace = Trace::new(&shared, &id, arrived);
+    let mut reply = match serve(&shared, &pool, &parts, body, &id, &mut trace).await {
+        Ok(answer) => deliver(answer),
+        Err(Failure::Refused(refusal)) => {
+            trace.refused(refusal);
+            answer::refusal(refusal)
+        }
+        Err(Failure::CallerLeft) => return None,
+    };
+    if *shared.phase().borrow() >= Phase::Leaving {
+        reply.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+    }
+    trace.answered(reply.status().as_u16());
+    Some(reply)
+}
+
+enum Failure {
+    Refused(Refusal),
+    CallerLeft,
+}
+
+impl From<Refusal> for Failure {
+    fn from(refusal: Refusal) -> Self {
+        Failure::Refused(refusal)
+    }
+}
+
+async fn serve(
+    shared: &Arc<Shared>,
+    pool: &Pool,
+    parts: &http::request::Parts,
+    body: Incoming,
+    id: &str,
+    trace: &mut Trace<'_>,
+) -> Result<Answer, Failure> {
+    if id.is_empty() {
+        return Err(Failure::Refused(Reason::BadRequest.into()));
+    }
+    let host = headers::text(&parts.headers, &header::HOST).unwrap_or_default();
+    let arrival = Arrival {
+        id,
+        host: host.split(':').next().unwrap_or_default(),
+        path: parts.uri.path(),
+        key: headers::key(&parts.headers),
+        object: headers::object(&parts.headers),
+        patience: headers::patience(&parts.headers),
+    };
+    let flight = shared.decide(|steering, now| steering.admit(now, &arrival))?;
+    trace.admitted(&flight);
+    let mut flight = Guard { shared, flight };
+    let body = read_body(shared, body).await?;
+    let fingerprint = fingerprint(parts, &body);
+    shared
+        .decide(|steering, now| steering.check_fingerprint(now, &mut flight.flight, fingerprint))?;
+    let mut sent_headers: HeaderMap = parts.headers.clone();
+    let workspace = flight.flight.workspace.as_ref().map(|w| w.name.clone());
+    headers::prepare(&mut sent_headers, workspace.as_deref());
+    let at_most_once = flight.flight.route.repeat == Repeat::AtMostOnce;
+    loop {
+        let mut to = shared.decide(|steering, now| steering.choose(now, &mut flight.flight))?;
+        trace.sent(&to);
+        let outgoing = Outgoing {
+            parts,
+            headers: &sent_headers,
+            body: &body,
+            id,
+            max_idle: if at_most_once { AT_MOST_ONCE_MAX_IDLE } else { Duration::MAX },
+            deadline: flight.flight.deadline,
+        };
+        to.timeout += LAST_ANSWER;
+        let Tried { outcome, report, answer } = send(pool, &shared.metrics, &to, &outgoing).await;
+        trace.tried(outcome);
+        let next = shared
+            .decide(|steering, now| steering.finish(now, &mut flight.flight, outcome, report));
+        match (next, answer) {
+            (Next::Again, _) => {}
+            (Next::Deliver, Some(answer)) => return Ok(answer),
+            (Next::Deliver, None) => return Err(Failure::Refused(Reason::BadAnswer.into())),
+            (Next::Refuse(refusal), _) => return Err(refusal.into()),
+        }
+    }
+}
+
+/// Tells the request path that the caller left when a request is dropped in the middle of a try.
+struct Guard<'a> {
+    shared: &'a Shared,
+    flight: Flight,
+}
+
+impl Drop for Guard<'_> {
+    fn drop(&mut self) {
+        if self.flight.is_at_server() {
+            self.shared.metrics.tried("abandoned");
+            self.shared.decide(|steering, now| {
+                steering.finish(now, &mut self.flight, Outcome::Abandoned, None)
+            });
+        }
+    }
+}
+
+async fn read_body(shared: &Shared, body: Incoming) -> Result<Bytes, Failure> {
+    let limit = shared.view.load().catalog.limits.max_body_bytes;
+    match Limited::new(body, limit).collect().await {
+        Ok(body) => Ok(body.to_bytes()),
+        Err(e) if e.is::<LengthLimitError>() => Err(Failure::Refused(Reason::BodyTooLarge.into())),
+        Err(_) => Err(Failure::CallerLeft),
+    }
+}
+
+/// What stays the same when a caller sends a request again.
+fn fingerprint(parts: &http::request::Parts, body: &Bytes) -> u64 {
+    let mut hash = Xxh3::new();
+    hash.update(parts.method.as_str().as_bytes());
+    hash.update(parts.uri.to_string().as_bytes());
+    for name in [header::HOST, header::AUTHORIZATION, header::COOKIE] {
+        hash.update(parts.headers.get(name).map_or(b"".as_slice(), HeaderValue::as_bytes));
+        hash.update(b"\0");
+    }
+    hash.update(body);
+    hash.digest()
+}
+
+fn deliver(answer: Answer) -> Reply {
+    let mut reply = Response::new(Full::new(answer.body));
+    *reply.status_mut() = answer.status;
+    *reply.headers_mut() = answer.headers;
+    reply
+}
+
+/// Collects what one log line says of a request.
+struct Trace<'a> {
+    shared: &'a Shared,
+    id: &'a str,
+    arrived: Instant,
+    route: String,
+    workspace: String,
+    server: String,
+    expected_ms: u64,
+    tries: u32,
+    outcome: &'static str,
+    code: u16,
+}
+
+impl<'a> Trace<'a> {
+    fn new(shared: &'a Shared, id: &'a str, arrived: Instant) -> Self {
+        Trace {
+            shared,
+            id,
+            arrived,
+            route: String::new(),
+            workspace: String::new(),
+            server: String::new(),
+            expected_ms: 0,
+            tries: 0,
+            outcome: "none",
+            code: 0,
+        }
+    }
+
+    fn admitted(&mut self, flight: &Flight) {
+        self.route.clone_from(&flight.route.name);
+        self.workspace = flight.workspace.as_ref().map_or_else(String::new, |w| w.name.clone());
+    }
+
+    fn sent(&mut self, to: &jasminestage_core::steer::steering::Send) {
+        self.server.clone_from(&to.server.id);
+        self.expected_ms = to.expected.as_millis() as u64;
+        self.tries += 1;
+    }
+
+    fn tried(&mut self, outcome: Outcome) {
+        self.outcome = match outcome {
+            Outcome::Answered { .. } => "answered",
+            Outcome::Shed => "shed",
+            Outcome::WrongServer => "wrong server",
+            Outcome::NotSent => "not sent",
+            Outcome::Lost => "lost",
+            Outcome::BadAnswer => "bad answer",
+            Outcome::TimedOut => "timed out",
+            Outcome::Abandoned => "abandoned",
+        };
+        self.shared.metrics.tried(self.outcome);
+    }
+
+    fn refused(&mut self, refusal: Refusal) {
+        self.code = refusal.reason.number();
+        self.shared.metrics.refused(refusal.reason);
+    }
+
+    fn answered(&self, status: u16) {
+        let took = clock::now().saturating_since(self.arrived);
+        self.shared.metrics.answered(status, took);
+        if !log::admits_request_line() {
+            return;
+        }
+        let configuration = self.shared.view.load().catalog.version;
+        tracing::info!(
+            event = 360,
+            request = self.id,
+            route = self.route,
+            workspace = self.workspace,
+            configuration,
+            server = self.server,
+            expected_ms = self.expected_ms,
+            tries = self.tries,
+            outcome = self.outcome,
+            code = self.code,
+            status,
+            took_ms = took.as_millis() as u64,
+            "A request was answered."
+        );
+    }
+}
