Hold back removals only after outages of the store itself

Ruled out: late polling; the removal was known 2 s after the cut healed. Change: the store's revision tells an outage of the store from a cut of this host.

--- a/crates/core/src/steer/mod.rs
+++ b/crates/core/src/steer/mod.rs
@@ -9,6 +9,7 @@
 pub mod crash;
 pub mod digest;
 pub mod directory;
+pub mod lapse;
 pub mod mirror;
 pub mod pick;
 pub mod quota;
--- a/crates/edge/src/control/beliefs.rs
+++ b/crates/edge/src/control/beliefs.rs
@@ -2,7 +2,6 @@
 
 use std::{
     cell::{Cell, RefCell},
-    collections::HashSet,
     net::SocketAddr,
     sync::Arc,
     time::Duration,
@@ -12,6 +11,7 @@
     steer::{
         control::{Change, Control, DueRecord},
         digest::Digest,
+        lapse::Lapses,
         mirror::{ItemChange, Mirror, Snapshot},
     },
     time::Instant,
@@ -21,9 +21,6 @@
 
 use crate::shared::Shared;
 
-/// Time after the store's return during which a missing announcement may still come back.
-const RETURN_DELAY: Duration = Duration::from_millis(2300);
-
 /// Which copy of the store's items.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Kind {
@@ -46,12 +43,9 @@
     servers: RefCell<Mirror>,
     own: RefCell<Mirror>,
     states: RefCell<Mirror>,
-    /// Until when removals of server entries are held back after an outage of the store.
-    hold_removals: Cell<Instant>,
-    held: RefCell<HashSet<String>>,
+    lapses: RefCell<Lapses>,
     /// When the store last answered a read of the servers.
     servers_read: Cell<Instant>,
-    is_store_lost: Cell<bool>,
 }
 
 impl Beliefs {
@@ -65,10 +59,8 @@
             servers: RefCell::default(),
             own: RefCell::default(),
             states: RefCell::default(),
-            hold_removals: Cell::new(Instant::ZERO),
-            held: RefCell::default(),
+            lapses: RefCell::default(),
             servers_read: Cell::new(clock::now()),
-            is_store_lost: Cell::new(false),
             shared,
         }
     }
@@ -99,12 +91,14 @@
 
     /// Takes over changes from the store.
     pub fn apply(&self, kind: Kind, changes: Vec<ItemChange>, at: u64) {
+        self.observe(kind, at);
         let fresh = self.mirror(kind).borrow_mut().apply(changes, at);
         self.follow(kind, &fresh);
     }
 
     /// Takes over a whole copy from the store or another host.
     pub fn replace(&self, kind: Kind, snapshot: Snapshot) {
+        self.observe(kind, snapshot.at);
         let fresh = self.mirror(kind).borrow_mut().replace(snapshot);
         self.follow(kind, &fresh);
     }
@@ -115,40 +109,27 @@
         }
         let mut changes = entries::decode_all(fresh);
         if kind == Kind::Servers {
-            self.hold_back_removals(&mut changes);
+            let control = self.control.borrow();
+            let known = &control.view().servers;
+            self.lapses.borrow_mut().hold_back(clock::now(), known, &mut changes);
         }
         self.log(&changes);
         self.control.borrow_mut().apply(clock::now(), clock::unix_millis(), changes);
         self.publish();
     }
 
-    /// Keeps servers whose entries lapsed while the store was away until they had time to return.
-    fn hold_back_removals(&self, changes: &mut Vec<Change>) {
-        let is_holding = self.is_store_lost.get() || clock::now() < self.hold_removals.get();
-        let mut held = self.held.borrow_mut();
+    fn observe(&self, kind: Kind, at: u64) {
+        if kind != Kind::Servers {
+            return;
+        }
         let control = self.control.borrow();
-        let servers = &control.view().servers;
-        changes.retain(|change| match change {
-            Change::ServerAnnounced(entry) => {
-                held.remove(&entry.id);
-                true
-            }
-            Change::ServerRemoved(id) if is_holding => {
-                let is_draining = servers.get(id).is_some_and(|s| s.draining);
-                if !is_draining {
-                    held.insert(id.clone());
-                }
-                is_draining
-            }
-            _ => true,
-        });
+        let view = control.view();
+        let (servers, heartbeat) = (view.servers.len(), view.terms.heartbeat);
+        self.lapses.borrow_mut().observe(clock::now(), at, servers, heartbeat);
     }
 
     fn release_removals(&self, now: Instant) {
-        if self.is_store_lost.get() || now < self.hold_removals.get() {
-            return;
-        }
-        let gone: Vec<Change> = self.held.borrow_mut().drain().map(Change::ServerRemoved).collect();
+        let gone = self.lapses.borrow_mut().release(now);
         if !gone.is_empty() {
             self.log(&gone);
             self.control.borrow_mut().apply(now, clock::unix_millis(), gone);
@@ -157,16 +138,7 @@
 
     /// Notes that a read of the servers succeeded.
     pub fn store_answered(&self) {
-        let now = clock::now();
-        self.servers_read.set(now);
-        if self.is_store_lost.replace(false) {
-            self.hold_removals.set(now + RETURN_DELAY);
-        }
-    }
-
-    /// Notes that a read of the servers failed.
-    pub fn store_failed(&self) {
-        self.is_store_lost.set(true);
+        self.servers_read.set(clock::now());
     }
 
     /// Time since the store last answered.
--- a/crates/edge/src/control/servers.rs
+++ b/crates/edge/src/control/servers.rs
@@ -42,7 +42,6 @@
             Err(StoreError::HistoryGone) => is_complete = false,
             Err(e) => {
                 dependency.lost(&e);
-                beliefs.store_failed();
                 backoff.pause().await;
             }
         }
