--- a/crates/core/src/steer/digest.rs
+++ b/crates/core/src/steer/digest.rs
@@ -25,13 +25,13 @@
     pub rate: f32,
 }
 
-/// Requests of a workspace at one host.
+/// Use of a workspace's quota at one host.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct WorkspaceDemand {
+pub struct WorkspaceUse {
     /// Name of the workspace.
     pub workspace: String,
-    /// Requests per second.
-    pub rate: f32,
+    /// Requests admitted in the last window.
+    pub used: f32,
 }
 
 /// What one host has seen of a version on trial.
@@ -91,8 +91,8 @@
     pub in_flight: Vec<InFlight>,
     /// Demand by service.
     pub services: Vec<ServiceDemand>,
-    /// Demand by workspace.
-    pub workspaces: Vec<WorkspaceDemand>,
+    /// Use of quotas.
+    pub workspaces: Vec<WorkspaceUse>,
     /// Versions on trial.
     pub trials: Vec<Trial>,
     /// Rollouts by service, with the revision of the order and the state.
--- a/crates/core/src/steer/quota.rs
+++ b/crates/core/src/steer/quota.rs
@@ -1,46 +1,101 @@
-//! Workspace quotas, split between hosts by demand.
+//! Workspace quotas over all hosts together.
 //!
-//! Each host refills a bucket with its share of the rate. Shares follow the demand that hosts tell
-//! each other; while a host that may be alive is not heard, this host's share does not grow.
+//! Each host counts what it admits in the sliding window and tells the others. What the window still
+//! admits is the headroom; per period each host may use only a small part of it, so that hosts which
+//! have not yet heard of each other's requests stay within the bound together. A host that is not
+//! heard counts as if it used its even part of the whole window.
 
-use std::{collections::HashMap, time::Duration};
+use std::{
+    collections::{HashMap, VecDeque},
+    time::Duration,
+};
 
-use super::catalog::Workspace;
+use super::{catalog::Workspace, terms::Terms};
 use crate::time::Instant;
 
-/// Part of a workspace's rate that is split evenly, whatever the demand.
-const EVEN_PART: f64 = 0.2;
-/// Weight of the newest period in the mean demand.
-const DEMAND_WEIGHT: f64 = 0.3;
-/// Time between two updates of shares.
-pub const SHARE_PERIOD: Duration = Duration::from_millis(200);
+/// Part of the permitted requests in a window that is used; the rest covers requests in transit.
+const USED_PART: f64 = 0.92;
+/// Part of the headroom that all hosts together may use before they hear of it.
+const PERIOD_PART: f64 = 0.4;
+/// Part of that which is split evenly; the rest follows demand.
+const EVEN_PART: f64 = 0.3;
+/// Time within which hosts hear of each other's requests.
+const HEARING_PERIOD: Duration = Duration::from_millis(200);
+/// Slots into which the window is cut for counting.
+const SLOTS_PER_WINDOW: u32 = 10;
+/// Time that a caller waits for a token at most, as told to it.
+const MAX_WAIT: Duration = Duration::from_secs(5);
 
-/// Demand of a workspace as other hosts tell it.
+/// Use of a workspace's quota at the other hosts.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Elsewhere {
-    /// Requests per second at the other hosts.
-    pub demand: f64,
+    /// Requests admitted in the last window by the hosts that are heard.
+    pub used: f64,
     /// Hosts that may be alive, this one included.
     pub hosts: usize,
-    /// Whether each of them was heard lately.
-    pub complete: bool,
+    /// Hosts that may be alive and are not heard.
+    pub unheard: usize,
 }
 
-/// Bucket of one workspace on one host.
-#[derive(Clone, Debug)]
-struct Bucket {
+/// Use of one workspace's quota on this host.
+#[derive(Clone, Debug, Default)]
+struct Usage {
+    admitted: VecDeque<(Instant, u32)>,
     tokens: f64,
     at: Instant,
-    share: f64,
-    asked: u32,
-    demand: f64,
+    elsewhere: Elsewhere,
 }
 
-/// Buckets of all workspaces on one host.
+/// Use of all workspaces' quotas on one host.
 #[derive(Clone, Debug, Default)]
 pub struct Quotas {
-    buckets: HashMap<String, Bucket>,
-    updated: Instant,
+    workspaces: HashMap<String, Usage>,
+}
+
+/// Requests that a window admits over all hosts.
+fn allowance(terms: &Terms, workspace: &Workspace) -> f64 {
+    let nominal = workspace.rate * terms.quota_window.as_secs_f64() + workspace.burst;
+    (nominal * (1.0 + terms.quota_overage) + terms.quota_slack) * USED_PART
+}
+
+impl Usage {
+    fn used(&self) -> f64 {
+        self.admitted.iter().map(|(_, n)| f64::from(*n)).sum()
+    }
+
+    fn expire(&mut self, now: Instant, terms: &Terms) {
+        // A slot counts until its last request has left the window.
+        let slot = terms.quota_window / SLOTS_PER_WINDOW;
+        while self.admitted.front().is_some_and(|(at, _)| *at + terms.quota_window + slot <= now) {
+            self.admitted.pop_front();
+        }
+    }
+
+    fn count(&mut self, now: Instant, terms: &Terms) {
+        let slot = terms.quota_window / SLOTS_PER_WINDOW;
+        match self.admitted.back_mut() {
+            Some((at, n)) if now < *at + slot => *n += 1,
+            _ => self.admitted.push_back((now, 1)),
+        }
+    }
+
+    /// Earns tokens from the headroom and returns the rate at which they come, per second.
+    fn earn(&mut self, now: Instant, terms: &Terms, workspace: &Workspace) -> f64 {
+        let hosts = self.elsewhere.hosts.max(1) as f64;
+        let allowance = allowance(terms, workspace);
+        let own = self.used();
+        let reserved = allowance * self.elsewhere.unheard as f64 / hosts;
+        let headroom = (allowance - own - self.elsewhere.used - reserved).max(0.0);
+        let total = own + self.elsewhere.used;
+        let by_demand = if total > 0.0 { own / total } else { 1.0 / hosts };
+        let part = EVEN_PART / hosts + (1.0 - EVEN_PART) * by_demand;
+        let per_period = headroom * PERIOD_PART * part;
+        let rate = per_period / HEARING_PERIOD.as_secs_f64();
+        let span = now.saturating_since(self.at).as_secs_f64();
+        self.tokens = (self.tokens + span * rate).min(per_period.max(1.0)).min(headroom);
+        self.at = now;
+        rate
+    }
 }
 
 impl Quotas {
@@ -48,55 +103,42 @@
     pub fn take(
         &mut self,
         now: Instant,
+        terms: &Terms,
         workspace: &Workspace,
         hosts: usize,
     ) -> Result<(), Duration> {
         if workspace.rate <= 0.0 {
             return Ok(());
         }
-        let even = 1.0 / hosts.max(1) as f64;
-        let bucket = self.buckets.entry(workspace.name.clone()).or_insert_with(|| Bucket {
-            tokens: workspace.burst * even,
+        let usage = self.workspaces.entry(workspace.name.clone()).or_insert_with(|| Usage {
+            tokens: 1.0,
             at: now,
-            share: even,
-            asked: 0,
-            demand: 0.0,
+            // Nothing is known of the others before the first update.
+            elsewhere: Elsewhere { used: 0.0, hosts, unheard: hosts.saturating_sub(1) },
+            ..Usage::default()
         });
-        bucket.asked += 1;
-        let rate = workspace.rate * bucket.share;
-        let depth = (workspace.burst * bucket.share).max(1.0);
-        let earned = now.saturating_since(bucket.at).as_secs_f64() * rate;
-        bucket.tokens = (bucket.tokens + earned).min(depth);
-        bucket.at = now;
-        if bucket.tokens < 1.0 {
-            let wait = (1.0 - bucket.tokens) / rate.max(0.01);
-            return Err(Duration::from_secs_f64(wait.min(60.0)));
+        usage.expire(now, terms);
+        let rate = usage.earn(now, terms, workspace);
+        if usage.tokens < 1.0 {
+            let wait = (1.0 - usage.tokens) / rate.max(0.01);
+            return Err(Duration::from_secs_f64(wait).min(MAX_WAIT));
         }
-        bucket.tokens -= 1.0;
+        usage.tokens -= 1.0;
+        usage.count(now, terms);
         Ok(())
     }
 
-    /// Updates the demand and, from what other hosts say, the share of each workspace.
-    pub fn update(&mut self, now: Instant, elsewhere: impl Fn(&str) -> Elsewhere) {
-        let span = now.saturating_since(self.updated).as_secs_f64();
-        if span < SHARE_PERIOD.as_secs_f64() {
-            return;
-        }
-        self.updated = now;
-        for (name, bucket) in &mut self.buckets {
-            let seen = f64::from(std::mem::take(&mut bucket.asked)) / span;
-            bucket.demand += DEMAND_WEIGHT * (seen - bucket.demand);
-            let others = elsewhere(name);
-            let even = 1.0 / others.hosts.max(1) as f64;
-            let total = bucket.demand + others.demand;
-            let by_demand = if total > 0.0 { bucket.demand / total } else { even };
-            let share = EVEN_PART * even + (1.0 - EVEN_PART) * by_demand;
-            bucket.share = if others.complete { share } else { share.min(bucket.share) };
+    /// Takes over what the other hosts say.
+    pub fn update(&mut self, now: Instant, terms: &Terms, of: impl Fn(&str) -> Elsewhere) {
+        for (name, usage) in &mut self.workspaces {
+            usage.expire(now, terms);
+            usage.elsewhere = of(name);
         }
     }
 
-    /// Demand of each workspace on this host, in requests per second.
-    pub fn demand(&self) -> impl Iterator<Item = (&str, f64)> {
-        self.buckets.iter().filter(|(_, b)| b.demand > 0.05).map(|(n, b)| (n.as_str(), b.demand))
+    /// Requests of each workspace that this host admitted in the last window.
+    pub fn used(&self) -> impl Iterator<Item = (&str, f64)> {
+        let used = self.workspaces.iter().map(|(name, usage)| (name.as_str(), usage.used()));
+        used.filter(|(_, used)| *used > 0.0)
     }
 }
--- a/crates/core/src/steer/steering.rs
+++ b/crates/core/src/steer/steering.rs
@@ -13,7 +13,7 @@
     catalog::{Route, Workspace},
     cold::{ColdFeeds, feeder},
     crash::{Crashes, Death},
-    digest::{Digest, InFlight, ServiceDemand, Trial, WorkspaceDemand},
+    digest::{Digest, InFlight, ServiceDemand, Trial, WorkspaceUse},
     pick::{self, Want},
     quota::{Elsewhere, Quotas},
     refusal::{Reason, Refusal},
@@ -38,6 +38,8 @@
 const USABLE_PART: f64 = 0.85;
 /// Connections that may fail before a request is given up.
 const MAX_CONNECT_FAILURES: usize = 4;
+/// Part of the time left before which a try is not given up for another server.
+const MIN_PATIENCE_PART: f64 = 0.45;
 /// Period between two updates of demand and shares.
 const PLAN_PERIOD: Duration = Duration::from_millis(500);
 /// Weight of the newest period in the mean demand of a service.
@@ -100,6 +102,8 @@
     tried: Vec<ServerKey>,
     connect_failures: usize,
     may_have_run: bool,
+    /// Whether a further try has been paid for.
+    is_prepaid: bool,
     current: Option<Try>,
 }
 
@@ -129,6 +133,8 @@
     pub address: SocketAddr,
     /// Time after which the try is given up.
     pub timeout: Duration,
+    /// Time after which another server may be tried instead, if the budget allows it.
+    pub patience: Duration,
     /// Expected latency.
     pub expected: Duration,
 }
@@ -291,8 +297,8 @@
             .collect();
         digest.workspaces = self
             .quotas
-            .demand()
-            .map(|(name, rate)| WorkspaceDemand { workspace: name.to_owned(), rate: rate as f32 })
+            .used()
+            .map(|(name, used)| WorkspaceUse { workspace: name.to_owned(), used: used as f32 })
             .collect();
         digest.trials = self.view.rollouts.keys().filter_map(|s| self.trial(s)).collect();
         digest.deaths = self.crashes.deaths().map(|d| (d.fingerprint, d.server)).collect();
@@ -318,17 +324,23 @@
         self.crashes.expire(now);
         self.digests.retain(|host, _| self.view.peers.iter().any(|p| p.host.incarnation == *host));
         let hosts = self.view.host_count();
-        let complete = self.view.peers.iter().all(|p| p.is_heard);
-        let digests = &self.digests;
-        self.quotas.update(now, |workspace| Elsewhere {
-            demand: digests
-                .values()
-                .flat_map(|(_, d)| &d.workspaces)
+        let unheard = self.view.peers.iter().filter(|p| !p.is_heard).count();
+        let heard: Vec<&Digest> = self
+            .view
+            .peers
+            .iter()
+            .filter(|p| p.is_heard)
+            .filter_map(|p| self.digests.get(&p.host.incarnation).map(|(_, digest)| digest))
+            .collect();
+        self.quotas.update(now, &self.view.terms, |workspace| Elsewhere {
+            used: heard
+                .iter()
+                .flat_map(|digest| &digest.workspaces)
                 .filter(|w| w.workspace == workspace)
-                .map(|w| f64::from(w.rate))
+                .map(|w| f64::from(w.used))
                 .sum(),
             hosts,
-            complete,
+            unheard,
         });
         if now.saturating_since(self.planned_at) >= PLAN_PERIOD {
             self.plan_regions(now);
@@ -438,6 +450,7 @@
             tried: Vec::new(),
             connect_failures: 0,
             may_have_run: false,
+            is_prepaid: false,
             current: None,
         };
         let state = self.services.entry(flight.service.clone()).or_default();
@@ -445,7 +458,7 @@
         state.first_request.get_or_insert(now);
         state.budget.deposit(&view.terms, view.host_count());
         if let Some(workspace) = &workspace
-            && let Err(wait) = self.quotas.take(now, workspace, view.host_count())
+            && let Err(wait) = self.quotas.take(now, &view.terms, workspace, view.host_count())
         {
             return Err(Refusal { reason: Reason::OverQuota, retry_after: Some(wait) });
         }
@@ -516,22 +529,23 @@
             multiple: found.multiple,
             version: entry.version.clone(),
         });
-        let can_repeat = flight.route.repeat == Repeat::Idempotent
-            && flight.tried.len() < flight.route.max_attempts;
-        let timeout = if can_repeat {
-            let patient = (found.latency * 4.0).max(objective * 1.2);
-            left.min(Duration::from_secs_f64(patient)).max(left.mul_f64(0.5))
-        } else {
-            left
-        };
+        let patience = Duration::from_secs_f64((found.latency * 4.0).max(objective * 1.2));
         Ok(Send {
             address: entry.address,
             server: entry,
-            timeout,
+            timeout: left,
+            patience: patience.max(left.mul_f64(MIN_PATIENCE_PART)),
             expected: Duration::from_secs_f64(found.latency),
         })
     }
 
+    /// Whether a try that is overdue should be given up for another server.
+    pub fn may_switch(&mut self, now: Instant, flight: &mut Flight) -> bool {
+        let idempotent = flight.route.repeat == Repeat::Idempotent;
+        flight.is_prepaid = idempotent && self.may_go_again(now, flight);
+        flight.is_prepaid
+    }
+
     /// The region that a request should run in.
     fn region_of(&self, view: &View, flight: &Flight, shares: &[f64]) -> String {
         let home = view.region_index(&view.region).unwrap_or(0);
@@ -613,12 +627,12 @@
         let idempotent = flight.route.repeat == Repeat::Idempotent;
         let refusal = match outcome {
             Outcome::Answered { status, .. } => {
-                let again = status >= 500 && idempotent && self.may_go_again(now, flight, true);
+                let again = status >= 500 && idempotent && self.may_go_again(now, flight);
                 return if again { Next::Again } else { Next::Deliver };
             }
             Outcome::Abandoned => return Next::Refuse(Reason::TimedOut.into()),
             Outcome::Shed | Outcome::WrongServer => {
-                if self.may_go_again(now, flight, true) {
+                if self.may_go_again(now, flight) {
                     return Next::Again;
                 }
                 return Next::Refuse(self.give_up(flight, Reason::Shed));
@@ -636,19 +650,22 @@
             Outcome::TimedOut => Reason::TimedOut,
         };
         flight.may_have_run = true;
-        if idempotent && self.may_go_again(now, flight, true) {
+        if idempotent && self.may_go_again(now, flight) {
             return Next::Again;
         }
         Next::Refuse(refusal.into())
     }
 
     /// Whether a request may be sent to one more server; takes a token of the budget.
-    fn may_go_again(&mut self, now: Instant, flight: &Flight, pays: bool) -> bool {
+    fn may_go_again(&mut self, now: Instant, flight: &mut Flight) -> bool {
         if flight.tried.len() >= flight.route.max_attempts || now >= flight.deadline {
             return false;
         }
+        if std::mem::take(&mut flight.is_prepaid) {
+            return true;
+        }
         let Some(state) = self.services.get_mut(&flight.service) else { return false };
-        !pays || state.budget.withdraw()
+        state.budget.withdraw()
     }
 
     /// Learns from the end of a try.
--- a/crates/core/src/steer/terms.rs
+++ b/crates/core/src/steer/terms.rs
@@ -21,6 +21,10 @@
     pub retry_extra: f64,
     /// Window over which a workspace's requests are counted.
     pub quota_window: Duration,
+    /// Part of a workspace's quota by which a window may exceed it.
+    pub quota_overage: f64,
+    /// Requests by which a window may exceed a workspace's quota besides.
+    pub quota_slack: f64,
     /// Largest share of a service's requests that an unproven version may get.
     pub canary_share: f64,
     /// Largest change of a region's distribution of requests in two seconds.
@@ -38,6 +42,8 @@
             retry_window: Duration::from_secs(10),
             retry_extra: 50.0,
             quota_window: Duration::from_secs(5),
+            quota_overage: 0.0,
+            quota_slack: 0.0,
             canary_share: 0.1,
             max_shift: 0.15,
         }
--- a/crates/edge/src/front/request.rs
+++ b/crates/edge/src/front/request.rs
@@ -1,6 +1,6 @@
 //! One request of a caller, from its head to its answer.
 
-use std::{sync::Arc, time::Duration};
+use std::{pin::pin, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use http::{HeaderMap, HeaderValue, Request, Response, header};
@@ -17,6 +17,7 @@
 };
 use jasminestage_daemon::clock;
 use jasminestage_platform::headers;
+use tokio::time::timeout;
 use xxhash_rust::xxh3::Xxh3;
 
 use super::answer::{self, Reply};
@@ -107,7 +108,15 @@
             deadline: flight.flight.deadline,
         };
         to.timeout += LAST_ANSWER;
-        let Tried { outcome, report, answer } = send(pool, &shared.metrics, &to, &outgoing).await;
+        let mut attempt = pin!(send(pool, &shared.metrics, &to, &outgoing));
+        let tried = match timeout(to.patience, attempt.as_mut()).await {
+            Ok(tried) => tried,
+            Err(_) if shared.decide(|s, now| s.may_switch(now, &mut flight.flight)) => {
+                Tried::failed(Outcome::TimedOut)
+            }
+            Err(_) => attempt.await,
+        };
+        let Tried { outcome, report, answer } = tried;
         trace.tried(outcome);
         let next = shared
             .decide(|steering, now| steering.finish(now, &mut flight.flight, outcome, report));
--- a/crates/edge/src/options.rs
+++ b/crates/edge/src/options.rs
@@ -88,6 +88,10 @@
     Setting("bounds", "retry_window", false, |o, t| time(&mut o.terms.retry_window, t)),
     Setting("bounds", "retry_extra", false, |o, t| put(&mut o.terms.retry_extra, positive(t))),
     Setting("bounds", "quota_window", false, |o, t| time(&mut o.terms.quota_window, t)),
+    Setting("bounds", "quota_overage", false, |o, t| {
+        put(&mut o.terms.quota_overage, not_negative(t))
+    }),
+    Setting("bounds", "quota_slack", false, |o, t| put(&mut o.terms.quota_slack, not_negative(t))),
     Setting("bounds", "canary_share", false, |o, t| put(&mut o.terms.canary_share, positive(t))),
     Setting("bounds", "max_shift", false, |o, t| put(&mut o.terms.max_shift, positive(t))),
 ];
@@ -173,3 +177,10 @@
         _ => Err("a number above 0 is allowed".to_owned()),
     }
 }
+
+fn not_negative(text: &str) -> Result<f64, String> {
+    match text.parse::<f64>() {
+        Ok(number) if number >= 0.0 && number.is_finite() => Ok(number),
+        _ => Err("a number of at least 0 is allowed".to_owned()),
+    }
+}
--- a/crates/edge/src/upstream/send.rs
+++ b/crates/edge/src/upstream/send.rs
@@ -42,7 +42,8 @@
 }
 
 impl Tried {
-    fn failed(outcome: Outcome) -> Self {
+    /// A try without an answer.
+    pub fn failed(outcome: Outcome) -> Self {
         Tried { outcome, report: None, answer: None }
     }
 }
