Learn from latencies which servers know an object

Change: the base latency follows a quantile, a slow answer of a known server forgets the object, few servers of a domain share objects over the region, old load reports fade faster.

--- a/crates/core/src/steer/pick.rs
+++ b/crates/core/src/steer/pick.rs
@@ -8,10 +8,12 @@
 
 /// Factor on the latency of a server that has handled the object lately.
 const WARM: f64 = 1.0;
-/// Factor on the latency of the second choice for an object.
-const SECOND: f64 = 1.5;
+/// Factor on the latency of the second choice for an object, which other hosts spill to as well.
+const SECOND: f64 = 2.6;
 /// Factor on the latency of a server that has not handled the object.
-const COLD: f64 = 2.5;
+const COLD: f64 = 3.2;
+/// Servers of a failure domain from which on it keeps the objects of its callers by itself.
+const MIN_DOMAIN_SERVERS: usize = 3;
 /// Factor on the latency of a server in another failure domain, for the bytes that cross.
 const OTHER_ZONE: f64 = 1.1;
 /// A server this many times slower than its service counts as slow.
@@ -41,6 +43,8 @@
     pub latency: f64,
     /// Expected latency as a multiple of that of an idle server that knows the object.
     pub multiple: f64,
+    /// Whether the server is expected to know the object.
+    pub is_warm: bool,
 }
 
 /// The server with the lowest cost.
@@ -53,12 +57,16 @@
     estimates.min_by(|a, b| a.cost.total_cmp(&b.cost))
 }
 
-/// The rank of each server for an object among those of its failure domain.
+/// The rank of each server for an object among those that share the objects with it: the servers of
+/// its failure domain, or of the whole region where a domain has few.
 fn ranks(object: u64, servers: &[(ServerKey, &Server)]) -> Vec<usize> {
     let weights: Vec<u64> =
         servers.iter().map(|(_, s)| stable_hash(object, &s.hash.to_le_bytes())).collect();
+    let in_domain = |zone: &str| servers.iter().filter(|(_, s)| s.entry.zone == zone).count();
+    let by_domain = servers.iter().all(|(_, s)| in_domain(&s.entry.zone) >= MIN_DOMAIN_SERVERS);
     let better = |n: usize, m: usize| {
-        servers[m].1.entry.zone == servers[n].1.entry.zone && weights[m] > weights[n]
+        let shares = !by_domain || servers[m].1.entry.zone == servers[n].1.entry.zone;
+        shares && weights[m] > weights[n]
     };
     (0..servers.len()).map(|n| (0..servers.len()).filter(|m| better(n, *m)).count()).collect()
 }
@@ -86,5 +94,11 @@
     // The idle share of a server breaks ties between servers without a queue.
     let busy = 1.0 + 0.1 * server.load(now) / slots;
     let risk = 1.0 + FAILURE_COST * server.failure_rate(now);
-    Estimate { server: key, cost: latency * zone * busy * risk, latency, multiple }
+    Estimate {
+        server: key,
+        cost: latency * zone * busy * risk,
+        latency,
+        multiple,
+        is_warm: familiar <= WARM,
+    }
 }
--- a/crates/core/src/steer/server.rs
+++ b/crates/core/src/steer/server.rs
@@ -24,7 +24,7 @@
 /// Time in which an old failure rate loses half of its weight.
 const FAILURE_HALF_LIFE: Duration = Duration::from_secs(2);
 /// Time in which a reported load loses most of its weight.
-const REPORT_LIFETIME: Duration = Duration::from_millis(400);
+const REPORT_LIFETIME: Duration = Duration::from_millis(150);
 /// First time that a server which refuses connections is left alone; doubles with each failure.
 const FIRST_BACKOFF: Duration = Duration::from_millis(250);
 /// Longest time that a server which refuses connections is left alone.
@@ -173,6 +173,11 @@
         self.recent.contains(&object)
     }
 
+    /// Forgets an object that the server turned out not to have.
+    pub fn forget(&mut self, object: u64) {
+        self.recent.retain(|o| *o != object);
+    }
+
     /// Notes that a request is sent.
     pub fn start(&mut self, object: Option<u64>) {
         self.in_flight += 1;
--- a/crates/core/src/steer/steering.rs
+++ b/crates/core/src/steer/steering.rs
@@ -28,8 +28,14 @@
 
 /// Time for which the digest of a silent host still counts towards loads.
 const DIGEST_LIFETIME: Duration = Duration::from_millis(1500);
-/// Weight of the newest sample in a service's latency.
-const BASE_WEIGHT: f64 = 0.05;
+/// Step by which a service's latency follows a sample, as a part of it.
+const BASE_STEP: f64 = 0.06;
+/// The quantile of latencies that it follows: slower answers mostly had to fetch the object.
+const BASE_QUANTILE: f64 = 0.4;
+/// An answer slower than this multiple of the expectation shows that the object was not there.
+const MISS_RATIO: f64 = 2.0;
+/// Smallest latency of a service, in seconds.
+const MIN_BASE: f64 = 0.002;
 /// Part of a route's objective that is assumed as latency before the first answer.
 const ASSUMED_PART: f64 = 0.4;
 /// Expected latency at which a request is refused, as a multiple of its objective.
@@ -78,6 +84,7 @@
     server: ServerKey,
     sent: Instant,
     multiple: f64,
+    is_warm: bool,
     version: String,
 }
 
@@ -527,6 +534,7 @@
             server: found.server,
             sent: now,
             multiple: found.multiple,
+            is_warm: found.is_warm,
             version: entry.version.clone(),
         });
         let patience = Duration::from_secs_f64((found.latency * 4.0).max(objective * 1.2));
@@ -709,7 +717,13 @@
             && !was_cold
         {
             let sample = normal(took).as_secs_f64();
-            state.base = Some(base + BASE_WEIGHT * (sample - base));
+            let step = if sample > base { BASE_QUANTILE } else { BASE_QUANTILE - 1.0 };
+            state.base = Some((base * (1.0 + BASE_STEP * step)).max(MIN_BASE));
+            if let Some(object) = flight.object.filter(|_| sample > base * MISS_RATIO)
+                && current.is_warm
+            {
+                server.forget(object);
+            }
         }
         let slow = took.as_secs_f64() > (base * TRIAL_SLOW_RATIO).max(objective);
         let failed = match outcome {
