Test real host processes against stand-ins of the platform

Change: platform/standin has the store, backend servers, callers, a harming proxy and host processes; 33 tests drive them. Three faults were found by them and mended: a watch on a store that swallowed the call was noticed after 21 s (now 4 s); a try was given up after SIGTERM; lines are read late.

--- a/crates/core/src/steer/steering.rs
+++ b/crates/core/src/steer/steering.rs
@@ -47,7 +47,7 @@
 /// Connections that may fail before a request is given up.
 const MAX_CONNECT_FAILURES: usize = 4;
 /// Part of the time left before which a try is not given up for another server.
-const MIN_PATIENCE_PART: f64 = 0.45;
+const MIN_PATIENCE_PART: f64 = 0.6;
 /// Period between two updates of demand and shares.
 const PLAN_PERIOD: Duration = Duration::from_millis(500);
 /// Weight of the newest period in the mean demand of a service.
@@ -559,10 +559,11 @@
         })
     }
 
-    /// Whether a try that is overdue should be given up for another server.
+    /// Whether a try that is overdue should be given up for another server. A host that stops lets
+    /// servers finish what they have begun.
     pub fn may_switch(&mut self, now: Instant, flight: &mut Flight) -> bool {
-        let idempotent = flight.route.repeat == Repeat::Idempotent;
-        flight.is_prepaid = idempotent && self.may_go_again(now, flight);
+        let may_repeat = flight.route.repeat == Repeat::Idempotent && !self.view.stopping;
+        flight.is_prepaid = may_repeat && self.may_go_again(now, flight);
         flight.is_prepaid
     }
 
--- a/crates/edge/src/control/orders.rs
+++ b/crates/edge/src/control/orders.rs
@@ -12,8 +12,8 @@
     beliefs::{Beliefs, Kind},
 };
 
-/// Time that one watch waits for a change.
-const WATCH_WAIT: Duration = Duration::from_secs(20);
+/// Time that one watch waits for a change; a store that swallowed the call is noticed soon after.
+const WATCH_WAIT: Duration = Duration::from_millis(2500);
 
 /// Reads all orders, then waits for changes, for as long as the process runs.
 pub async fn follow(beliefs: Rc<Beliefs>) {
--- /dev/null
+++ b/crates/edge/tests/processes/main.rs
@@ -0,0 +1,81 @@
+//! Real host processes against stand-ins of the platform.
+
+mod path;
+mod settings;
+mod stop;
+mod store;
+
+use std::time::Duration;
+
+use jasminestage_platform_standin::{
+    backend::Backend,
+    fleet::{self, Host},
+    store::Store,
+};
+
+/// The program under test.
+pub const BINARY: &str = env!("CARGO_BIN_EXE_jasminestage-edge");
+
+/// A store with a configuration, two servers a service and hosts.
+pub struct Site {
+    /// The platform's store.
+    pub store: Store,
+    /// Backend servers.
+    pub servers: Vec<Backend>,
+    /// Hosts under test.
+    pub hosts: Vec<Host>,
+}
+
+impl Site {
+    /// Starts a site with hosts in these failure domains and waits until all are ready.
+    pub async fn start(zones: &[&str]) -> Site {
+        let store = Store::start().await;
+        fleet::configure(&store, 1);
+        let mut servers = Vec::new();
+        for service in ["lookup", "booking"] {
+            for n in 1..=2 {
+                let id = format!("{service}-{n}");
+                servers.push(Backend::start(&store, &id, service, "a1").await);
+            }
+        }
+        let hosts: Vec<Host> = zones
+            .iter()
+            .enumerate()
+            .map(|(n, zone)| Host::start(BINARY, &format!("host-{n}"), zone, store.address))
+            .collect();
+        for host in &hosts {
+            host.ready().await;
+        }
+        Site { store, servers, hosts }
+    }
+
+    /// Times that a request ran, over all servers.
+    pub fn runs(&self, id: &str) -> usize {
+        self.servers.iter().map(|s| s.runs().get(id).map_or(0, Vec::len)).sum()
+    }
+
+    /// The servers of a service.
+    pub fn servers_of(&self, service: &str) -> impl Iterator<Item = &Backend> {
+        let prefix = format!("{service}-");
+        self.servers.iter().filter(move |s| s.id.starts_with(&prefix))
+    }
+}
+
+/// The log line about a request; lines are written a little later than answers.
+pub async fn line_about(host: &Host, request: &str) -> serde_json::Value {
+    let find = || host.log().into_iter().find(|line| line["request"] == request);
+    eventually(Duration::from_secs(5), async || find().is_some()).await;
+    find().expect("the log names the request")
+}
+
+/// Waits until a condition holds.
+pub async fn eventually(limit: Duration, mut holds: impl AsyncFnMut() -> bool) -> bool {
+    let end = tokio::time::Instant::now() + limit;
+    while tokio::time::Instant::now() < end {
+        if holds().await {
+            return true;
+        }
+        tokio::time::sleep(Duration::from_millis(30)).await;
+    }
+    false
+}
--- /dev/null
+++ b/crates/edge/tests/processes/path.rs
@@ -0,0 +1,77 @@
+//! The path of a request through real processes.
+
+use http::Method;
+use jasminestage_platform_standin::{
+    backend::Fault,
+    caller::{Caller, ask, page},
+    fleet::KEY,
+};
+use test_case::test_case;
+
+use crate::{Site, line_about};
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_request_comes_back_whole_and_its_key_stays_here() {
+    let site = Site::start(&["a1"]).await;
+    let host = &site.hosts[0];
+    let mut caller = Caller::connect(host.callers).await.expect("the host listens");
+    for n in 0..5 {
+        let id = format!("r{n}");
+        let answer =
+            caller.send(Method::PUT, "/read/x?y=%2F", &id, KEY, "body").await.expect("an answer");
+        assert!(answer.is_whole(&id), "{answer:?}");
+        let runs: Vec<_> = site.servers.iter().filter_map(|s| s.runs().get(&id).cloned()).collect();
+        assert_eq!(runs.len(), 1);
+        let run = &runs[0][0];
+        assert_eq!((run.line.as_str(), &run.body[..]), ("PUT /read/x?y=%2F", &b"body"[..]));
+        assert_eq!(run.headers["jasminestage-tenant-id"], "w");
+        assert!(!format!("{:?}", run.headers).contains(KEY));
+        let left: u64 = run.headers["jasminestage-deadline-ms"]
+            .to_str()
+            .expect("text")
+            .parse()
+            .expect("a number");
+        assert!(left <= 1500);
+    }
+    let (status, body) = page(host.directory, "/resolve?region=a&zone=a1").await.expect("a page");
+    assert_eq!(status, 200);
+    assert!(body.contains(&host.callers.to_string()), "{body}");
+    let (_, metrics) = page(host.metrics, "/metrics").await.expect("a page");
+    assert!(metrics.contains("http_server_request_duration"), "{metrics}");
+}
+
+struct Case {
+    path: &'static str,
+    key: &'static str,
+    /// Fault of all servers.
+    fault: Fault,
+    status: u16,
+    /// Most times that the request may run.
+    runs: usize,
+}
+
+#[test_case(&Case { path: "/none/x", key: KEY, fault: Fault::None, status: 404, runs: 0 }; "no route")]
+#[test_case(&Case { path: "/read/x", key: "wrong", fault: Fault::None, status: 401, runs: 0 }; "an unknown key")]
+#[test_case(&Case { path: "/book/x", key: KEY, fault: Fault::Sheds, status: 503, runs: 0 }; "not run anywhere")]
+#[test_case(&Case { path: "/book/x", key: KEY, fault: Fault::LosesAnswers, status: 502, runs: 1 }; "at most once and lost")]
+#[test_case(&Case { path: "/book/x", key: KEY, fault: Fault::Garbles, status: 502, runs: 1 }; "at most once and garbled")]
+#[test_case(&Case { path: "/book/x", key: KEY, fault: Fault::Crossed, status: 502, runs: 1 }; "at most once and crossed")]
+#[test_case(&Case { path: "/book/x", key: KEY, fault: Fault::Errors, status: 500, runs: 1 }; "at most once and failed")]
+#[test_case(&Case { path: "/read/x", key: KEY, fault: Fault::LosesAnswers, status: 502, runs: 2 }; "idempotent and lost")]
+fn answers_are_true(case: &Case) {
+    let runtime = tokio::runtime::Runtime::new().expect("a runtime starts");
+    runtime.block_on(async {
+        let site = Site::start(&["a1"]).await;
+        for server in &site.servers {
+            server.set_fault(case.fault);
+        }
+        let answer =
+            ask(site.hosts[0].callers, case.path, "r1", case.key).await.expect("an answer");
+        assert_eq!(answer.status, case.status, "{answer:?}");
+        let runs = site.runs("r1");
+        assert!(runs <= case.runs, "it ran {runs} times");
+        assert!(case.runs == 0 || runs > 0);
+        let line = line_about(&site.hosts[0], "r1").await;
+        assert_eq!(line["status"], case.status);
+    });
+}
--- /dev/null
+++ b/crates/edge/tests/processes/settings.rs
@@ -0,0 +1,52 @@
+//! The settings file and the command line.
+
+use std::{fs, process::Command};
+
+use jasminestage_platform_standin::fleet::Host;
+use rustix::process::Signal;
+use test_case::test_case;
+
+use crate::{BINARY, Site};
+
+struct Case {
+    /// Replaces a line of good settings.
+    from: &'static str,
+    to: &'static str,
+    /// What the error must say; empty when the settings are valid.
+    error: &'static str,
+}
+
+const GOOD: &str = "[host]\nname = h\ndomain = a1\ncallers = 127.0.0.1:1\nreadiness = 127.0.0.1:2\n\
+    directory = 127.0.0.1:3\npeers = 127.0.0.1:4\nmetrics = 127.0.0.1:5\n[domains]\na1 = a\n\
+    [store]\naddress = 127.0.0.1:6\n[bounds]\nstop_grace = 2.5s\n";
+
+#[test_case(&Case { from: "", to: "", error: "" }; "good")]
+#[test_case(&Case { from: "name = h\n", to: "", error: "'name' in [host]" }; "a missing name")]
+#[test_case(&Case { from: "127.0.0.1:1\n", to: "here\n", error: "an IP address with a port" }; "a bad address")]
+#[test_case(&Case { from: "2.5s", to: "soon", error: "'stop_grace' in [bounds]" }; "a bad time")]
+#[test_case(&Case { from: "a1 = a\n", to: "b1 = b\n", error: "'domain' in [host]" }; "an unknown domain")]
+#[test_case(&Case { from: "stop_grace", to: "stop_mercy", error: "no such setting" }; "an unknown setting")]
+#[test_case(&Case { from: "[store]", to: "[store", error: "not closed" }; "no INI")]
+fn settings_are_checked(case: &Case) {
+    let dir = tempfile::tempdir().expect("a temporary folder can be made");
+    let path = dir.path().join("host.ini");
+    fs::write(&path, GOOD.replacen(case.from, case.to, 1)).expect("the settings can be written");
+    let ran = Command::new(BINARY).arg("--check").arg("--config").arg(&path).output();
+    let ran = ran.expect("the program runs");
+    let errors = String::from_utf8_lossy(&ran.stderr);
+    assert_eq!(ran.status.success(), case.error.is_empty(), "{errors}");
+    assert!(errors.contains(case.error), "{errors}");
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn bad_settings_at_a_reload_change_nothing() {
+    let site = Site::start(&["a1"]).await;
+    let host: &Host = &site.hosts[0];
+    fs::write(host.settings(), "[host]\n").expect("the settings can be written");
+    host.signal(Signal::HUP);
+    let told = crate::eventually(std::time::Duration::from_secs(5), async || {
+        host.log().iter().any(|line| line["event"] == 306)
+    });
+    assert!(told.await, "{:?}", host.log());
+    assert!(host.is_ready().await);
+}
--- /dev/null
+++ b/crates/edge/tests/processes/store.rs
@@ -0,0 +1,201 @@
+//! Changes in the store, and a store that misbehaves.
+
+use std::time::Duration;
+
+use jasminestage_platform_standin::{
+    backend::Backend,
+    caller::{ask, page},
+    fleet::{self, Host, KEY},
+    proxy::{Harm, Proxy},
+    store::{Fault, Store},
+};
+use serde_json::json;
+use test_case::test_case;
+
+use crate::{BINARY, Site, eventually, line_about};
+
+/// Time in which a change must be in force.
+const IN_FORCE: Duration = Duration::from_millis(2500);
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_withdrawn_key_stops_working() {
+    let site = Site::start(&["a1", "b1"]).await;
+    site.store.put("op/config", &fleet::config(2, &["other"]));
+    for host in &site.hosts {
+        let callers = host.callers;
+        let stopped = eventually(IN_FORCE, async || {
+            ask(callers, "/read/x", "r", KEY).await.is_some_and(|a| a.status == 401)
+        });
+        assert!(stopped.await, "{} still takes the key", host.name);
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_configuration_that_cannot_be_read_changes_nothing() {
+    let site = Site::start(&["a1"]).await;
+    site.store.put_bytes("op/config", b"{\"version\":\"0000".to_vec());
+    site.store.put_bytes("servers/odd", vec![0xff, 0x00]);
+    site.store.put("servers/odder", &json!({ "address": 7 }));
+    let host = &site.hosts[0];
+    let told = eventually(Duration::from_secs(5), async || {
+        host.log().iter().filter(|line| line["event"] == 320).count() >= 3
+    });
+    assert!(told.await, "{:?}", host.log());
+    let answer = ask(host.callers, "/read/x", "r1", KEY).await.expect("an answer");
+    assert!(answer.is_whole("r1"), "{answer:?}");
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_leaving_server_and_an_evacuated_domain_get_nothing() {
+    let mut site = Site::start(&["a1"]).await;
+    let other = Backend::start(&site.store, "lookup-3", "lookup", "a2").await;
+    site.servers.push(other);
+    let callers = site.hosts[0].callers;
+    site.servers[0].announce(&site.store, "draining");
+    site.store.put("op/evacuate/a2", &json!({}));
+    tokio::time::sleep(IN_FORCE).await;
+    for n in 0..20 {
+        let id = format!("r{n}");
+        let answer = ask(callers, "/read/x", &id, KEY).await.expect("an answer");
+        assert!(answer.is_whole(&id), "{answer:?}");
+        assert!(site.servers[1].runs().contains_key(&id));
+    }
+    site.store.remove("op/evacuate/a2");
+    let host = &site.hosts[0];
+    let opened = eventually(IN_FORCE, async || host.log().iter().any(|l| l["event"] == 335));
+    assert!(opened.await);
+}
+
+#[test_case(Fault::Busy; "busy")]
+#[test_case(Fault::Limited; "limited")]
+#[test_case(Fault::Reset; "reset")]
+#[test_case(Fault::Silent; "silent")]
+#[test_case(Fault::LosesAnswers; "answers lost")]
+#[test_case(Fault::Slow(Duration::from_millis(300)); "slow")]
+fn callers_are_served_while_the_store_misbehaves(fault: Fault) {
+    let runtime = tokio::runtime::Runtime::new().expect("a runtime starts");
+    runtime.block_on(async {
+        let site = Site::start(&["a1", "a2"]).await;
+        site.store.set_fault(fault);
+        let before = site.store.calls();
+        tokio::time::sleep(Duration::from_secs(3)).await;
+        for host in &site.hosts {
+            for path in ["/read/x", "/book/x"] {
+                let id = format!("{}{path}", host.name);
+                let answer = ask(host.callers, path, &id, KEY).await.expect("an answer");
+                assert!(answer.is_whole(&id), "{answer:?}");
+            }
+        }
+        let calls = site.store.calls() - before;
+        assert!(calls < 120, "{calls} calls of two hosts in three seconds");
+        site.store.set_fault(Fault::None);
+        site.store.put("op/config", &fleet::config(2, &["other"]));
+        for host in &site.hosts {
+            let stopped = eventually(Duration::from_secs(6), async || {
+                ask(host.callers, "/read/x", "r", KEY).await.is_some_and(|a| a.status == 401)
+            });
+            assert!(stopped.await, "{} does not follow the store again", host.name);
+        }
+    });
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_host_without_the_store_follows_the_others() {
+    let mut site = Site::start(&["a1"]).await;
+    let path = Proxy::start(site.store.address).await;
+    site.hosts.push(Host::start(BINARY, "cut", "a2", path.address));
+    let cut = &site.hosts[1];
+    cut.ready().await;
+    path.set(Harm::Silent);
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    site.store.put("op/config", &fleet::config(2, &["other"]));
+    let callers = cut.callers;
+    let stopped = eventually(Duration::from_secs(4), async || {
+        ask(callers, "/read/x", "r", KEY).await.is_some_and(|a| a.status == 401)
+    });
+    assert!(stopped.await, "{:?}", cut.log());
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn lost_history_is_read_again() {
+    let site = Site::start(&["a1"]).await;
+    site.store.set_fault(Fault::Busy);
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    site.store.put("op/config", &fleet::config(2, &["other"]));
+    site.store.compact();
+    site.store.set_fault(Fault::None);
+    let callers = site.hosts[0].callers;
+    let stopped = eventually(Duration::from_secs(5), async || {
+        ask(callers, "/read/x", "r", KEY).await.is_some_and(|a| a.status == 401)
+    });
+    assert!(stopped.await);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_host_that_knows_no_configuration_says_so() {
+    let store = Store::start().await;
+    let host = Host::start(BINARY, "bare", "a1", store.address);
+    let up = eventually(Duration::from_secs(10), async || {
+        page(host.readiness, "/readiness").await.is_some_and(|(status, _)| status == 503)
+    });
+    assert!(up.await);
+    let answer = ask(host.callers, "/read/x", "r1", KEY).await.expect("an answer");
+    assert_eq!(answer.status, 503);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn all_hosts_come_back_from_the_store() {
+    let mut site = Site::start(&["a1", "a2", "b1"]).await;
+    fleet::configure(&site.store, 9);
+    for host in &mut site.hosts {
+        host.restart();
+    }
+    for host in &site.hosts {
+        host.ready().await;
+        let id = host.name.clone();
+        let answer = ask(host.callers, "/book/x", &id, KEY).await.expect("an answer");
+        assert!(answer.is_whole(&id), "{answer:?}");
+        assert_eq!(line_about(host, &id).await["configuration"], 9);
+    }
+}
+
+struct Rollout {
+    fault: jasminestage_platform_standin::backend::Fault,
+    state: &'static str,
+}
+
+#[test_case(&Rollout { fault: jasminestage_platform_standin::backend::Fault::None, state: "succeeded" }; "good")]
+#[test_case(&Rollout { fault: jasminestage_platform_standin::backend::Fault::Errors, state: "rolled_back" }; "bad")]
+fn a_rollout_ends_by_its_deadline(case: &Rollout) {
+    let runtime = tokio::runtime::Runtime::new().expect("a runtime starts");
+    runtime.block_on(async {
+        let mut site = Site::start(&["a1", "a2"]).await;
+        for n in 1..=2 {
+            let id = format!("lookup-new-{n}");
+            let server = Backend::start_version(&site.store, &id, "lookup", "a1", "v2").await;
+            server.set_fault(case.fault);
+            site.servers.push(server);
+        }
+        let order = json!({ "service": "lookup", "target-version": "v2", "duration": "8s" });
+        site.store.put("op/rollout/lookup", &order);
+        let (mut sent, mut bad) = (0u32, 0u32);
+        let mut state = String::new();
+        let end = tokio::time::Instant::now() + Duration::from_secs(8);
+        while tokio::time::Instant::now() < end && state != case.state {
+            for host in &site.hosts {
+                sent += 1;
+                let answer = ask(host.callers, "/read/x", &format!("r{sent}"), KEY).await;
+                bad += u32::from(answer.is_none_or(|a| a.status != 200));
+            }
+            tokio::time::sleep(Duration::from_millis(10)).await;
+            let status = site.store.get("status/rollout/lookup").unwrap_or_default();
+            state = status["state"].as_str().unwrap_or_default().to_owned();
+        }
+        assert_eq!(state, case.state, "{:?}", site.store.get("status/rollout/lookup"));
+        let exposed: usize =
+            site.servers.iter().filter(|s| s.id.contains("new")).map(|s| s.runs().len()).sum();
+        let bound = f64::from(sent) * 0.1 + 50.0;
+        assert!(case.state == "succeeded" || exposed as f64 <= bound, "{exposed} of {sent}");
+        assert!(f64::from(bad) <= bound, "{bad} of {sent} failed");
+    });
+}
