--- a/crates/core/src/steer/pick.rs
+++ b/crates/core/src/steer/pick.rs
@@ -12,8 +12,6 @@
 const SECOND: f64 = 2.6;
 /// Factor on the latency of a server that has not handled the object.
 const COLD: f64 = 3.2;
-/// Servers of a failure domain from which on it keeps the objects of its callers by itself.
-const MIN_DOMAIN_SERVERS: usize = 3;
 /// Factor on the latency of a server in another failure domain, for the bytes that cross.
 const OTHER_ZONE: f64 = 1.1;
 /// A server this many times slower than its service counts as slow.
@@ -59,18 +57,11 @@
     estimates.min_by(|a, b| a.cost.total_cmp(&b.cost))
 }
 
-/// The rank of each server for an object among those that share the objects with it: the servers of
-/// its failure domain, or of the whole region where a domain has few.
+/// The rank of each server for an object: all hosts of a region prefer the same one.
 fn ranks(object: u64, servers: &[(ServerKey, &Server)]) -> Vec<usize> {
     let weights: Vec<u64> =
         servers.iter().map(|(_, s)| stable_hash(object, &s.hash.to_le_bytes())).collect();
-    let in_domain = |zone: &str| servers.iter().filter(|(_, s)| s.entry.zone == zone).count();
-    let by_domain = servers.iter().all(|(_, s)| in_domain(&s.entry.zone) >= MIN_DOMAIN_SERVERS);
-    let better = |n: usize, m: usize| {
-        let shares = !by_domain || servers[m].1.entry.zone == servers[n].1.entry.zone;
-        shares && weights[m] > weights[n]
-    };
-    (0..servers.len()).map(|n| (0..servers.len()).filter(|m| better(n, *m)).count()).collect()
+    weights.iter().map(|own| weights.iter().filter(|other| *other > own).count()).collect()
 }
 
 fn estimate(
