Let few hosts of a region read the store and speak to other regions

Change: two readers and two speakers a region, chosen alike by all; digests stay in the region, summaries go between regions and are passed on; only changes of servers that matter are handed on.

--- a/crates/core/src/steer/control.rs
+++ b/crates/core/src/steer/control.rs
@@ -9,7 +9,8 @@
 
 use super::{
     catalog::Catalog,
-    digest::{Announcement, Digest},
+    digest::{Announcement, Digest, Progress, RegionSummary, Summary},
+    far::FarRegions,
     rollout::{Rollout, RolloutOrder, RolloutState},
     server::ServerEntry,
     stable_hash,
@@ -31,6 +32,10 @@
 const WRITER_STAGGER: Duration = Duration::from_millis(800);
 /// Hosts that a digest names.
 const NAMED_HOSTS: usize = 3;
+/// Hosts of a region that read the store for the others.
+const READERS: usize = 2;
+/// Hosts of a region that speak to the other regions.
+const SPEAKERS: usize = 2;
 
 /// The recorded state of a rollout.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -89,6 +94,7 @@
     ready: bool,
     heard: Option<Instant>,
     is_listed: bool,
+    reaches_store: bool,
     orders: u64,
     servers: u64,
 }
@@ -114,6 +120,9 @@
     unordered: HashMap<(String, String), Instant>,
     due: HashMap<(String, RolloutState), Instant>,
     sequence: u64,
+    far: FarRegions,
+    /// Summaries that other regions sent to this host itself, with the time.
+    received: HashMap<(String, Incarnation), (Instant, RegionSummary)>,
     is_dirty: bool,
 }
 
@@ -128,6 +137,8 @@
             unordered: HashMap::new(),
             due: HashMap::new(),
             sequence: 0,
+            far: FarRegions::default(),
+            received: HashMap::new(),
             is_dirty: true,
         }
     }
@@ -282,6 +293,7 @@
             ready: false,
             heard: None,
             is_listed: true,
+            reaches_store: true,
             orders: 0,
             servers: 0,
         });
@@ -293,7 +305,7 @@
         self.peers.retain(|life, p| *life == host.incarnation || p.host.callers != host.callers);
     }
 
-    /// Takes in what another host says of itself.
+    /// Takes in what another host of the region says.
     pub fn hear(&mut self, now: Instant, digest: &Digest) {
         let host = &digest.from;
         if host.incarnation == self.view.me.incarnation {
@@ -308,15 +320,38 @@
             ready: digest.ready,
             heard: None,
             is_listed: false,
+            reaches_store: true,
             orders: 0,
             servers: 0,
         });
         let was = (peer.ready, peer.heard.is_some_and(|at| now <= at + HEARD_WITHIN));
         peer.heard = Some(now);
         peer.ready = digest.ready;
-        peer.orders = peer.orders.max(digest.orders);
-        peer.servers = peer.servers.max(digest.servers);
-        for (service, order, state) in &digest.rollouts {
+        peer.reaches_store = digest.reaches_store;
+        peer.orders = peer.orders.max(digest.progress.orders);
+        peer.servers = peer.servers.max(digest.progress.servers);
+        self.follow_rollouts(&digest.progress);
+        for summary in &digest.regions {
+            self.far.hear(now, summary);
+            self.follow_rollouts(&summary.progress);
+        }
+        if is_new || was != (digest.ready, true) {
+            self.publish_peers(now);
+        }
+    }
+
+    /// Takes in what another region says to this host.
+    pub fn hear_region(&mut self, now: Instant, summary: RegionSummary) {
+        if summary.region == self.view.region {
+            return;
+        }
+        self.follow_rollouts(&summary.progress);
+        self.far.hear(now, &summary);
+        self.received.insert((summary.region.clone(), summary.speaker), (now, summary));
+    }
+
+    fn follow_rollouts(&mut self, progress: &Progress) {
+        for (service, order, state) in &progress.rollouts {
             let Some(rollout) = self.view.rollouts.get(service) else { continue };
             if rollout.order.revision == *order && rollout.state != *state {
                 let rollouts = Arc::make_mut(&mut self.view.rollouts);
@@ -324,13 +359,12 @@
                 self.is_dirty |= changed;
             }
         }
-        if is_new || was != (digest.ready, true) {
-            self.publish_peers(now);
-        }
     }
 
     /// Does what is due; called several times a second.
     pub fn tick(&mut self, now: Instant) {
+        self.far.expire(now);
+        self.received.retain(|_, (at, _)| now.saturating_since(*at) <= HEARD_WITHIN);
         self.peers.retain(|_, p| {
             p.is_listed || p.heard.is_some_and(|at| now.saturating_since(at) < FORGET_AFTER)
         });
@@ -340,16 +374,19 @@
 
     fn publish_peers(&mut self, now: Instant) {
         let zones = &self.view.zones;
-        let mut peers: Vec<Peer> = self
-            .peers
-            .values()
-            .map(|p| Peer {
-                host: p.host.clone(),
-                region: zones.get(&p.host.zone).cloned().unwrap_or_default(),
-                ready: p.ready,
-                is_heard: p.heard.is_some_and(|at| now <= at + HEARD_WITHIN),
-            })
-            .collect();
+        let mut peers: Vec<Peer> = Vec::with_capacity(self.peers.len());
+        for state in self.peers.values() {
+            let region = zones.get(&state.host.zone).cloned().unwrap_or_default();
+            let (ready, is_heard) = if region == self.view.region {
+                (state.ready, state.heard.is_some_and(|at| now <= at + HEARD_WITHIN))
+            } else {
+                let hosts = self.far.get(now, &region).map(|s| s.hosts.as_slice());
+                let life = state.host.incarnation;
+                let found = hosts.unwrap_or_default().iter().find(|(host, _)| *host == life);
+                (found.is_some_and(|(_, ready)| *ready), found.is_some())
+            };
+            peers.push(Peer { host: state.host.clone(), region, ready, is_heard });
+        }
         peers.sort_by_key(|p| p.host.incarnation);
         if peers != *self.view.peers {
             self.view.peers = Arc::new(peers);
@@ -357,51 +394,121 @@
         }
     }
 
-    /// What this host says of itself; the request path adds what it has seen.
-    pub fn digest(&mut self, orders: u64, servers: u64) -> Digest {
+    /// What this host tells the others of its region.
+    pub fn digest(
+        &mut self,
+        progress: Progress,
+        reaches_store: bool,
+        in_flight: Vec<(u32, u32)>,
+        seen: Summary,
+    ) -> Digest {
         self.sequence += 1;
         let others = self.peers.values().filter(|p| p.heard.is_some()).map(|p| p.host.peers);
         let skip = self.sequence as usize % self.peers.len().max(1);
         Digest {
             from: self.view.me.clone(),
-            sequence: self.sequence,
             ready: self.view.is_ready(),
-            orders,
-            servers,
-            in_flight: Vec::new(),
-            services: Vec::new(),
-            workspaces: Vec::new(),
-            trials: Vec::new(),
-            rollouts: self
-                .view
-                .rollouts
-                .iter()
-                .map(|(service, r)| (service.clone(), r.order.revision, r.state))
-                .collect(),
-            deaths: Vec::new(),
+            reaches_store,
+            progress,
+            in_flight,
+            seen,
+            regions: self.received.values().map(|(_, summary)| summary.clone()).collect(),
             others: others.skip(skip).take(NAMED_HOSTS).collect(),
         }
     }
 
-    /// Addresses of the other hosts.
-    pub fn peer_addresses(&self) -> impl Iterator<Item = SocketAddr> {
-        self.peers.values().map(|p| p.host.peers)
+    /// What this host tells the other regions, with the hosts to tell.
+    ///
+    /// Every host speaks to a region that is not heard, since the speakers may be cut off from it.
+    pub fn region_summary(
+        &mut self,
+        now: Instant,
+        progress: Progress,
+        seen: Summary,
+    ) -> (RegionSummary, Vec<SocketAddr>) {
+        self.sequence += 1;
+        let near = || self.view.peers.iter().filter(|p| p.region == self.view.region);
+        let me = (self.view.me.incarnation, self.view.is_ready());
+        let heard = near().filter(|p| p.is_heard).map(|p| (p.host.incarnation, p.ready));
+        let summary = RegionSummary {
+            region: self.view.region.clone(),
+            speaker: self.view.me.incarnation,
+            address: self.view.me.peers,
+            sequence: self.sequence,
+            hosts: heard.chain([me]).collect(),
+            unheard: near().filter(|p| !p.is_heard).count() as u32,
+            progress,
+            seen,
+        };
+        let hosts = near().filter(|p| p.is_heard).map(|p| &p.host).chain([&self.view.me]);
+        let is_speaker = first_by_rank(hosts, SPEAKERS).any(|h| *h == self.view.me);
+        let mut targets = Vec::new();
+        for region in self.view.regions.iter().filter(|r| **r != self.view.region) {
+            let is_heard = self.far.get(now, region).is_some();
+            if !is_speaker && is_heard {
+                continue;
+            }
+            let hosts = self.view.peers.iter().filter(|p| p.region == *region);
+            let hosts = hosts.filter(|p| p.is_heard || !is_heard).map(|p| &p.host);
+            targets
+                .extend(first_by_rank(hosts, SPEAKERS + usize::from(!is_heard)).map(|h| h.peers));
+        }
+        (summary, targets)
     }
 
-    /// A host that was heard lately and knows a newer change of the orders.
+    /// Whether this host reads the store for the others of its region.
+    pub fn is_reader(&self, now: Instant, reaches_store: bool) -> bool {
+        let near = self.peers.values().filter(|p| {
+            p.heard.is_some_and(|at| now <= at + HEARD_WITHIN)
+                && self.view.zones.get(&p.host.zone) == Some(&self.view.region)
+                && p.reaches_store
+        });
+        let me = reaches_store.then_some(&self.view.me);
+        !reaches_store
+            || first_by_rank(near.map(|p| &p.host).chain(me), READERS).any(|h| *h == self.view.me)
+    }
+
+    /// Addresses of the other hosts of the region.
+    pub fn near_addresses(&self) -> Vec<SocketAddr> {
+        let zones = &self.view.zones;
+        let near = |p: &&PeerState| zones.get(&p.host.zone) == Some(&self.view.region);
+        self.peers.values().filter(near).map(|p| p.host.peers).collect()
+    }
+
+    /// Whether a host with this address is known.
+    pub fn knows(&self, address: SocketAddr) -> bool {
+        self.peers.values().any(|p| p.host.peers == address)
+    }
+
+    /// A host that knows a newer change of the orders.
     pub fn ahead_on_orders(&self, now: Instant, own: u64) -> Option<SocketAddr> {
-        self.ahead(now, own, |p| p.orders)
+        self.ahead(now, own, |p| p.orders, |progress| progress.orders)
     }
 
-    /// A host that was heard lately and knows the servers up to a newer revision.
+    /// A host that knows a newer change of the servers.
     pub fn ahead_on_servers(&self, now: Instant, own: u64) -> Option<SocketAddr> {
-        self.ahead(now, own, |p| p.servers)
+        self.ahead(now, own, |p| p.servers, |progress| progress.servers)
     }
 
-    fn ahead(&self, now: Instant, own: u64, of: fn(&PeerState) -> u64) -> Option<SocketAddr> {
+    fn ahead(
+        &self,
+        now: Instant,
+        own: u64,
+        of_peer: fn(&PeerState) -> u64,
+        of_region: fn(&Progress) -> u64,
+    ) -> Option<SocketAddr> {
         let heard = |p: &&PeerState| p.heard.is_some_and(|at| now <= at + HEARD_WITHIN);
-        let best = self.peers.values().filter(heard).max_by_key(|p| of(p))?;
-        (of(best) > own).then_some(best.host.peers)
+        let near = self.peers.values().filter(heard).map(|p| (of_peer(p), p.host.peers));
+        let far = self.far.all(now).into_iter().map(|s| (of_region(&s.progress), s.address));
+        let best = |(revision, address)| (revision > own).then_some(address);
+        let near = near.max_by_key(|(revision, _)| *revision).and_then(best);
+        near.or_else(|| far.max_by_key(|(revision, _)| *revision).and_then(best))
+    }
+
+    /// How far the rollouts are, for the others.
+    pub fn rollout_progress(&self) -> Vec<(String, u64, RolloutState)> {
+        let rollouts = self.view.rollouts.iter();
+        rollouts.map(|(service, r)| (service.clone(), r.order.revision, r.state)).collect()
     }
 
     /// Rollout states that this host should record now.
@@ -452,3 +559,14 @@
         heard.filter(|p| weight(p.host.incarnation) > me).count().min(4) as u32
     }
 }
+
+/// The hosts that do a duty for all: the largest ones, in an order that all hosts agree on.
+fn first_by_rank<'a>(
+    hosts: impl Iterator<Item = &'a Announcement>,
+    count: usize,
+) -> impl Iterator<Item = &'a Announcement> {
+    let mut hosts: Vec<&Announcement> = hosts.collect();
+    let hash = |h: &Announcement| stable_hash(9, &h.incarnation.0.to_le_bytes());
+    hosts.sort_by_key(|h| (std::cmp::Reverse(h.millicores), hash(h)));
+    hosts.into_iter().take(count)
+}
--- a/crates/core/src/steer/mirror.rs
+++ b/crates/core/src/steer/mirror.rs
@@ -16,7 +16,7 @@
 }
 
 /// A change of one item.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum ItemChange {
     /// The item was written.
     Written(Item),
@@ -37,6 +37,14 @@
             ItemChange::Removed { key, .. } => key,
         }
     }
+
+    /// Revision of the change.
+    pub fn revision(&self) -> u64 {
+        match self {
+            ItemChange::Written(item) => item.revision,
+            ItemChange::Removed { revision, .. } => *revision,
+        }
+    }
 }
 
 /// Everything that a host knows of one prefix, as one host hands it to another.
@@ -69,6 +77,11 @@
         self.changed
     }
 
+    /// The item of this key.
+    pub fn get(&self, key: &str) -> Option<&Item> {
+        self.items.get(key)
+    }
+
     /// All items.
     pub fn items(&self) -> impl Iterator<Item = &Item> {
         self.items.values()
--- a/crates/core/src/steer/steering.rs
+++ b/crates/core/src/steer/steering.rs
@@ -13,7 +13,8 @@
     catalog::{Route, Workspace},
     cold::{ColdFeeds, feeder},
     crash::{Crashes, Death},
-    digest::{Digest, InFlight, ServiceDemand, Trial, WorkspaceUse},
+    digest::{Digest, RegionSummary, Summary, Trial, name_hash},
+    far::FarRegions,
     pick::{self, Want},
     quota::{Elsewhere, Quotas},
     refusal::{Reason, Refusal},
@@ -185,11 +186,12 @@
     ids: HashMap<String, ServerKey>,
     services: HashMap<String, ServiceState>,
     digests: HashMap<Incarnation, (Instant, Digest)>,
+    far: FarRegions,
     quotas: Quotas,
     cold: ColdFeeds,
     crashes: Crashes,
     planned_at: Instant,
-    is_first_install: bool,
+    ticked_at: Instant,
 }
 
 impl Steering {
@@ -201,11 +203,12 @@
             ids: HashMap::new(),
             services: HashMap::new(),
             digests: HashMap::new(),
+            far: FarRegions::default(),
             quotas: Quotas::default(),
             cold: ColdFeeds::default(),
             crashes: Crashes::default(),
             planned_at: Instant::ZERO,
-            is_first_install: true,
+            ticked_at: Instant::ZERO,
         }
     }
 
@@ -262,7 +265,6 @@
         }
         self.ids.retain(|id, _| view.servers.contains_key(id));
         self.servers.retain(|_, s| view.servers.contains_key(&s.entry.id) || s.in_flight > 0);
-        self.is_first_install = false;
     }
 
     /// Servers of a failure domain that was evacuated may have become cold meanwhile.
@@ -275,47 +277,70 @@
         }
     }
 
-    /// Takes in what another host says.
+    /// Takes in what another host of the region says.
     pub fn hear(&mut self, now: Instant, digest: Digest) {
-        for (fingerprint, server) in &digest.deaths {
-            self.crashes.record(now, Death { fingerprint: *fingerprint, server: *server });
+        self.hear_deaths(now, &digest.seen);
+        for summary in &digest.regions {
+            self.hear_region(now, summary);
         }
         self.digests.insert(digest.from.incarnation, (now, digest));
-        let mut elsewhere: HashMap<u64, u32> = HashMap::new();
+        let mut elsewhere: HashMap<u32, u32> = HashMap::new();
         for (at, digest) in self.digests.values() {
             if now.saturating_since(*at) > DIGEST_LIFETIME {
                 continue;
             }
-            for load in &digest.in_flight {
-                *elsewhere.entry(load.server).or_default() += load.requests;
+            for (server, requests) in &digest.in_flight {
+                *elsewhere.entry(*server).or_default() += requests;
             }
         }
         for server in self.servers.values_mut() {
-            server.in_flight_elsewhere = elsewhere.get(&server.hash).copied().unwrap_or(0);
+            let key = name_hash(&server.entry.id);
+            server.in_flight_elsewhere = elsewhere.get(&key).copied().unwrap_or(0);
         }
     }
 
-    /// Fills in what this host tells the others.
-    pub fn report(&self, digest: &mut Digest) {
-        digest.in_flight = self
-            .servers
-            .values()
-            .filter(|s| s.in_flight > 0)
-            .map(|s| InFlight { server: s.hash, requests: s.in_flight })
-            .collect();
-        digest.services = self
-            .services
-            .iter()
-            .filter(|(_, s)| s.demand > 0.05)
-            .map(|(name, s)| ServiceDemand { service: name.clone(), rate: s.demand as f32 })
-            .collect();
-        digest.workspaces = self
-            .quotas
-            .used()
-            .map(|(name, used)| WorkspaceUse { workspace: name.to_owned(), used: used as f32 })
-            .collect();
-        digest.trials = self.view.rollouts.keys().filter_map(|s| self.trial(s)).collect();
-        digest.deaths = self.crashes.deaths().map(|d| (d.fingerprint, d.server)).collect();
+    /// Takes in what another region says.
+    pub fn hear_region(&mut self, now: Instant, summary: &RegionSummary) {
+        self.hear_deaths(now, &summary.seen);
+        self.far.hear(now, summary);
+    }
+
+    fn hear_deaths(&mut self, now: Instant, seen: &Summary) {
+        for (fingerprint, server) in &seen.deaths {
+            self.crashes.record(now, Death { fingerprint: *fingerprint, server: *server });
+        }
+    }
+
+    /// Requests of this host at servers, for the others of the region.
+    pub fn in_flight(&self) -> Vec<(u32, u32)> {
+        let busy = self.servers.values().filter(|s| s.in_flight > 0);
+        busy.map(|s| (name_hash(&s.entry.id), s.in_flight)).collect()
+    }
+
+    /// What this host has seen.
+    pub fn seen(&self) -> Summary {
+        let services = self.services.iter().filter(|(_, s)| s.demand > 0.05);
+        Summary {
+            services: services.map(|(name, s)| (name_hash(name), s.demand as f32)).collect(),
+            workspaces: self
+                .quotas
+                .used()
+                .map(|(name, used)| (name_hash(name), used as u32))
+                .collect(),
+            trials: self.view.rollouts.keys().filter_map(|s| self.trial(s)).collect(),
+            deaths: self.crashes.deaths().map(|d| (d.fingerprint, d.server)).collect(),
+        }
+    }
+
+    /// What the hosts of this region have seen.
+    pub fn seen_in_region(&self, now: Instant) -> Summary {
+        let mut sum = self.seen();
+        for (at, digest) in self.digests.values() {
+            if now.saturating_since(*at) <= DIGEST_LIFETIME {
+                sum.add(&digest.seen);
+            }
+        }
+        sum
     }
 
     fn trial(&self, service: &str) -> Option<Trial> {
@@ -327,34 +352,36 @@
     /// Whether the version on trial for a service has proven faulty.
     pub fn is_faulty(&self, service: &str) -> bool {
         let Some(own) = self.services.get(service).map(|s| &s.trial) else { return false };
-        let others = self.digests.values().flat_map(|(_, d)| &d.trials);
+        let near = self.digests.values().flat_map(|(_, d)| &d.seen.trials);
+        let far = self.far.all(self.ticked_at);
+        let others = near.chain(far.iter().flat_map(|s| &s.seen.trials));
         let same = others.filter(|t| t.service == own.service && t.version == own.version);
         rollout::is_faulty(std::iter::once(own).chain(same))
     }
 
     /// Does what is due; called several times a second.
     pub fn tick(&mut self, now: Instant) {
+        self.ticked_at = now;
         self.cold.expire(now);
         self.crashes.expire(now);
+        self.far.expire(now);
         self.digests.retain(|host, _| self.view.peers.iter().any(|p| p.host.incarnation == *host));
         let hosts = self.view.host_count();
-        let unheard = self.view.peers.iter().filter(|p| !p.is_heard).count();
-        let heard: Vec<&Digest> = self
+        let far = self.far.all(now);
+        let silent = self.view.peers.iter().filter(|p| !p.is_heard).count();
+        let unheard = silent + far.iter().map(|s| s.unheard as usize).sum::<usize>();
+        let heard: Vec<&Summary> = self
             .view
             .peers
             .iter()
-            .filter(|p| p.is_heard)
-            .filter_map(|p| self.digests.get(&p.host.incarnation).map(|(_, digest)| digest))
+            .filter(|p| p.is_heard && p.region == self.view.region)
+            .filter_map(|p| self.digests.get(&p.host.incarnation).map(|(_, d)| &d.seen))
+            .chain(far.iter().map(|s| &s.seen))
             .collect();
-        self.quotas.update(now, &self.view.terms, |workspace| Elsewhere {
-            used: heard
-                .iter()
-                .flat_map(|digest| &digest.workspaces)
-                .filter(|w| w.workspace == workspace)
-                .map(|w| f64::from(w.used))
-                .sum(),
-            hosts,
-            unheard,
+        self.quotas.update(now, &self.view.terms, |workspace| {
+            let key = name_hash(workspace);
+            let used = heard.iter().filter_map(|s| s.workspaces.get(&key)).sum::<u32>();
+            Elsewhere { used: f64::from(used), hosts, unheard: unheard.min(hosts - 1) }
         });
         if now.saturating_since(self.planned_at) >= PLAN_PERIOD {
             self.plan_regions(now);
@@ -389,13 +416,15 @@
                 state.first_request.is_some_and(|at| now.saturating_since(at) > DEMAND_WARM_UP);
             if is_warm {
                 loads[home].demand += state.demand * busy;
-                for peer in view.peers.iter() {
-                    let Some(region) = view.region_index(&peer.region) else { continue };
-                    let Some((_, digest)) = self.digests.get(&peer.host.incarnation) else {
-                        continue;
-                    };
-                    let rate = digest.services.iter().find(|s| s.service == name);
-                    loads[region].demand += rate.map_or(0.0, |s| f64::from(s.rate)) * busy;
+                let key = name_hash(&name);
+                for (_, digest) in self.digests.values() {
+                    let rate = digest.seen.services.get(&key).copied().unwrap_or(0.0);
+                    loads[home].demand += f64::from(rate) * busy;
+                }
+                for summary in self.far.all(now) {
+                    let Some(region) = view.region_index(&summary.region) else { continue };
+                    let rate = summary.seen.services.get(&key).copied().unwrap_or(0.0);
+                    loads[region].demand += f64::from(rate) * busy;
                 }
             } else {
                 let total: f64 = row.iter().sum();
@@ -753,12 +782,10 @@
             if !was_cold {
                 trial.answers += 1;
                 trial.failures += u32::from(failed);
-                trial.latency_ms += took.as_millis() as u64;
             }
         } else if !trial.version.is_empty() {
             trial.other_answers += 1;
             trial.other_failures += u32::from(failed);
-            trial.other_latency_ms += took.as_millis() as u64;
         }
     }
 }
--- a/crates/core/tests/steer/common.rs
+++ b/crates/core/tests/steer/common.rs
@@ -6,7 +6,7 @@
     host::Incarnation,
     steer::{
         catalog::{Catalog, Limits, Route, Service, WeightedService, Workspace, key_digest},
-        digest::{Announcement, Digest},
+        digest::{Announcement, Digest, Progress, RegionSummary, Summary},
         server::ServerEntry,
         terms::Terms,
         view::{Peer, View},
@@ -52,20 +52,29 @@
 pub fn digest(life: u64, zone: &str) -> Digest {
     Digest {
         from: announcement(life, zone),
-        sequence: 1,
         ready: true,
-        orders: 0,
-        servers: 0,
+        reaches_store: true,
+        progress: Progress::default(),
         in_flight: Vec::new(),
-        services: Vec::new(),
-        workspaces: Vec::new(),
-        trials: Vec::new(),
-        rollouts: Vec::new(),
-        deaths: Vec::new(),
+        seen: Summary::default(),
+        regions: Vec::new(),
         others: Vec::new(),
     }
 }
 
+pub fn region_summary(region: &str, speaker: u64, sequence: u64) -> RegionSummary {
+    RegionSummary {
+        region: region.to_owned(),
+        speaker: Incarnation(speaker),
+        address: announcement(speaker, "b1").peers,
+        sequence,
+        hosts: vec![(Incarnation(speaker), true)],
+        unheard: 0,
+        progress: Progress::default(),
+        seen: Summary::default(),
+    }
+}
+
 pub fn entry(id: &str, service: &str, zone: &str) -> ServerEntry {
     ServerEntry {
         id: id.to_owned(),
--- a/crates/edge/src/control/beliefs.rs
+++ b/crates/edge/src/control/beliefs.rs
@@ -4,15 +4,15 @@
     cell::{Cell, RefCell},
     net::SocketAddr,
     sync::Arc,
-    time::Duration,
 };
 
 use jasminestage_core::{
     steer::{
         control::{Change, Control, DueRecord},
-        digest::Digest,
+        digest::{Digest, Progress, RegionSummary},
         lapse::Lapses,
         mirror::{ItemChange, Mirror, Snapshot},
+        news::{ServerNews, Update},
     },
     time::Instant,
 };
@@ -44,8 +44,8 @@
     own: RefCell<Mirror>,
     states: RefCell<Mirror>,
     lapses: RefCell<Lapses>,
-    /// When the store last answered a read of the servers.
-    servers_read: Cell<Instant>,
+    news: RefCell<ServerNews>,
+    reaches_store: Cell<bool>,
 }
 
 impl Beliefs {
@@ -60,7 +60,8 @@
             own: RefCell::default(),
             states: RefCell::default(),
             lapses: RefCell::default(),
-            servers_read: Cell::new(clock::now()),
+            news: RefCell::default(),
+            reaches_store: Cell::new(true),
             shared,
         }
     }
@@ -107,7 +108,12 @@
         if fresh.is_empty() {
             return;
         }
-        let mut changes = entries::decode_all(fresh);
+        let decoded = entries::decode_all(fresh);
+        if kind == Kind::Servers {
+            let control = self.control.borrow();
+            self.news.borrow_mut().note(&control.view().servers, &decoded);
+        }
+        let mut changes: Vec<Change> = decoded.into_iter().map(|(_, _, change)| change).collect();
         if kind == Kind::Servers {
             let control = self.control.borrow();
             let known = &control.view().servers;
@@ -136,14 +142,37 @@
         }
     }
 
-    /// Notes that a read of the servers succeeded.
-    pub fn store_answered(&self) {
-        self.servers_read.set(clock::now());
+    /// Notes whether the store answered a read.
+    pub fn store_answered(&self, is_ok: bool) {
+        self.reaches_store.set(is_ok);
+    }
+
+    /// Whether this host reads the store for the others of its region. A host that the store does
+    /// not serve keeps trying.
+    pub fn is_reader(&self) -> bool {
+        self.control.borrow().is_reader(clock::now(), self.reaches_store.get())
+    }
+
+    /// What another host lacks of the servers.
+    pub fn server_update(&self, after: u64) -> (Update, u64) {
+        let news = self.news.borrow();
+        (news.since(after, &self.servers.borrow()), news.at())
+    }
+
+    /// Takes over a whole copy of the servers from another host.
+    pub fn replace_servers(&self, snapshot: Snapshot, news: u64) {
+        self.replace(Kind::Servers, snapshot);
+        self.news.borrow_mut().restart(news);
+    }
+
+    /// Notes that the news of another host were taken up to a revision.
+    pub fn follow_news(&self, at: u64) {
+        self.news.borrow_mut().follow(at);
     }
 
-    /// Time since the store last answered.
-    pub fn store_silence(&self) -> Duration {
-        clock::now().saturating_since(self.servers_read.get())
+    /// Revision of the newest change of a server that matters.
+    pub fn news(&self) -> u64 {
+        self.news.borrow().at()
     }
 
     fn log(&self, changes: &[Change]) {
@@ -205,13 +234,20 @@
         }
     }
 
-    /// Takes in what another host says.
+    /// Takes in what another host of the region says.
     pub fn hear(&self, digest: Digest) {
         self.control.borrow_mut().hear(clock::now(), &digest);
         self.shared.decide(|steering, now| steering.hear(now, digest));
         self.publish();
     }
 
+    /// Takes in what another region says.
+    pub fn hear_region(&self, summary: RegionSummary) {
+        self.shared.decide(|steering, now| steering.hear_region(now, &summary));
+        self.control.borrow_mut().hear_region(clock::now(), summary);
+        self.publish();
+    }
+
     /// Does what is due.
     pub fn tick(&self) {
         let now = clock::now();
@@ -221,17 +257,37 @@
         self.shared.decide(|steering, now| steering.tick(now));
     }
 
-    /// What this host tells the others.
+    fn progress(&self) -> Progress {
+        Progress {
+            orders: self.changed(Kind::Orders),
+            servers: self.news(),
+            rollouts: self.control.borrow().rollout_progress(),
+        }
+    }
+
+    /// What this host tells the others of its region.
     pub fn digest(&self) -> Digest {
-        let (orders, servers) = (self.changed(Kind::Orders), self.at(Kind::Servers));
-        let mut digest = self.control.borrow_mut().digest(orders, servers);
-        self.shared.decide(|steering, _| steering.report(&mut digest));
-        digest
+        let (in_flight, seen) =
+            self.shared.decide(|steering, _| (steering.in_flight(), steering.seen()));
+        let (progress, reaches) = (self.progress(), self.reaches_store.get());
+        self.control.borrow_mut().digest(progress, reaches, in_flight, seen)
+    }
+
+    /// What this host tells the other regions, with the hosts to tell.
+    pub fn region_summary(&self) -> (RegionSummary, Vec<SocketAddr>) {
+        let seen = self.shared.decide(|steering, now| steering.seen_in_region(now));
+        let progress = self.progress();
+        self.control.borrow_mut().region_summary(clock::now(), progress, seen)
+    }
+
+    /// Addresses of the other hosts of the region.
+    pub fn near_addresses(&self) -> Vec<SocketAddr> {
+        self.control.borrow().near_addresses()
     }
 
-    /// Addresses of the other hosts.
-    pub fn peer_addresses(&self) -> Vec<SocketAddr> {
-        self.control.borrow().peer_addresses().collect()
+    /// Whether a host with this address is known.
+    pub fn knows(&self, address: SocketAddr) -> bool {
+        self.control.borrow().knows(address)
     }
 
     /// A host that knows newer orders.
@@ -242,8 +298,7 @@
 
     /// A host that knows newer server entries.
     pub fn ahead_on_servers(&self) -> Option<SocketAddr> {
-        let own = self.at(Kind::Servers);
-        self.control.borrow().ahead_on_servers(clock::now(), own)
+        self.control.borrow().ahead_on_servers(clock::now(), self.news())
     }
 
     /// Rollout states that this host should record.
--- a/crates/edge/src/control/gossip.rs
+++ b/crates/edge/src/control/gossip.rs
@@ -2,20 +2,21 @@
 
 use std::{collections::HashSet, io, net::SocketAddr, rc::Rc, time::Duration};
 
-use jasminestage_core::steer::digest::Digest;
-use tokio::{
-    net::{TcpListener, UdpSocket},
-    time::MissedTickBehavior,
-};
+use jasminestage_core::steer::digest::Message;
+use tokio::net::{TcpListener, UdpSocket};
 
 use super::beliefs::Beliefs;
 use crate::error::EdgeError;
 
-/// Time between two digests.
+/// Time between two digests in a region of a few hosts.
 const PERIOD: Duration = Duration::from_millis(200);
-/// Largest digest in bytes.
-const MAX_DIGEST: usize = 60_000;
-/// Digests after which addresses that other hosts named are tried again.
+/// Hosts of a region from which on digests come less often.
+const MANY_HOSTS: usize = 16;
+/// Time between two digests in a region of many hosts.
+const PERIOD_OF_MANY: Duration = Duration::from_millis(350);
+/// Largest message in bytes.
+const MAX_MESSAGE: usize = 60_000;
+/// Messages after which addresses that other hosts named are tried again.
 const FORGET_NAMED_AFTER: u32 = 10;
 
 /// Sockets towards other hosts.
@@ -38,7 +39,7 @@
 
 /// Takes in digests for as long as the process runs.
 pub async fn listen(beliefs: Rc<Beliefs>, udp: Rc<UdpSocket>) {
-    let mut buf = vec![0; MAX_DIGEST];
+    let mut buf = vec![0; MAX_MESSAGE];
     let mut tried: HashSet<SocketAddr> = HashSet::new();
     let mut heard = 0;
     loop {
@@ -49,10 +50,10 @@
                 continue;
             }
         };
-        let digest = match postcard::from_bytes::<Digest>(&buf[..len]) {
-            Ok(digest) => digest,
+        let message = match postcard::from_bytes::<Message>(&buf[..len]) {
+            Ok(message) => message,
             Err(e) => {
-                tracing::warn!(event = 350, %from, error = %e, "A digest could not be read.");
+                tracing::warn!(event = 350, %from, error = %e, "A message could not be read.");
                 continue;
             }
         };
@@ -60,53 +61,63 @@
         if heard % FORGET_NAMED_AFTER == 0 {
             tried.clear();
         }
-        let known = beliefs.peer_addresses();
-        let unknown = digest
-            .others
-            .iter()
-            .filter(|a| **a != beliefs.shared.me.peers && !known.contains(a) && tried.insert(**a));
-        for address in unknown {
-            send(&beliefs, &udp, &[*address]).await;
+        match message {
+            Message::Host(digest) => {
+                let me = beliefs.shared.me.peers;
+                let unknown: Vec<SocketAddr> = digest
+                    .others
+                    .iter()
+                    .copied()
+                    .filter(|a| *a != me && !beliefs.knows(*a) && tried.insert(*a))
+                    .collect();
+                beliefs.hear(*digest);
+                if !unknown.is_empty() {
+                    send(&udp, &Message::Host(Box::new(beliefs.digest())), &unknown);
+                }
+            }
+            Message::Region(summary) => beliefs.hear_region(*summary),
         }
-        beliefs.hear(digest);
     }
 }
 
 /// Tells the other hosts for as long as the process runs.
 pub async fn tell(beliefs: Rc<Beliefs>, udp: Rc<UdpSocket>) {
-    let mut timer = tokio::time::interval(PERIOD);
-    timer.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
-        timer.tick().await;
+        let many = beliefs.near_addresses().len() >= MANY_HOSTS;
+        tokio::time::sleep(if many { PERIOD_OF_MANY } else { PERIOD }).await;
         beliefs.tick();
-        tell_once(&beliefs, &udp).await;
+        tell_once(&beliefs, &udp);
     }
 }
 
 /// Tells the other hosts now.
-pub async fn tell_once(beliefs: &Beliefs, udp: &UdpSocket) {
-    send(beliefs, udp, &beliefs.peer_addresses()).await;
+pub fn tell_once(beliefs: &Beliefs, udp: &UdpSocket) {
+    let near = beliefs.near_addresses();
+    if !near.is_empty() {
+        send(udp, &Message::Host(Box::new(beliefs.digest())), &near);
+    }
+    let (summary, far) = beliefs.region_summary();
+    if !far.is_empty() {
+        send(udp, &Message::Region(Box::new(summary)), &far);
+    }
 }
 
-async fn send(beliefs: &Beliefs, udp: &UdpSocket, to: &[SocketAddr]) {
-    if to.is_empty() {
-        return;
-    }
-    let bytes = match postcard::to_stdvec(&beliefs.digest()) {
-        Ok(bytes) if bytes.len() <= MAX_DIGEST => bytes,
+fn send(udp: &UdpSocket, message: &Message, to: &[SocketAddr]) {
+    let bytes = match postcard::to_stdvec(message) {
+        Ok(bytes) if bytes.len() <= MAX_MESSAGE => bytes,
         Ok(bytes) => {
-            tracing::warn!(event = 351, bytes = bytes.len(), "A digest is too large.");
+            tracing::warn!(event = 351, bytes = bytes.len(), "A message is too large.");
             return;
         }
         Err(e) => {
-            tracing::warn!(event = 351, error = %e, "A digest could not be written.");
+            tracing::warn!(event = 351, error = %e, "A message could not be written.");
             return;
         }
     };
     for address in to {
-        // A datagram that cannot be sent counts as lost; the next digest replaces it.
+        // A datagram that cannot be sent counts as lost; the next one replaces it.
         if let Err(e) = udp.try_send_to(&bytes, *address) {
-            tracing::debug!(%address, error = %e, "A digest was not sent.");
+            tracing::debug!(%address, error = %e, "A message was not sent.");
         }
     }
 }
--- a/crates/edge/src/control/mod.rs
+++ b/crates/edge/src/control/mod.rs
@@ -25,6 +25,8 @@
 
 /// Longest time of a call to the store, besides the time that a watch waits.
 const STORE_TIMEOUT: Duration = Duration::from_millis(1500);
+/// Time between two looks of a host that leaves reading the store to others.
+const IDLE_PERIOD: Duration = Duration::from_millis(250);
 /// Pause after a first failed call to the store; doubles with each further one.
 const FIRST_PAUSE: Duration = Duration::from_millis(150);
 /// Longest pause after a failed call to the store.
@@ -55,7 +57,7 @@
         while *phase.borrow_and_update() < Phase::Ended {
             if *phase.borrow() >= Phase::Leaving {
                 beliefs.leave();
-                gossip::tell_once(&beliefs, &sockets.udp).await;
+                gossip::tell_once(&beliefs, &sockets.udp);
             }
             if phase.changed().await.is_err() {
                 break;
--- a/crates/edge/src/control/orders.rs
+++ b/crates/edge/src/control/orders.rs
@@ -1,4 +1,4 @@
-//! Follows what operators write.
+//! Follows what operators write, for all hosts of the region or for this one alone.
 
 use std::{rc::Rc, time::Duration};
 
@@ -8,7 +8,7 @@
 };
 
 use super::{
-    Backoff, Dependency, STORE_TIMEOUT,
+    Backoff, Dependency, IDLE_PERIOD, STORE_TIMEOUT,
     beliefs::{Beliefs, Kind},
 };
 
@@ -22,6 +22,10 @@
     let mut dependency = Dependency::new("orders in the store");
     let mut is_complete = false;
     loop {
+        if is_complete && !beliefs.is_reader() {
+            tokio::time::sleep(IDLE_PERIOD).await;
+            continue;
+        }
         let result = if is_complete {
             watch(&beliefs, &mut store).await
         } else {
--- a/crates/edge/src/control/registry.rs
+++ b/crates/edge/src/control/registry.rs
@@ -16,6 +16,8 @@
 const LEASE_TTL: Duration = Duration::from_secs(6);
 /// Time between two renewals.
 const PERIOD: Duration = Duration::from_secs(2);
+/// Renewals between two readings of the announcements by hosts that leave the store to others.
+const READ_EVERY: u32 = 4;
 
 thread_local! {
     /// The lease that this host's announcement hangs on.
@@ -28,9 +30,12 @@
     let mut backoff = Backoff::default();
     let mut dependency = Dependency::new("announcements in the store");
     let mut freshness = Freshness::Latest;
+    let mut renewals = 0;
     loop {
-        match refresh(&beliefs, &mut store, freshness).await {
+        let reads = beliefs.is_reader() || renewals % READ_EVERY == 0;
+        match refresh(&beliefs, &mut store, reads.then_some(freshness)).await {
             Ok(()) => {
+                renewals += 1;
                 freshness = Freshness::Stale;
                 backoff.reset();
                 dependency.regained();
@@ -48,7 +53,7 @@
 async fn refresh(
     beliefs: &Beliefs,
     store: &mut Store,
-    freshness: Freshness,
+    read: Option<Freshness>,
 ) -> Result<(), StoreError> {
     let metrics = &beliefs.shared.metrics;
     match LEASE.get() {
@@ -63,6 +68,7 @@
             LEASE.set(Some(result?));
         }
     }
+    let Some(freshness) = read else { return Ok(()) };
     let own = store.range(keys::OWN, freshness).await;
     metrics.store_call("range own", own.is_ok());
     beliefs.replace(Kind::Own, own?);
--- a/crates/edge/src/control/servers.rs
+++ b/crates/edge/src/control/servers.rs
@@ -11,7 +11,7 @@
 };
 
 use super::{
-    Backoff, Dependency, STORE_TIMEOUT,
+    Backoff, Dependency, IDLE_PERIOD, STORE_TIMEOUT,
     beliefs::{Beliefs, Kind},
 };
 
@@ -27,6 +27,10 @@
     let mut dependency = Dependency::new("servers in the store");
     let mut is_complete = false;
     loop {
+        if is_complete && !beliefs.is_reader() {
+            tokio::time::sleep(IDLE_PERIOD).await;
+            continue;
+        }
         let result = if is_complete {
             read_changes(&beliefs, &mut store).await
         } else {
@@ -34,6 +38,7 @@
         };
         match result {
             Ok(()) => {
+                beliefs.store_answered(true);
                 is_complete = true;
                 backoff.reset();
                 dependency.regained();
@@ -42,6 +47,7 @@
             Err(StoreError::HistoryGone) => is_complete = false,
             Err(e) => {
                 dependency.lost(&e);
+                beliefs.store_answered(false);
                 backoff.pause().await;
             }
         }
@@ -52,7 +58,6 @@
     let result = store.range(keys::SERVERS, Freshness::Latest).await;
     beliefs.shared.metrics.store_call("range servers", result.is_ok());
     let snapshot = result?;
-    beliefs.store_answered();
     beliefs.replace(Kind::Servers, snapshot);
     Ok(())
 }
@@ -62,7 +67,6 @@
     let result = store.watch(keys::SERVERS, after, WAIT).await;
     beliefs.shared.metrics.store_call("watch servers", result.is_ok());
     let (changes, at) = result?;
-    beliefs.store_answered();
     beliefs.apply(Kind::Servers, changes, at);
     Ok(())
 }
--- a/crates/edge/src/control/snapshots.rs
+++ b/crates/edge/src/control/snapshots.rs
@@ -1,10 +1,14 @@
-//! Whole copies of the store's items between hosts, for a host that the store does not serve.
+//! Items of the store between hosts, for hosts that leave reading it to others or that it does not
+//! serve.
 
 use std::{net::SocketAddr, rc::Rc, time::Duration};
 
 use bytes::Bytes;
 use futures_util::SinkExt;
-use jasminestage_core::steer::mirror::Snapshot;
+use jasminestage_core::steer::{
+    mirror::{ItemChange, Snapshot},
+    news::Update,
+};
 use serde::{Deserialize, Serialize};
 use tokio::{
     net::{TcpListener, TcpStream},
@@ -20,25 +24,31 @@
 const EXCHANGE_TIMEOUT: Duration = Duration::from_millis(1500);
 /// Time between two looks at what other hosts know.
 const PERIOD: Duration = Duration::from_millis(250);
-/// Silence of the store after which entries of servers are taken from other hosts.
-const STORE_SILENCE: Duration = Duration::from_millis(1800);
-/// Idle looks between two copies of server entries.
-const SERVER_LOOKS: u32 = 3;
-
-/// Which copy a host asks for.
+/// What a host asks for.
 #[derive(Clone, Copy, Debug, Serialize, Deserialize)]
 enum Ask {
+    /// All orders.
     Orders,
-    Servers,
+    /// Changes of servers after the news up to this revision.
+    Servers(u64),
 }
 
-impl Ask {
-    fn kind(self) -> Kind {
-        match self {
-            Ask::Orders => Kind::Orders,
-            Ask::Servers => Kind::Servers,
-        }
-    }
+/// What it gets.
+#[derive(Debug, Serialize, Deserialize)]
+enum Given {
+    /// All orders.
+    Orders(Snapshot),
+    /// All servers, with the revision up to which the giver knows the news.
+    AllServers(Snapshot, u64),
+    /// Changes of servers.
+    Servers {
+        /// The changes.
+        changes: Vec<ItemChange>,
+        /// Revision up to which the giver has followed the store.
+        at: u64,
+        /// Revision up to which the giver knows the news.
+        news: u64,
+    },
 }
 
 type Frames = Framed<TcpStream, LengthDelimitedCodec>;
@@ -75,53 +85,74 @@
     let mut frames = frames(stream);
     let Some(frame) = next(&mut frames).await? else { return Ok(()) };
     let ask: Ask = postcard::from_bytes(&frame)?;
-    let snapshot = beliefs.snapshot(ask.kind());
-    frames.send(Bytes::from(postcard::to_stdvec(&snapshot)?)).await?;
+    frames.send(Bytes::from(postcard::to_stdvec(&given(beliefs, ask))?)).await?;
     Ok(())
 }
 
+fn given(beliefs: &Beliefs, ask: Ask) -> Given {
+    let after = match ask {
+        Ask::Orders => return Given::Orders(beliefs.snapshot(Kind::Orders)),
+        Ask::Servers(after) => after,
+    };
+    match beliefs.server_update(after) {
+        (Update::Changes(changes), news) => {
+            Given::Servers { changes, at: beliefs.at(Kind::Servers), news }
+        }
+        (Update::Copy, news) => Given::AllServers(beliefs.snapshot(Kind::Servers), news),
+    }
+}
+
 async fn next(frames: &mut Frames) -> Result<Option<bytes::BytesMut>, std::io::Error> {
     use futures_util::StreamExt;
     frames.next().await.transpose()
 }
 
-/// Takes copies from hosts that know more, for as long as the process runs.
+/// Takes changes from hosts that know more, for as long as the process runs.
 pub async fn pull(beliefs: Rc<Beliefs>) {
-    let mut was_behind = false;
-    let mut looks = 0;
+    let (mut lacked_orders, mut lacked_servers) = (false, false);
     loop {
         tokio::time::sleep(PERIOD).await;
+        // The store usually tells a reader the change itself within one look.
+        let patient = beliefs.is_reader();
         let ahead = beliefs.ahead_on_orders();
-        // The store usually tells the change itself within one look.
-        if let Some(peer) = ahead.filter(|_| was_behind) {
+        if let Some(peer) = ahead.filter(|_| lacked_orders || !patient) {
             take(&beliefs, peer, Ask::Orders).await;
         }
-        was_behind = ahead.is_some();
-        looks += 1;
-        if beliefs.store_silence() > STORE_SILENCE
-            && looks % SERVER_LOOKS == 0
-            && let Some(peer) = beliefs.ahead_on_servers()
-        {
-            take(&beliefs, peer, Ask::Servers).await;
+        lacked_orders = ahead.is_some();
+        let ahead = beliefs.ahead_on_servers();
+        if let Some(peer) = ahead.filter(|_| lacked_servers || !patient) {
+            take(&beliefs, peer, Ask::Servers(beliefs.news())).await;
         }
+        lacked_servers = ahead.is_some();
     }
 }
 
 async fn take(beliefs: &Beliefs, peer: SocketAddr, ask: Ask) {
     match timeout(EXCHANGE_TIMEOUT, exchange(peer, ask)).await {
-        Ok(Ok(snapshot)) => {
+        Ok(Ok(Given::Orders(snapshot))) => {
             let (at, items) = (snapshot.at, snapshot.items.len());
-            tracing::info!(event = 353, %peer, ?ask, at, items, "A copy was taken from a host.");
-            beliefs.replace(ask.kind(), snapshot);
+            tracing::info!(event = 353, %peer, ?ask, at, items, "Items were taken from a host.");
+            beliefs.replace(Kind::Orders, snapshot);
+        }
+        Ok(Ok(Given::AllServers(snapshot, news))) => {
+            let (at, items) = (snapshot.at, snapshot.items.len());
+            tracing::info!(event = 353, %peer, ?ask, at, items, "Items were taken from a host.");
+            beliefs.replace_servers(snapshot, news);
+        }
+        Ok(Ok(Given::Servers { changes, at, news })) => {
+            let items = changes.len();
+            tracing::info!(event = 353, %peer, ?ask, at, items, "Items were taken from a host.");
+            beliefs.apply(Kind::Servers, changes, at);
+            beliefs.follow_news(news);
         }
         Ok(Err(e)) => {
-            tracing::info!(event = 354, %peer, ?ask, error = %e, "A host gave no copy.");
+            tracing::info!(event = 354, %peer, ?ask, error = %e, "A host gave nothing.");
         }
-        Err(_) => tracing::info!(event = 354, %peer, ?ask, "A host gave no copy in time."),
+        Err(_) => tracing::info!(event = 354, %peer, ?ask, "A host gave nothing in time."),
     }
 }
 
-async fn exchange(peer: SocketAddr, ask: Ask) -> Result<Snapshot, ExchangeError> {
+async fn exchange(peer: SocketAddr, ask: Ask) -> Result<Given, ExchangeError> {
     let mut frames = frames(TcpStream::connect(peer).await?);
     frames.send(Bytes::from(postcard::to_stdvec(&ask)?)).await?;
     let frame = next(&mut frames).await?.ok_or("the connection ended")?;
