Tell an outage of the store from a cut by what other hosts read

Ruled out: the delay of digests (the removal was taken after 0.5 s). Change: digests say when a host last read the store; removals are handed on when they are believed; the servers are watched with a wait instead of being polled.

--- a/crates/core/src/steer/control.rs
+++ b/crates/core/src/steer/control.rs
@@ -95,10 +95,21 @@
     heard: Option<Instant>,
     is_listed: bool,
     reaches_store: bool,
+    /// When it last read the store itself.
+    read_at: Option<Instant>,
     orders: u64,
     servers: u64,
 }
 
+/// Contact of a host with the store.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct StoreContact {
+    /// Whether the store answers, as far as the host knows.
+    pub answers: bool,
+    /// Milliseconds since it last read the store itself.
+    pub read_ms: Option<u32>,
+}
+
 /// A rollout state that this host should record.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct DueRecord {
@@ -294,6 +305,7 @@
             heard: None,
             is_listed: true,
             reaches_store: true,
+            read_at: None,
             orders: 0,
             servers: 0,
         });
@@ -321,6 +333,7 @@
             heard: None,
             is_listed: false,
             reaches_store: true,
+            read_at: None,
             orders: 0,
             servers: 0,
         });
@@ -328,6 +341,8 @@
         peer.heard = Some(now);
         peer.ready = digest.ready;
         peer.reaches_store = digest.reaches_store;
+        let age = digest.store_read_ms.map(|ms| Duration::from_millis(u64::from(ms)));
+        peer.read_at = age.map(|age| now - age);
         peer.orders = peer.orders.max(digest.progress.orders);
         peer.servers = peer.servers.max(digest.progress.servers);
         self.follow_rollouts(&digest.progress);
@@ -398,7 +413,7 @@
     pub fn digest(
         &mut self,
         progress: Progress,
-        reaches_store: bool,
+        store: StoreContact,
         in_flight: Vec<(u32, u32)>,
         seen: Summary,
     ) -> Digest {
@@ -408,7 +423,8 @@
         Digest {
             from: self.view.me.clone(),
             ready: self.view.is_ready(),
-            reaches_store,
+            reaches_store: store.answers,
+            store_read_ms: store.read_ms,
             progress,
             in_flight,
             seen,
@@ -468,6 +484,11 @@
             || first_by_rank(near.map(|p| &p.host).chain(me), READERS).any(|h| *h == self.view.me)
     }
 
+    /// Whether another host has read the store after this time.
+    pub fn others_read_since(&self, time: Instant) -> bool {
+        self.peers.values().any(|p| p.read_at.is_some_and(|at| at > time))
+    }
+
     /// Addresses of the other hosts of the region.
     pub fn near_addresses(&self) -> Vec<SocketAddr> {
         let zones = &self.view.zones;
--- a/crates/core/src/steer/digest.rs
+++ b/crates/core/src/steer/digest.rs
@@ -116,6 +116,8 @@
     pub ready: bool,
     /// Whether the store answers the sender, as far as it knows.
     pub reaches_store: bool,
+    /// Milliseconds since the sender last read the store itself.
+    pub store_read_ms: Option<u32>,
     /// How far the sender has followed the store.
     pub progress: Progress,
     /// Requests of the sender at servers, by short hash of the server's id.
--- a/crates/core/src/steer/lapse.rs
+++ b/crates/core/src/steer/lapse.rs
@@ -2,48 +2,46 @@
 //!
 //! While the store is down, servers cannot renew their entries, and the entries of living servers may
 //! lapse. They come back soon after the store does, so a removal that is learned then is held back
-//! for a while. An outage that only this host has seen is told apart by the store's revision: it goes
-//! on growing with the renewals of the servers.
+//! for a while.
 
-use std::{collections::HashSet, time::Duration};
+use std::{collections::HashMap, time::Duration};
 
 use super::{control::Change, server::ServerEntries};
 use crate::time::Instant;
 
 /// Time after the store's return during which a missing announcement may still come back.
 const RETURN_DELAY: Duration = Duration::from_millis(2300);
-/// Time without news of the store's revision after which it may have been away.
-const SILENCE: Duration = Duration::from_millis(2000);
-/// Part of the expected renewals below which the store has been away.
-const RENEWED_PART: f64 = 0.3;
+/// Shortest silence of the store in which announcements may lapse.
+const MIN_OUTAGE: Duration = Duration::from_secs(2);
 
-/// Removals that are held back.
+/// A decoded change with its revision and key.
+pub type KeyedChange = (u64, String, Change);
+
+/// Removals that are held back, by id of the server.
 #[derive(Clone, Debug, Default)]
 pub struct Lapses {
-    last: Option<(Instant, u64)>,
     hold_until: Instant,
-    held: HashSet<String>,
+    held: HashMap<String, KeyedChange>,
 }
 
 impl Lapses {
-    /// Notes the store's revision as it was learned now.
-    pub fn observe(&mut self, now: Instant, at: u64, servers: usize, heartbeat: Duration) {
-        if let Some((last, before)) = self.last {
-            let silence = now.saturating_since(last);
-            let renewals = silence.as_secs_f64() / heartbeat.as_secs_f64().max(0.001);
-            let expected = servers as f64 * renewals;
-            let grown = at.saturating_sub(before) as f64;
-            if silence > SILENCE && grown < expected * RENEWED_PART {
-                self.hold_until = now + RETURN_DELAY;
-            }
+    /// Notes that the store answers again. An outage that only this host has seen lets nothing
+    /// lapse: other hosts have read the store meanwhile.
+    pub fn store_is_back(&mut self, now: Instant, silence: Duration, others_read: bool) {
+        if silence >= MIN_OUTAGE && !others_read {
+            self.hold_until = now + RETURN_DELAY;
         }
-        self.last = Some((now, at.max(self.last.map_or(0, |l| l.1))));
     }
 
     /// Takes out removals that may be lapses. A server that has announced its leaving is gone.
-    pub fn hold_back(&mut self, now: Instant, known: &ServerEntries, changes: &mut Vec<Change>) {
+    pub fn hold_back(
+        &mut self,
+        now: Instant,
+        known: &ServerEntries,
+        changes: &mut Vec<KeyedChange>,
+    ) {
         let is_holding = now < self.hold_until;
-        changes.retain(|change| match change {
+        changes.retain(|keyed| match &keyed.2 {
             Change::ServerAnnounced(entry) => {
                 self.held.remove(&entry.id);
                 true
@@ -51,7 +49,7 @@
             Change::ServerRemoved(id) if is_holding => {
                 let is_draining = known.get(id).is_some_and(|s| s.draining);
                 if !is_draining {
-                    self.held.insert(id.clone());
+                    self.held.insert(id.clone(), keyed.clone());
                 }
                 is_draining
             }
@@ -60,10 +58,10 @@
     }
 
     /// Removals that have been held long enough.
-    pub fn release(&mut self, now: Instant) -> Vec<Change> {
+    pub fn release(&mut self, now: Instant) -> Vec<KeyedChange> {
         if now < self.hold_until {
             return Vec::new();
         }
-        self.held.drain().map(Change::ServerRemoved).collect()
+        self.held.drain().map(|(_, change)| change).collect()
     }
 }
--- a/crates/core/tests/steer/common.rs
+++ b/crates/core/tests/steer/common.rs
@@ -54,6 +54,7 @@
         from: announcement(life, zone),
         ready: true,
         reaches_store: true,
+        store_read_ms: None,
         progress: Progress::default(),
         in_flight: Vec::new(),
         seen: Summary::default(),
--- a/crates/core/tests/steer/far.rs
+++ b/crates/core/tests/steer/far.rs
@@ -5,7 +5,7 @@
 use jasminestage_core::{
     host::Incarnation,
     steer::{
-        control::{Change, Control},
+        control::{Change, Control, StoreContact},
         digest::{Progress, Summary, Trial, name_hash},
         far::FarRegions,
         steering::Steering,
@@ -16,6 +16,8 @@
 
 use crate::common::{announcement, at, digest, entry, region_summary, terms, view, zones};
 
+const CONTACT: StoreContact = StoreContact { answers: true, read_ms: None };
+
 #[test]
 fn a_repeated_summary_is_no_news() {
     let mut far = FarRegions::default();
@@ -101,7 +103,7 @@
         .collect();
     assert_eq!(heard, [Incarnation(20)]);
     // What was only passed on is not passed on again.
-    let digest = control.digest(Progress::default(), true, vec![], Summary::default());
+    let digest = control.digest(Progress::default(), CONTACT, vec![], Summary::default());
     assert!(digest.regions.is_empty());
 }
 
@@ -136,3 +138,13 @@
     steering.tick(at(20));
     assert!(steering.is_faulty("lookup"));
 }
+
+#[test]
+fn a_read_of_another_host_shows_that_the_store_was_there() {
+    let mut control = control(&[]);
+    let mut reader = digest(2, "a2");
+    reader.store_read_ms = Some(400);
+    control.hear(at(5000), &reader);
+    assert!(control.others_read_since(at(4500)));
+    assert!(!control.others_read_since(at(4700)));
+}
--- a/crates/edge/src/control/beliefs.rs
+++ b/crates/edge/src/control/beliefs.rs
@@ -4,13 +4,14 @@
     cell::{Cell, RefCell},
     net::SocketAddr,
     sync::Arc,
+    time::Duration,
 };
 
 use jasminestage_core::{
     steer::{
-        control::{Change, Control, DueRecord},
+        control::{Change, Control, DueRecord, StoreContact},
         digest::{Digest, Progress, RegionSummary},
-        lapse::Lapses,
+        lapse::{KeyedChange, Lapses},
         mirror::{ItemChange, Mirror, Snapshot},
         news::{ServerNews, Update},
     },
@@ -21,6 +22,10 @@
 
 use crate::shared::Shared;
 
+/// Time after the last read of this host from which on a read of another one shows that the store
+/// was there.
+const OUTAGE_MARGIN: Duration = Duration::from_millis(800);
+
 /// Which copy of the store's items.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Kind {
@@ -46,6 +51,8 @@
     lapses: RefCell<Lapses>,
     news: RefCell<ServerNews>,
     reaches_store: Cell<bool>,
+    /// When the store last answered this host.
+    store_read: Cell<Option<Instant>>,
 }
 
 impl Beliefs {
@@ -62,6 +69,7 @@
             lapses: RefCell::default(),
             news: RefCell::default(),
             reaches_store: Cell::new(true),
+            store_read: Cell::new(None),
             shared,
         }
     }
@@ -92,14 +100,12 @@
 
     /// Takes over changes from the store.
     pub fn apply(&self, kind: Kind, changes: Vec<ItemChange>, at: u64) {
-        self.observe(kind, at);
         let fresh = self.mirror(kind).borrow_mut().apply(changes, at);
         self.follow(kind, &fresh);
     }
 
     /// Takes over a whole copy from the store or another host.
     pub fn replace(&self, kind: Kind, snapshot: Snapshot) {
-        self.observe(kind, snapshot.at);
         let fresh = self.mirror(kind).borrow_mut().replace(snapshot);
         self.follow(kind, &fresh);
     }
@@ -108,43 +114,47 @@
         if fresh.is_empty() {
             return;
         }
-        let decoded = entries::decode_all(fresh);
-        if kind == Kind::Servers {
-            let control = self.control.borrow();
-            self.news.borrow_mut().note(&control.view().servers, &decoded);
-        }
-        let mut changes: Vec<Change> = decoded.into_iter().map(|(_, _, change)| change).collect();
+        let mut changes = entries::decode_all(fresh);
         if kind == Kind::Servers {
             let control = self.control.borrow();
             let known = &control.view().servers;
             self.lapses.borrow_mut().hold_back(clock::now(), known, &mut changes);
         }
-        self.log(&changes);
-        self.control.borrow_mut().apply(clock::now(), clock::unix_millis(), changes);
+        self.believe(changes);
         self.publish();
     }
 
-    fn observe(&self, kind: Kind, at: u64) {
-        if kind != Kind::Servers {
-            return;
-        }
-        let control = self.control.borrow();
-        let view = control.view();
-        let (servers, heartbeat) = (view.servers.len(), view.terms.heartbeat);
-        self.lapses.borrow_mut().observe(clock::now(), at, servers, heartbeat);
+    /// Follows decoded changes.
+    fn believe(&self, changes: Vec<KeyedChange>) {
+        self.news.borrow_mut().note(&self.control.borrow().view().servers, &changes);
+        let changes: Vec<Change> = changes.into_iter().map(|(_, _, change)| change).collect();
+        self.log(&changes);
+        self.control.borrow_mut().apply(clock::now(), clock::unix_millis(), changes);
     }
 
     fn release_removals(&self, now: Instant) {
         let gone = self.lapses.borrow_mut().release(now);
         if !gone.is_empty() {
-            self.log(&gone);
-            self.control.borrow_mut().apply(now, clock::unix_millis(), gone);
+            self.believe(gone);
         }
     }
 
     /// Notes whether the store answered a read.
     pub fn store_answered(&self, is_ok: bool) {
         self.reaches_store.set(is_ok);
+        if !is_ok {
+            return;
+        }
+        let now = clock::now();
+        let Some(before) = self.store_read.replace(Some(now)) else { return };
+        let silence = now.saturating_since(before);
+        let others_read = self.control.borrow().others_read_since(before + OUTAGE_MARGIN);
+        self.lapses.borrow_mut().store_is_back(now, silence, others_read);
+    }
+
+    /// Notes that this host begins to read the store after others did.
+    pub fn takes_over_reading(&self) {
+        self.store_read.set(Some(clock::now()));
     }
 
     /// Whether this host reads the store for the others of its region. A host that the store does
@@ -269,8 +279,12 @@
     pub fn digest(&self) -> Digest {
         let (in_flight, seen) =
             self.shared.decide(|steering, _| (steering.in_flight(), steering.seen()));
-        let (progress, reaches) = (self.progress(), self.reaches_store.get());
-        self.control.borrow_mut().digest(progress, reaches, in_flight, seen)
+        let read_ms = self.store_read.get().map(|at| {
+            clock::now().saturating_since(at).as_millis().min(u128::from(u32::MAX)) as u32
+        });
+        let store = StoreContact { answers: self.reaches_store.get(), read_ms };
+        let progress = self.progress();
+        self.control.borrow_mut().digest(progress, store, in_flight, seen)
     }
 
     /// What this host tells the other regions, with the hosts to tell.
--- a/crates/edge/src/control/servers.rs
+++ b/crates/edge/src/control/servers.rs
@@ -1,7 +1,4 @@
-//! Follows the announcements of servers.
-//!
-//! Servers renew their entries all the time, so a waiting watch would return at once; one call a
-//! second takes all changes together.
+//! Follows the announcements of servers, for all hosts of the region or for this one alone.
 
 use std::{rc::Rc, time::Duration};
 
@@ -15,22 +12,26 @@
     beliefs::{Beliefs, Kind},
 };
 
-/// Time between two reads of changes.
-const PERIOD: Duration = Duration::from_millis(900);
-/// Time that a read waits when there is no change.
-const WAIT: Duration = Duration::from_millis(50);
+/// Time that one watch waits for a change; a store that swallowed the call is noticed soon after.
+const WATCH_WAIT: Duration = Duration::from_millis(2500);
+/// Pause after changes, so that a burst of them comes together.
+const GATHER: Duration = Duration::from_millis(250);
 
 /// Reads all entries, then their changes, for as long as the process runs.
 pub async fn follow(beliefs: Rc<Beliefs>) {
     let mut store = Store::new(beliefs.shared.cfg.store, STORE_TIMEOUT);
     let mut backoff = Backoff::default();
     let mut dependency = Dependency::new("servers in the store");
-    let mut is_complete = false;
+    let (mut is_complete, mut is_reading) = (false, true);
     loop {
         if is_complete && !beliefs.is_reader() {
+            is_reading = false;
             tokio::time::sleep(IDLE_PERIOD).await;
             continue;
         }
+        if !std::mem::replace(&mut is_reading, true) {
+            beliefs.takes_over_reading();
+        }
         let result = if is_complete {
             read_changes(&beliefs, &mut store).await
         } else {
@@ -42,7 +43,7 @@
                 is_complete = true;
                 backoff.reset();
                 dependency.regained();
-                tokio::time::sleep(PERIOD).await;
+                tokio::time::sleep(GATHER).await;
             }
             Err(StoreError::HistoryGone) => is_complete = false,
             Err(e) => {
@@ -64,7 +65,7 @@
 
 async fn read_changes(beliefs: &Beliefs, store: &mut Store) -> Result<(), StoreError> {
     let after = beliefs.at(Kind::Servers);
-    let result = store.watch(keys::SERVERS, after, WAIT).await;
+    let result = store.watch(keys::SERVERS, after, WATCH_WAIT).await;
     beliefs.shared.metrics.store_call("watch servers", result.is_ok());
     let (changes, at) = result?;
     beliefs.apply(Kind::Servers, changes, at);
