Hold removals back only after failed calls, and at every host alike

Change: an outage begins with a failed call; removals are handed on at once with the time for which they are held back.

--- a/crates/core/src/steer/lapse.rs
+++ b/crates/core/src/steer/lapse.rs
@@ -33,6 +33,16 @@
         }
     }
 
+    /// Time for which removals are still held back, for hosts that take changes from this one.
+    pub fn holds_for(&self, now: Instant) -> Duration {
+        self.hold_until.saturating_since(now)
+    }
+
+    /// Holds removals back as another host does.
+    pub fn hold_for(&mut self, now: Instant, span: Duration) {
+        self.hold_until = self.hold_until.max(now + span);
+    }
+
     /// Takes out removals that may be lapses. A server that has announced its leaving is gone.
     pub fn hold_back(
         &mut self,
--- a/crates/edge/src/control/beliefs.rs
+++ b/crates/edge/src/control/beliefs.rs
@@ -53,6 +53,8 @@
     reaches_store: Cell<bool>,
     /// When the store last answered this host.
     store_read: Cell<Option<Instant>>,
+    /// When it last answered before it failed, while it fails.
+    store_lost: Cell<Option<Instant>>,
 }
 
 impl Beliefs {
@@ -70,6 +72,7 @@
             news: RefCell::default(),
             reaches_store: Cell::new(true),
             store_read: Cell::new(None),
+            store_lost: Cell::new(None),
             shared,
         }
     }
@@ -118,6 +121,7 @@
         if kind == Kind::Servers {
             let control = self.control.borrow();
             let known = &control.view().servers;
+            self.news.borrow_mut().note(known, &changes);
             self.lapses.borrow_mut().hold_back(clock::now(), known, &mut changes);
         }
         self.believe(changes);
@@ -126,7 +130,6 @@
 
     /// Follows decoded changes.
     fn believe(&self, changes: Vec<KeyedChange>) {
-        self.news.borrow_mut().note(&self.control.borrow().view().servers, &changes);
         let changes: Vec<Change> = changes.into_iter().map(|(_, _, change)| change).collect();
         self.log(&changes);
         self.control.borrow_mut().apply(clock::now(), clock::unix_millis(), changes);
@@ -143,18 +146,32 @@
     pub fn store_answered(&self, is_ok: bool) {
         self.reaches_store.set(is_ok);
         if !is_ok {
+            let lost = self.store_lost.get().or(self.store_read.get());
+            self.store_lost.set(lost);
             return;
         }
         let now = clock::now();
-        let Some(before) = self.store_read.replace(Some(now)) else { return };
-        let silence = now.saturating_since(before);
-        let others_read = self.control.borrow().others_read_since(before + OUTAGE_MARGIN);
+        self.store_read.set(Some(now));
+        let Some(lost) = self.store_lost.take() else { return };
+        let silence = now.saturating_since(lost);
+        let others_read = self.control.borrow().others_read_since(lost + OUTAGE_MARGIN);
         self.lapses.borrow_mut().store_is_back(now, silence, others_read);
     }
 
+    /// Time for which removals of servers are still held back.
+    pub fn holds_removals_for(&self) -> Duration {
+        self.lapses.borrow().holds_for(clock::now())
+    }
+
+    /// Holds removals of servers back as another host does.
+    pub fn hold_removals_for(&self, span: Duration) {
+        self.lapses.borrow_mut().hold_for(clock::now(), span);
+    }
+
     /// Notes that this host begins to read the store after others did.
     pub fn takes_over_reading(&self) {
         self.store_read.set(Some(clock::now()));
+        self.store_lost.set(None);
     }
 
     /// Whether this host reads the store for the others of its region. A host that the store does
--- a/crates/edge/src/control/snapshots.rs
+++ b/crates/edge/src/control/snapshots.rs
@@ -48,6 +48,8 @@
         at: u64,
         /// Revision up to which the giver knows the news.
         news: u64,
+        /// Time for which the giver still holds removals back.
+        hold: Duration,
     },
 }
 
@@ -96,7 +98,8 @@
     };
     match beliefs.server_update(after) {
         (Update::Changes(changes), news) => {
-            Given::Servers { changes, at: beliefs.at(Kind::Servers), news }
+            let (at, hold) = (beliefs.at(Kind::Servers), beliefs.holds_removals_for());
+            Given::Servers { changes, at, news, hold }
         }
         (Update::Copy, news) => Given::AllServers(beliefs.snapshot(Kind::Servers), news),
     }
@@ -139,7 +142,8 @@
             tracing::info!(event = 353, %peer, ?ask, at, items, "Items were taken from a host.");
             beliefs.replace_servers(snapshot, news);
         }
-        Ok(Ok(Given::Servers { changes, at, news })) => {
+        Ok(Ok(Given::Servers { changes, at, news, hold })) => {
+            beliefs.hold_removals_for(hold);
             let items = changes.len();
             tracing::info!(event = 353, %peer, ?ask, at, items, "Items were taken from a host.");
             beliefs.apply(Kind::Servers, changes, at);
