--- a/crates/edge/src/front/request.rs
+++ b/crates/edge/src/front/request.rs
@@ -27,9 +27,6 @@
     upstream::{Answer, Outgoing, Pool, Tried, send},
 };
 
-/// Rest of a connection after which it carries no request that must run at most once: the server
-/// may close it at that moment.
-const AT_MOST_ONCE_MAX_IDLE: Duration = Duration::from_secs(1);
 /// Time past a request's deadline in which the server's own answer to it may still come.
 const LAST_ANSWER: Duration = Duration::from_millis(60);
 
@@ -105,7 +102,7 @@
             headers: &sent_headers,
             body: &body,
             id,
-            max_idle: if at_most_once { AT_MOST_ONCE_MAX_IDLE } else { Duration::MAX },
+            at_most_once,
             deadline: flight.flight.deadline,
         };
         to.timeout += LAST_ANSWER;
--- a/crates/edge/src/upstream/pool.rs
+++ b/crates/edge/src/upstream/pool.rs
@@ -20,12 +20,17 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 /// Time after which an idle connection is not used, unless the server says how long it keeps it.
 const MAX_IDLE: Duration = Duration::from_secs(4);
+/// The same for requests that must run at most once: the server may close it at that moment.
+const AT_MOST_ONCE_MAX_IDLE: Duration = Duration::from_secs(2);
 /// Part of the time named by the server for which an idle connection is used.
 const USED_IDLE_PART: f64 = 0.7;
 /// Time on an idle connection after which the kernel probes the other end, and between probes.
 const KEEPALIVE: Duration = Duration::from_secs(1);
 /// Probes without an answer after which a connection counts as dead.
 const KEEPALIVE_PROBES: u32 = 2;
+/// Time for which no used connection carries a request that must run at most once after one was
+/// lost: something may have forgotten idle connections.
+const DISTRUST: Duration = Duration::from_secs(10);
 /// Idle connections kept for one server.
 const MAX_IDLE_CONNECTIONS: usize = 8;
 
@@ -49,32 +54,50 @@
     since: Instant,
 }
 
+impl Idle {
+    /// Whether it is open and has not rested too long; `limit` holds where the server names no time.
+    fn is_usable(&self, now: Instant, limit: Duration) -> bool {
+        let named = self.connection.keep_alive.map(|k| k.mul_f64(USED_IDLE_PART));
+        let rested = now.saturating_since(self.since);
+        rested <= named.unwrap_or(limit) && !self.connection.sender.is_closed()
+    }
+}
+
 /// Idle connections of one process.
 #[derive(Default)]
 pub struct Pool {
     idle: Mutex<HashMap<String, Vec<Idle>>>,
+    distrusted_until: Mutex<Option<Instant>>,
 }
 
 impl Pool {
-    /// Takes an idle connection that has rested no longer than `max_idle`.
-    pub fn take(&self, server: &str, max_idle: Duration) -> Option<Connection> {
+    /// Takes an idle connection that may carry the request.
+    pub fn take(&self, server: &str, at_most_once: bool) -> Option<Connection> {
+        if at_most_once && !self.is_trusted() {
+            return None;
+        }
         let now = clock::now();
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         let list = idle.get_mut(server)?;
-        while let Some(entry) = list.pop() {
-            let named = entry.connection.keep_alive.map(|k| k.mul_f64(USED_IDLE_PART));
-            let limit = named.unwrap_or(MAX_IDLE).min(max_idle);
-            let rested = now.saturating_since(entry.since);
-            if rested <= limit && !entry.connection.sender.is_closed() {
-                return Some(entry.connection);
-            }
-            if rested <= named.unwrap_or(MAX_IDLE) && !entry.connection.sender.is_closed() {
-                // It is the one that has rested the shortest and may serve another request.
-                list.push(entry);
-                return None;
-            }
+        list.retain(|entry| entry.is_usable(now, MAX_IDLE));
+        let newest = list.pop()?;
+        if at_most_once && !newest.is_usable(now, AT_MOST_ONCE_MAX_IDLE) {
+            list.push(newest);
+            return None;
         }
-        None
+        Some(newest.connection)
+    }
+
+    /// Notes that a used connection was lost in the middle of a request.
+    pub fn distrust(&self) {
+        let until = clock::now() + DISTRUST;
+        *self.distrusted_until.lock().unwrap_or_else(PoisonError::into_inner) = Some(until);
+    }
+
+    /// Whether used connections may carry requests that must run at most once.
+    fn is_trusted(&self) -> bool {
+        let until = *self.distrusted_until.lock().unwrap_or_else(PoisonError::into_inner);
+        until.is_none_or(|until| until <= clock::now())
     }
 
     /// Keeps a connection for later requests.
@@ -94,11 +117,7 @@
         let now = clock::now();
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         idle.retain(|server, list| {
-            list.retain(|entry| {
-                let named = entry.connection.keep_alive.map(|k| k.mul_f64(USED_IDLE_PART));
-                let limit = named.unwrap_or(MAX_IDLE);
-                !entry.connection.sender.is_closed() && now.saturating_since(entry.since) <= limit
-            });
+            list.retain(|entry| entry.is_usable(now, MAX_IDLE));
             !list.is_empty() && is_known(server)
         });
     }
--- a/crates/edge/src/upstream/send.rs
+++ b/crates/edge/src/upstream/send.rs
@@ -1,7 +1,5 @@
 //! One try of a request at one server.
 
-use std::time::Duration;
-
 use bytes::Bytes;
 use http::{HeaderMap, Request, StatusCode, header};
 use http_body_util::{BodyExt, Full};
@@ -59,8 +57,8 @@
     pub body: &'a Bytes,
     /// Id of the request, which the server echoes.
     pub id: &'a str,
-    /// Longest rest of a connection that may carry it.
-    pub max_idle: Duration,
+    /// Whether it must run at most once.
+    pub at_most_once: bool,
     /// When the server must have answered.
     pub deadline: Instant,
 }
@@ -75,9 +73,12 @@
 
 async fn attempt(pool: &Pool, metrics: &Metrics, to: &Send, out: &Outgoing<'_>) -> Tried {
     let id = to.server.id.as_str();
-    if let Some(connection) = pool.take(id, out.max_idle)
+    if let Some(connection) = pool.take(id, out.at_most_once)
         && let Some(tried) = exchange(pool, to, out, connection).await
     {
+        if tried.outcome == Outcome::Lost {
+            pool.distrust();
+        }
         return tried;
     }
     let connection = match connect(to.address).await {
