--- a/crates/core/src/steer/rollout.rs
+++ b/crates/core/src/steer/rollout.rs
@@ -7,10 +7,11 @@
 use super::digest::Trial;
 use crate::time::Instant;
 
-/// Share of requests that an unproven version gets.
-const CANARY_SHARE: f64 = 0.05;
-/// Part of the time of a rollout after which the share grows, with the share.
-const STEPS: [(f64, f64); 4] = [(0.50, 0.15), (0.57, 0.30), (0.64, 0.60), (0.71, 1.0)];
+/// Part of the permitted share that an unproven version gets for half of the time.
+const CANARY_PART: f64 = 0.5;
+/// Part of the time of a rollout after which the share grows, with the share as a multiple of the
+/// permitted one.
+const STEPS: [(f64, f64); 4] = [(0.50, 1.5), (0.57, 3.0), (0.64, 6.0), (0.71, f64::INFINITY)];
 /// Part of the time of a rollout after which a version without faults has succeeded.
 const SUCCESS_AT: f64 = 0.82;
 /// Failures that prove a fault, together with a failure rate above the other versions'.
@@ -56,8 +57,9 @@
 }
 
 impl Rollout {
-    /// The share of requests that the new version gets.
-    pub fn share(&self, now: Instant, is_faulty: bool) -> f64 {
+    /// The share of requests that the new version gets; `permitted` is the share of a faulty version
+    /// over the whole rollout.
+    pub fn share(&self, now: Instant, is_faulty: bool, permitted: f64) -> f64 {
         match self.state {
             RolloutState::Succeeded => 1.0,
             RolloutState::RolledBack => 0.0,
@@ -65,7 +67,8 @@
             RolloutState::Running => {
                 let part = self.elapsed_part(now);
                 let step = STEPS.iter().rev().find(|(from, _)| part >= *from);
-                step.map_or(CANARY_SHARE, |(_, share)| *share)
+                let multiple = step.map_or(CANARY_PART, |(_, multiple)| *multiple);
+                (permitted * multiple).min(1.0)
             }
         }
     }
--- /dev/null
+++ b/crates/core/src/steer/steering/flight.rs
@@ -0,0 +1,109 @@
+//! A request on its way and what is decided about it.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use crate::{
+    steer::{
+        catalog::{Route, Workspace},
+        refusal::Refusal,
+        server::{ServerEntry, ServerKey},
+    },
+    time::Instant,
+};
+
+/// What the front end knows of a request when its head has arrived.
+#[derive(Clone, Copy, Debug)]
+pub struct Arrival<'a> {
+    /// Id that the caller gave the request.
+    pub id: &'a str,
+    /// Host name.
+    pub host: &'a str,
+    /// Path without the query.
+    pub path: &'a str,
+    /// Key of the caller.
+    pub key: Option<&'a str>,
+    /// Key of the object that the request concerns.
+    pub object: Option<&'a str>,
+    /// Time that the caller waits, when it says so.
+    pub patience: Option<Duration>,
+}
+
+/// A try in progress.
+#[derive(Clone, Debug)]
+pub(super) struct Try {
+    pub(super) server: ServerKey,
+    pub(super) sent: Instant,
+    pub(super) multiple: f64,
+    pub(super) queueing: f64,
+    pub(super) is_warm: bool,
+    pub(super) version: String,
+}
+
+/// A request on its way.
+#[derive(Clone, Debug)]
+pub struct Flight {
+    /// Its route.
+    pub route: Arc<Route>,
+    /// The workspace of its key.
+    pub workspace: Option<Arc<Workspace>>,
+    /// The service that runs it.
+    pub service: String,
+    /// When its final answer is due.
+    pub deadline: Instant,
+    /// When the caller stops waiting.
+    pub caller_deadline: Instant,
+    /// Hash of what identifies the request, for requests that crash servers.
+    pub fingerprint: u64,
+    pub(super) object: Option<u64>,
+    pub(super) position: f64,
+    pub(super) lane: f64,
+    pub(super) tried: Vec<ServerKey>,
+    pub(super) connect_failures: usize,
+    pub(super) may_have_run: bool,
+    /// Whether a further try has been paid for.
+    pub(super) is_prepaid: bool,
+    pub(super) current: Option<Try>,
+}
+
+impl Flight {
+    /// Servers that it was sent to.
+    pub fn attempts(&self) -> usize {
+        self.tried.len()
+    }
+
+    /// Whether a try is in progress.
+    pub fn is_at_server(&self) -> bool {
+        self.current.is_some()
+    }
+
+    /// Whether a server may have run it.
+    pub fn may_have_run(&self) -> bool {
+        self.may_have_run
+    }
+}
+
+/// Where a request goes.
+#[derive(Clone, Debug)]
+pub struct Send {
+    /// The server's announcement.
+    pub server: Arc<ServerEntry>,
+    /// Address of the server.
+    pub address: SocketAddr,
+    /// Time after which the try is given up.
+    pub timeout: Duration,
+    /// Time after which another server may be tried instead, if the budget allows it.
+    pub patience: Duration,
+    /// Expected latency.
+    pub expected: Duration,
+}
+
+/// What follows after a try.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Next {
+    /// The answer goes to the caller.
+    Deliver,
+    /// The request may go to another server.
+    Again,
+    /// The caller is refused or told that the outcome is unknown.
+    Refuse(Refusal),
+}
--- /dev/null
+++ b/crates/core/src/steer/steering/peers.rs
@@ -0,0 +1,115 @@
+//! What this host and the others have seen.
+
+use std::{collections::HashMap, time::Duration};
+
+use super::Steering;
+use crate::{
+    steer::{
+        crash::Death,
+        digest::{Digest, RegionSummary, Summary, Trial, name_hash},
+        quota::Elsewhere,
+        rollout,
+    },
+    time::Instant,
+};
+
+/// Time for which the digest of a silent host still counts towards loads.
+const DIGEST_LIFETIME: Duration = Duration::from_millis(1500);
+
+impl Steering {
+    /// Takes in what another host of the region says.
+    pub fn hear(&mut self, now: Instant, digest: Digest) {
+        self.hear_deaths(now, &digest.seen);
+        for summary in &digest.regions {
+            self.hear_region(now, summary);
+        }
+        self.digests.insert(digest.from.incarnation, (now, digest));
+        let mut elsewhere: HashMap<u32, u32> = HashMap::new();
+        for (at, digest) in self.digests.values() {
+            if now.saturating_since(*at) > DIGEST_LIFETIME {
+                continue;
+            }
+            for (server, requests) in &digest.in_flight {
+                *elsewhere.entry(*server).or_default() += requests;
+            }
+        }
+        for server in self.servers.values_mut() {
+            let key = name_hash(&server.entry.id);
+            server.in_flight_elsewhere = elsewhere.get(&key).copied().unwrap_or(0);
+        }
+    }
+
+    /// Takes in what another region says.
+    pub fn hear_region(&mut self, now: Instant, summary: &RegionSummary) {
+        self.hear_deaths(now, &summary.seen);
+        self.far.hear(now, summary);
+    }
+
+    fn hear_deaths(&mut self, now: Instant, seen: &Summary) {
+        for (fingerprint, server) in &seen.deaths {
+            self.crashes.record(now, Death { fingerprint: *fingerprint, server: *server });
+        }
+    }
+
+    /// Requests of this host at servers, for the others of the region.
+    pub fn in_flight(&self) -> Vec<(u32, u32)> {
+        let busy = self.servers.values().filter(|s| s.in_flight > 0);
+        busy.map(|s| (name_hash(&s.entry.id), s.in_flight)).collect()
+    }
+
+    /// What this host has seen.
+    pub fn seen(&self) -> Summary {
+        let services = self.services.iter().filter(|(_, s)| s.demand > 0.05);
+        Summary {
+            services: services.map(|(name, s)| (name_hash(name), s.demand as f32)).collect(),
+            workspaces: self
+                .quotas
+                .used()
+                .map(|(name, used)| (name_hash(name), used as u32))
+                .collect(),
+            trials: self.view.rollouts.keys().filter_map(|s| self.trial(s)).collect(),
+            deaths: self.crashes.deaths().map(|d| (d.fingerprint, d.server)).collect(),
+        }
+    }
+
+    /// What the hosts of this region have seen.
+    pub fn seen_in_region(&self, now: Instant) -> Summary {
+        let mut sum = self.seen();
+        for (at, digest) in self.digests.values() {
+            if now.saturating_since(*at) <= DIGEST_LIFETIME {
+                sum.add(&digest.seen);
+            }
+        }
+        sum
+    }
+
+    fn trial(&self, service: &str) -> Option<Trial> {
+        let mut trial = self.services.get(service)?.trial.clone();
+        trial.stopped = self.is_faulty(service);
+        Some(trial)
+    }
+
+    /// Whether the version on trial for a service has proven faulty.
+    pub fn is_faulty(&self, service: &str) -> bool {
+        let Some(own) = self.services.get(service).map(|s| &s.trial) else { return false };
+        let near = self.digests.values().flat_map(|(_, d)| &d.seen.trials);
+        let far = self.far.all(self.ticked_at);
+        let others = near.chain(far.iter().flat_map(|s| &s.seen.trials));
+        let same = others.filter(|t| t.service == own.service && t.version == own.version);
+        rollout::is_faulty(std::iter::once(own).chain(same))
+    }
+
+    /// Use of a workspace's quota at the other hosts.
+    pub(super) fn used_elsewhere(&self, now: Instant, workspace: &str) -> Elsewhere {
+        let key = name_hash(workspace);
+        let hosts = self.view.host_count();
+        let far = self.far.all(now);
+        let silent = self.view.peers.iter().filter(|p| !p.is_heard).count();
+        let unheard = silent + far.iter().map(|s| s.unheard as usize).sum::<usize>();
+        let near = self.view.peers.iter().filter(|p| p.is_heard && p.region == self.view.region);
+        let digests = near.filter_map(|p| self.digests.get(&p.host.incarnation));
+        let seen = digests.map(|(_, d)| &d.seen).chain(far.iter().map(|s| &s.seen));
+        let used = seen.filter_map(|s| s.workspaces.get(&key)).sum::<u32>();
+        Elsewhere { used: f64::from(used), hosts, unheard: unheard.min(hosts - 1) }
+    }
+}
--- a/crates/core/src/steer/terms.rs
+++ b/crates/core/src/steer/terms.rs
@@ -9,14 +9,8 @@
     pub max_lookup_ttl: Duration,
     /// Time between SIGTERM and SIGKILL.
     pub stop_grace: Duration,
-    /// Time that a leaving backend server still serves after its announcement.
-    pub drain: Duration,
-    /// Time between two entries of a backend server in the store.
-    pub heartbeat: Duration,
     /// Extra arrivals per request that a service may get.
     pub retry_ratio: f64,
-    /// Window over which extra arrivals are counted.
-    pub retry_window: Duration,
     /// Extra arrivals in a window besides the ratio, over all hosts.
     pub retry_extra: f64,
     /// Window over which a workspace's requests are counted.
@@ -36,10 +30,7 @@
         Terms {
             max_lookup_ttl: Duration::from_secs(5),
             stop_grace: Duration::from_secs(6),
-            drain: Duration::from_millis(2500),
-            heartbeat: Duration::from_millis(1500),
             retry_ratio: 0.2,
-            retry_window: Duration::from_secs(10),
             retry_extra: 50.0,
             quota_window: Duration::from_secs(5),
             quota_overage: 0.0,
--- a/crates/core/tests/steer/rollout.rs
+++ b/crates/core/tests/steer/rollout.rs
@@ -57,7 +57,7 @@
     let rollout = running();
     let (mut exposed, mut all) = (0.0, 0.0);
     for millis in 0..16_000u64 {
-        let share = rollout.share(at(millis), false);
+        let share = rollout.share(at(millis), false, 0.1);
         all += 1.0;
         if share < 0.6 {
             exposed += share;
@@ -84,5 +84,5 @@
     let mut rollout = running();
     assert!(rollout.advance(RolloutState::RolledBack));
     assert!(!rollout.advance(RolloutState::Succeeded));
-    assert_eq!(rollout.share(at(15_900), false), 0.0);
+    assert_eq!(rollout.share(at(15_900), false, 0.1), 0.0);
 }
--- a/crates/edge/src/options.rs
+++ b/crates/edge/src/options.rs
@@ -82,10 +82,7 @@
     Setting("store", "address", true, |o, t| put(&mut o.store, address(t))),
     Setting("bounds", "max_lookup_ttl", false, |o, t| time(&mut o.terms.max_lookup_ttl, t)),
     Setting("bounds", "stop_grace", false, |o, t| time(&mut o.terms.stop_grace, t)),
-    Setting("bounds", "drain", false, |o, t| time(&mut o.terms.drain, t)),
-    Setting("bounds", "heartbeat", false, |o, t| time(&mut o.terms.heartbeat, t)),
     Setting("bounds", "retry_ratio", false, |o, t| put(&mut o.terms.retry_ratio, positive(t))),
-    Setting("bounds", "retry_window", false, |o, t| time(&mut o.terms.retry_window, t)),
     Setting("bounds", "retry_extra", false, |o, t| put(&mut o.terms.retry_extra, positive(t))),
     Setting("bounds", "quota_window", false, |o, t| time(&mut o.terms.quota_window, t)),
     Setting("bounds", "quota_overage", false, |o, t| {
