Hold more tokens for small workspaces; play quotas over eight seeds

Cause: requests of a small workspace come in clumps at single hosts, and a host held at most 1.9 tokens, one at first sight. Ruled out: a higher rate of earning, which breaks the bound when a workspace floods (688 in a window of 680). Now a host holds an even part of 0.33 of the headroom, at most three tokens above one, and starts with 1.5. The test plays eight seeds instead of one.

--- a/crates/core/src/steer/quota.rs
+++ b/crates/core/src/steer/quota.rs
@@ -19,9 +19,16 @@
 const PERIOD_PART: f64 = 0.15;
 /// Part of that which is split evenly; the rest follows demand.
 const EVEN_PART: f64 = 0.3;
-/// Tokens above one that a host may hold while the whole window is free: requests of a workspace
-/// come in clumps.
-const CLUMP: f64 = 2.0;
+/// Tokens above one that a host may hold while the whole window is free, whatever the number of hosts:
+/// requests of a workspace come in clumps.
+const MIN_CLUMP: f64 = 2.0;
+/// Tokens above one that a host may hold where few hosts share a workspace.
+const MAX_CLUMP: f64 = 3.0;
+/// Part of the headroom that all hosts together may hold for clumps above [`MIN_CLUMP`].
+const HELD_PART: f64 = 0.33;
+/// Tokens of a host that has not seen the workspace yet: with many hosts, most requests of a small
+/// workspace come to such a host.
+const FIRST_TOKENS: f64 = 1.5;
 /// Time within which hosts hear of each other's requests.
 const HEARING_PERIOD: Duration = Duration::from_millis(200);
 /// Slots into which the window is cut for counting.
@@ -95,7 +102,9 @@
         let per_period = headroom * PERIOD_PART * part;
         let rate = per_period / HEARING_PERIOD.as_secs_f64();
         let span = now.saturating_since(self.at).as_secs_f64();
-        let depth = per_period.max(1.0 + CLUMP * headroom / allowance);
+        let spread = (HELD_PART * headroom / hosts).min(MAX_CLUMP);
+        let clump = spread.max(MIN_CLUMP * headroom / allowance);
+        let depth = per_period.max(1.0 + clump);
         self.tokens = (self.tokens + span * rate).min(depth).min(headroom);
         self.at = now;
         rate
@@ -116,7 +125,7 @@
             return Ok(());
         }
         let usage = self.workspaces.entry(workspace.name.clone()).or_insert_with(|| Usage {
-            tokens: 1.0,
+            tokens: FIRST_TOKENS,
             at: now,
             elsewhere: elsewhere(),
             ..Usage::default()
--- a/crates/core/tests/steer/quota.rs
+++ b/crates/core/tests/steer/quota.rs
@@ -45,6 +45,9 @@
 const MANY_HOT_AND_CUT: Case =
     Case { hosts: 91, offered: &[1.1], rate: 20.0, cut: 30, hearing: 35, admitted: 0.05 };
 
+/// Seeds of the arrivals.
+const SEEDS: std::ops::Range<u64> = 0..8;
+
 /// Plays 20 seconds of hosts that hear each other every 200 ms, one period late, and checks every
 /// window of the bound.
 #[test_case(&EVEN; "even demand within the rate")]
@@ -58,6 +61,18 @@
 #[test_case(&MANY_HOT_LARGE; "a large workspace floods a grown fleet")]
 #[test_case(&MANY_HOT_AND_CUT; "a flood while a third of a grown fleet is cut off")]
 fn the_bound_holds_in_every_window(case: &Case) {
+    let (mut asked, mut admitted) = (0, 0);
+    for seed in SEEDS {
+        let (of_seed, admitted_of_seed) = play(case, seed);
+        asked += of_seed;
+        admitted += admitted_of_seed;
+    }
+    let share = f64::from(admitted) / f64::from(asked);
+    assert!(share >= case.admitted, "{share} of the requests were admitted");
+}
+
+/// Returns the requests that were asked and those that were admitted.
+fn play(case: &Case, seed: u64) -> (u32, u32) {
     let (terms, workspace) = (terms(), workspace("w", case.rate));
     let mut hosts: Vec<Quotas> = vec![Quotas::default(); case.hosts];
     let mut told = vec![0.0; case.hosts];
@@ -81,7 +96,7 @@
         for (n, host) in hosts.iter_mut().enumerate() {
             let rate = case.offered.get(n).or(case.offered.last()).unwrap_or(&0.0);
             // Requests come at random, on average at the rate.
-            if unit_interval(stable_hash(step, &n.to_le_bytes())) < rate * 0.01 {
+            if unit_interval(stable_hash(step + (seed << 32), &n.to_le_bytes())) < rate * 0.01 {
                 asked += 1;
                 if host.take(now, &terms, &workspace, || known(n, &told)).is_ok() {
                     admitted.push(step * 10);
@@ -94,10 +109,9 @@
     let bound = nominal * (1.0 + terms.quota_overage) + terms.quota_slack;
     for (n, start) in admitted.iter().enumerate() {
         let count = admitted[n..].iter().take_while(|t| **t < start + window).count();
-        assert!(count as f64 <= bound, "{count} requests in a window, the bound is {bound}");
+        assert!(count as f64 <= bound, "seed {seed}: {count} in a window, the bound is {bound}");
     }
-    let share = admitted.len() as f64 / f64::from(asked);
-    assert!(share >= case.admitted, "{share} of the requests were admitted");
+    (asked, admitted.len() as u32)
 }
 
 #[test]
