Name only large hosts where they suffice; choose a server in linear time

Cause 2: each choice ranked all servers pairwise, each digest recounted all servers, and each request judged the version on trial.

--- a/crates/core/src/steer/catalog.rs
+++ b/crates/core/src/steer/catalog.rs
@@ -182,9 +182,4 @@
     pub fn owner(&self, key: &str) -> Option<&Arc<Workspace>> {
         self.owners.get(&key_digest(key)).map(|n| &self.workspaces[*n])
     }
-
-    /// All workspaces.
-    pub fn workspaces(&self) -> &[Arc<Workspace>] {
-        &self.workspaces
-    }
 }
--- a/crates/core/src/steer/pick.rs
+++ b/crates/core/src/steer/pick.rs
@@ -49,19 +49,62 @@
 
 /// The server with the lowest cost.
 pub fn best(now: Instant, want: &Want<'_>, servers: &[(ServerKey, &Server)]) -> Option<Estimate> {
-    let ranks = want.object.map(|object| ranks(object, servers));
-    let estimates = servers.iter().enumerate().map(|(n, (key, server))| {
-        let rank = ranks.as_ref().map(|r| r[n]);
-        estimate(now, want, *key, server, rank)
+    let homes = want.object.map(|object| homes(object, servers));
+    let estimates = servers.iter().map(|(key, server)| {
+        let familiar = familiarity(want, server, homes.map(|homes| homes.rank(*key)));
+        estimate(now, want, *key, server, familiar)
     });
     estimates.min_by(|a, b| a.cost.total_cmp(&b.cost))
 }
 
-/// The rank of each server for an object: all hosts of a region prefer the same one.
-fn ranks(object: u64, servers: &[(ServerKey, &Server)]) -> Vec<usize> {
-    let weights: Vec<u64> =
-        servers.iter().map(|(_, s)| stable_hash(object, &s.hash.to_le_bytes())).collect();
-    weights.iter().map(|own| weights.iter().filter(|other| *other > own).count()).collect()
+/// The first and the second choice for an object.
+#[derive(Clone, Copy, Debug, Default)]
+struct Homes {
+    first: Option<(u64, ServerKey)>,
+    second: Option<(u64, ServerKey)>,
+}
+
+/// Place of a server among the choices for an object.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Rank {
+    First,
+    Second,
+    Other,
+}
+
+impl Homes {
+    fn rank(&self, server: ServerKey) -> Rank {
+        let is = |home: Option<(u64, ServerKey)>| home.is_some_and(|(_, key)| key == server);
+        match () {
+            () if is(self.first) => Rank::First,
+            () if is(self.second) => Rank::Second,
+            () => Rank::Other,
+        }
+    }
+}
+
+/// The choices for an object by rendezvous hashing: all hosts of a region prefer the same servers.
+fn homes(object: u64, servers: &[(ServerKey, &Server)]) -> Homes {
+    let mut homes = Homes::default();
+    for (key, server) in servers {
+        let next = Some((stable_hash(object, &server.hash.to_le_bytes()), *key));
+        if next > homes.first {
+            homes = Homes { first: next, second: homes.first };
+        } else if next > homes.second {
+            homes.second = next;
+        }
+    }
+    homes
+}
+
+/// Factor on the latency of a server by whether it is expected to know the object.
+fn familiarity(want: &Want<'_>, server: &Server, rank: Option<Rank>) -> f64 {
+    match (rank, want.object) {
+        (None | Some(Rank::First), _) => WARM,
+        (_, Some(object)) if server.knows(object) => WARM,
+        (Some(Rank::Second), _) => SECOND,
+        (Some(Rank::Other), _) => COLD,
+    }
 }
 
 fn estimate(
@@ -69,16 +112,10 @@
     want: &Want<'_>,
     key: ServerKey,
     server: &Server,
-    rank: Option<usize>,
+    familiar: f64,
 ) -> Estimate {
     let slots = f64::from(server.entry.slots.max(1));
     let queued = (server.load(now) + 1.0 - slots).max(0.0) / slots;
-    let familiar = match (rank, want.object) {
-        (Some(0), _) | (None, _) => WARM,
-        (_, Some(object)) if server.knows(object) => WARM,
-        (Some(1), _) => SECOND,
-        _ => COLD,
-    };
     let ratio = server.latency().map_or(1.0, |l| l / want.base.max(0.001));
     let slow = if ratio > SLOW_RATIO { ratio } else { 1.0 };
     let queueing = 1.0 + queued;
--- a/crates/core/src/steer/server.rs
+++ b/crates/core/src/steer/server.rs
@@ -10,6 +10,7 @@
 use serde::{Deserialize, Serialize};
 use slotmap::new_key_type;
 
+use super::digest::{NameHash, name_hash};
 use crate::time::Instant;
 
 new_key_type! {
@@ -105,6 +106,10 @@
     pub hash: u64,
     /// Region of its failure domain.
     pub region: String,
+    /// Short hash of its id, as digests name it.
+    pub name: NameHash,
+    /// Whether it is announced; one that is not only finishes what it runs.
+    pub is_announced: bool,
     /// Requests of this host that it runs or queues.
     pub in_flight: u32,
     /// Requests of other hosts, as they said last.
@@ -127,6 +132,8 @@
     pub fn new(entry: Arc<ServerEntry>, region: String, cold_until: Instant) -> Self {
         Server {
             hash: super::stable_hash(0, entry.id.as_bytes()),
+            name: name_hash(&entry.id),
+            is_announced: true,
             entry,
             region,
             in_flight: 0,
@@ -226,11 +233,6 @@
         self.failure_at = now;
     }
 
-    /// Whether connections to it were lost and no answer has come since.
-    pub fn is_suspect(&self) -> bool {
-        self.lost_in_a_row > 0
-    }
-
     fn back_off(&mut self, now: Instant) {
         if now < self.backoff_until {
             return;
--- a/crates/core/src/steer/steering/choose.rs
+++ b/crates/core/src/steer/steering/choose.rs
@@ -57,7 +57,6 @@
             workspace,
             service,
             deadline: now + patience.min(route.timeout),
-            caller_deadline: now + patience,
             fingerprint,
             object,
             position: object.map_or_else(
@@ -113,7 +112,8 @@
         if view.evacuated.len() >= view.zones.len() && !view.zones.is_empty() {
             return Err(self.give_up(flight, Reason::NoServer));
         }
-        let is_faulty = self.is_faulty(&flight.service);
+        let is_faulty =
+            view.rollouts.contains_key(&flight.service) && self.is_faulty(&flight.service);
         let lanes = Lanes::of(&view, now, flight, is_faulty);
         let objective = flight.route.objective.as_secs_f64();
         let state = self.services.entry(flight.service.clone()).or_default();
--- a/crates/core/src/steer/steering/flight.rs
+++ b/crates/core/src/steer/steering/flight.rs
@@ -50,8 +50,6 @@
     pub service: String,
     /// When its final answer is due.
     pub deadline: Instant,
-    /// When the caller stops waiting.
-    pub caller_deadline: Instant,
     /// Hash of what identifies the request, for requests that crash servers.
     pub fingerprint: u64,
     pub(super) object: Option<u64>,
@@ -66,20 +64,10 @@
 }
 
 impl Flight {
-    /// Servers that it was sent to.
-    pub fn attempts(&self) -> usize {
-        self.tried.len()
-    }
-
     /// Whether a try is in progress.
     pub fn is_at_server(&self) -> bool {
         self.current.is_some()
     }
-
-    /// Whether a server may have run it.
-    pub fn may_have_run(&self) -> bool {
-        self.may_have_run
-    }
 }
 
 /// Where a request goes.
--- a/crates/core/src/steer/steering/mod.rs
+++ b/crates/core/src/steer/steering/mod.rs
@@ -15,7 +15,7 @@
 use super::{
     cold::ColdFeeds,
     crash::Crashes,
-    digest::{Digest, Trial},
+    digest::{Digest, NameHash, Trial},
     far::FarRegions,
     quota::Quotas,
     retry::RetryBudget,
@@ -48,6 +48,7 @@
     view: Arc<View>,
     servers: SlotMap<ServerKey, Server>,
     ids: HashMap<String, ServerKey>,
+    names: HashMap<NameHash, ServerKey>,
     services: HashMap<String, ServiceState>,
     digests: HashMap<Incarnation, (Instant, Digest)>,
     far: FarRegions,
@@ -65,6 +66,7 @@
             view,
             servers: SlotMap::default(),
             ids: HashMap::new(),
+            names: HashMap::new(),
             services: HashMap::new(),
             digests: HashMap::new(),
             far: FarRegions::default(),
@@ -123,12 +125,19 @@
                     let region = view.zones.get(&entry.zone).cloned().unwrap_or_default();
                     let cold = now + entry.cold_for;
                     let server = Server::new(Arc::clone(entry), region, cold);
-                    self.ids.insert(entry.id.clone(), self.servers.insert(server));
+                    let name = server.name;
+                    let key = self.servers.insert(server);
+                    self.ids.insert(entry.id.clone(), key);
+                    self.names.insert(name, key);
                 }
             }
         }
         self.ids.retain(|id, _| view.servers.contains_key(id));
-        self.servers.retain(|_, s| view.servers.contains_key(&s.entry.id) || s.in_flight > 0);
+        self.servers.retain(|_, s| {
+            s.is_announced = view.servers.contains_key(&s.entry.id);
+            s.is_announced || s.in_flight > 0
+        });
+        self.names.retain(|_, key| self.servers.contains_key(*key));
     }
 
     /// Servers of a failure domain that was evacuated may have become cold meanwhile.
@@ -147,7 +156,7 @@
         self.cold.expire(now);
         self.crashes.expire(now);
         self.far.expire(now);
-        self.digests.retain(|host, _| self.view.peers.iter().any(|p| p.host.incarnation == *host));
+        self.expire_digests(now);
         let mut quotas = std::mem::take(&mut self.quotas);
         quotas.update(now, &self.view.terms, |workspace| self.used_elsewhere(now, workspace));
         self.quotas = quotas;
@@ -158,8 +167,8 @@
 
     /// Whether a server takes requests as far as the operators' orders and its announcement go.
     fn is_in_service(&self, view: &View, server: &Server) -> bool {
-        !server.entry.draining
+        server.is_announced
+            && !server.entry.draining
             && !view.evacuated.contains(&server.entry.zone)
-            && view.servers.contains_key(&server.entry.id)
     }
 }
--- a/crates/core/src/steer/steering/peers.rs
+++ b/crates/core/src/steer/steering/peers.rs
@@ -1,12 +1,13 @@
 //! What this host and the others have seen.
 
-use std::{collections::HashMap, time::Duration};
+use std::{sync::Arc, time::Duration};
 
 use super::Steering;
 use crate::{
+    host::Incarnation,
     steer::{
         crash::Death,
-        digest::{Digest, RegionSummary, Summary, Trial, name_hash},
+        digest::{Digest, NameHash, RegionSummary, Summary, Trial, name_hash},
         quota::Elsewhere,
         rollout,
     },
@@ -23,22 +24,40 @@
         for summary in &digest.regions {
             self.hear_region(now, summary);
         }
-        self.digests.insert(digest.from.incarnation, (now, digest));
-        let mut elsewhere: HashMap<u32, u32> = HashMap::new();
-        for (at, digest) in self.digests.values() {
-            if now.saturating_since(*at) > DIGEST_LIFETIME {
-                continue;
-            }
-            for (server, requests) in &digest.in_flight {
-                *elsewhere.entry(*server).or_default() += requests;
-            }
+        self.count_elsewhere(&digest.in_flight, u32::saturating_add);
+        let before = self.digests.insert(digest.from.incarnation, (now, digest));
+        if let Some((_, before)) = before {
+            self.count_elsewhere(&before.in_flight, u32::saturating_sub);
         }
-        for server in self.servers.values_mut() {
-            let key = name_hash(&server.entry.id);
-            server.in_flight_elsewhere = elsewhere.get(&key).copied().unwrap_or(0);
+    }
+
+    /// Adds or takes away requests of another host at servers.
+    fn count_elsewhere(&mut self, in_flight: &[(NameHash, u32)], count: fn(u32, u32) -> u32) {
+        for (name, requests) in in_flight {
+            let key = self.names.get(name);
+            if let Some(server) = key.and_then(|key| self.servers.get_mut(*key)) {
+                server.in_flight_elsewhere = count(server.in_flight_elsewhere, *requests);
+            }
         }
     }
 
+    /// Forgets hosts that are gone, and what silent ones have in flight.
+    pub(super) fn expire_digests(&mut self, now: Instant) {
+        let peers = Arc::clone(&self.view.peers);
+        let is_known = |host: &Incarnation| peers.iter().any(|p| p.host.incarnation == *host);
+        let is_fresh = |at: Instant| now.saturating_since(at) <= DIGEST_LIFETIME;
+        let mut digests = std::mem::take(&mut self.digests);
+        digests.retain(|host, (at, digest)| {
+            let is_known = is_known(host);
+            if !is_known || !is_fresh(*at) {
+                let in_flight = std::mem::take(&mut digest.in_flight);
+                self.count_elsewhere(&in_flight, u32::saturating_sub);
+            }
+            is_known
+        });
+        self.digests = digests;
+    }
+
     /// Takes in what another region says.
     pub fn hear_region(&mut self, now: Instant, summary: &RegionSummary) {
         self.hear_deaths(now, &summary.seen);
@@ -52,9 +71,9 @@
     }
 
     /// Requests of this host at servers, for the others of the region.
-    pub fn in_flight(&self) -> Vec<(u32, u32)> {
+    pub fn in_flight(&self) -> Vec<(NameHash, u32)> {
         let busy = self.servers.values().filter(|s| s.in_flight > 0);
-        busy.map(|s| (name_hash(&s.entry.id), s.in_flight)).collect()
+        busy.map(|s| (s.name, s.in_flight)).collect()
     }
 
     /// What this host has seen.
--- a/crates/core/tests/steer/directory.rs
+++ b/crates/core/tests/steer/directory.rs
@@ -64,3 +64,41 @@
     assert_eq!(addresses.len(), 1);
     assert_eq!(addresses[0].port(), 1002);
 }
+
+struct SizeCase {
+    /// Processor shares in thousandths of a core of the hosts 1, 2, 3 ..., two in each failure domain.
+    millicores: &'static [u32],
+    /// Lives of the hosts that are named in failure domain `a1`.
+    named: &'static [u64],
+}
+
+const LARGE_AND_SMALL: SizeCase =
+    SizeCase { millicores: &[500, 100, 500, 100, 500, 100, 100], named: &[1, 3, 5] };
+const TWO_LARGE: SizeCase = SizeCase { millicores: &[500, 100, 500, 100, 100], named: &[1, 2, 5] };
+const WEAK_LARGE: SizeCase = SizeCase {
+    millicores: &[
+        110, 50, 110, 110, 50, 50, 50, 50, 50, 50, 50, 50, 50, 50, 50, 50, 50, 50, 50, 50,
+    ],
+    named: &[1, 2, 5, 6, 9, 10, 13, 14, 17, 18],
+};
+const ALIKE: SizeCase = SizeCase { millicores: &[200; 5], named: &[1, 2, 5] };
+
+#[test_case(&LARGE_AND_SMALL; "large hosts suffice")]
+#[test_case(&TWO_LARGE; "too few large hosts")]
+#[test_case(&WEAK_LARGE; "large hosts too weak")]
+#[test_case(&ALIKE; "hosts of one size")]
+fn small_hosts_are_left_out_where_large_ones_suffice(case: &SizeCase) {
+    let mut view = view(&[entry("s", "lookup", "a1")]);
+    let zone = |n: usize| if (n / 2).is_multiple_of(2) { "a1" } else { "a2" };
+    view.me.millicores = case.millicores[0];
+    let peers = case.millicores.iter().enumerate().skip(1).map(|(n, millicores)| {
+        let mut peer = peer(n as u64 + 1, zone(n));
+        peer.host.millicores = *millicores;
+        peer
+    });
+    view.peers = Arc::new(peers.collect());
+    let mut named: Vec<u64> =
+        resolve(&view, "a", "a1").addresses.iter().map(|a| u64::from(a.port()) - 1000).collect();
+    named.sort_unstable();
+    assert_eq!(named, case.named);
+}
