--- a/crates/core/src/steer/regions.rs
+++ b/crates/core/src/steer/regions.rs
@@ -4,7 +4,7 @@
 //! in small steps, so that no region meets a wave of requests for objects that it has not cached.
 
 /// Load of a region, as part of its slots, up to which it keeps its own requests.
-const TARGET_UTILIZATION: f64 = 0.6;
+const TARGET_UTILIZATION: f64 = 0.45;
 
 /// Demand and capacity of one region for one service.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
