Let requests wait for their object where slots are scarce

Ruled out: too little capacity (328 of about 650 slots would do if objects were known), and shares of regions (all alike). The cost of a fetch now grows with the utilization of the service above 0.5. Test: pick, requests wait for the object.

--- a/crates/core/src/steer/pick.rs
+++ b/crates/core/src/steer/pick.rs
@@ -28,6 +28,8 @@
     pub zone: &'a str,
     /// Latency of an idle server that knows the object, in seconds.
     pub base: f64,
+    /// Factor on the cost of a server that has to fetch the object, above 1 where slots are scarce.
+    pub fetch_cost: f64,
 }
 
 /// A server with the latency that is expected of it.
@@ -125,9 +127,10 @@
     // The idle share of a server breaks ties between servers without a queue.
     let busy = 1.0 + 0.1 * server.load(now) / slots;
     let risk = 1.0 + FAILURE_COST * server.failure_rate(now);
+    let fetch = if familiar > WARM { want.fetch_cost } else { 1.0 };
     Estimate {
         server: key,
-        cost: latency * zone * busy * risk,
+        cost: latency * zone * busy * risk * fetch,
         latency,
         multiple,
         queueing,
--- a/crates/core/src/steer/steering/choose.rs
+++ b/crates/core/src/steer/steering/choose.rs
@@ -119,7 +119,8 @@
         let state = self.services.entry(flight.service.clone()).or_default();
         let base = state.base.unwrap_or(objective * ASSUMED_PART);
         let shares = state.shares.clone();
-        let want = Want { object: flight.object, zone: &view.me.zone, base };
+        let fetch_cost = state.fetch_cost();
+        let want = Want { object: flight.object, zone: &view.me.zone, base, fetch_cost };
         let region = self.region_of(&view, flight, &shares);
         let mut found = None;
         for lane in lanes.order() {
--- a/crates/core/src/steer/steering/mod.rs
+++ b/crates/core/src/steer/steering/mod.rs
@@ -26,6 +26,10 @@
 
 /// Part of a route's objective that is assumed as latency before the first answer.
 const ASSUMED_PART: f64 = 0.4;
+/// Utilization of a service's slots up to which objects may be fetched freely.
+const AMPLE_UTILIZATION: f64 = 0.5;
+/// Growth of the cost of a fetch with the utilization above that.
+const SCARCITY_COST: f64 = 2.0;
 
 #[derive(Clone, Debug, Default)]
 struct ServiceState {
@@ -38,10 +42,20 @@
     demand: f64,
     first_request: Option<Instant>,
     shares: Vec<f64>,
+    /// Demand of all regions as a part of their slots.
+    utilization: f64,
     planned: bool,
     trial: Trial,
 }
 
+impl ServiceState {
+    /// Fetching an object fills a slot several times as long, so where slots are scarce a request
+    /// rather waits for a server that has it: otherwise fetches would keep the slots scarce.
+    fn fetch_cost(&self) -> f64 {
+        1.0 + (self.utilization - AMPLE_UTILIZATION).max(0.0) * SCARCITY_COST
+    }
+}
+
 /// State of the request path of one host.
 #[derive(Debug)]
 pub struct Steering {
--- a/crates/core/src/steer/steering/plan.rs
+++ b/crates/core/src/steer/steering/plan.rs
@@ -70,6 +70,8 @@
                 let each = total * ASSUMED_UTILIZATION / view.regions.len().max(1) as f64;
                 loads.iter_mut().for_each(|l| l.demand = each);
             }
+            let total_slots: f64 = row.iter().sum();
+            state.utilization = loads.iter().map(|l| l.demand).sum::<f64>() / total_slots.max(1.0);
             let plan = regions::plan(&loads, home);
             let has_lost_region =
                 state.shares.iter().zip(&row).any(|(share, slots)| *share > 0.0 && *slots <= 0.0);
--- a/crates/core/tests/steer/pick.rs
+++ b/crates/core/tests/steer/pick.rs
@@ -74,7 +74,7 @@
         servers.insert(server);
     }
     let list: Vec<(ServerKey, &Server)> = servers.iter().collect();
-    let want = Want { object: None, zone: "a1", base: 0.1 };
+    let want = Want { object: None, zone: "a1", base: 0.1, fetch_cost: 1.0 };
     let chosen = best(NOW, &want, &list).map(|e| e.server);
     assert_eq!(chosen, Some(list[case.chosen].0));
 }
@@ -89,7 +89,7 @@
     }
     let list: Vec<(ServerKey, &Server)> = servers.iter().collect();
     let choose = |object: u64| {
-        let want = Want { object: Some(object), zone: "a1", base: 0.1 };
+        let want = Want { object: Some(object), zone: "a1", base: 0.1, fetch_cost: 1.0 };
         best(NOW, &want, &list).map(|e| e.server)
     };
     let mut used = std::collections::HashSet::new();
@@ -100,3 +100,29 @@
     }
     assert_eq!(used.len(), 4);
 }
+
+struct ScarcityCase {
+    /// Cost of a fetch.
+    fetch_cost: f64,
+    /// Whether the request waits for the busy server that knows its object.
+    waits: bool,
+}
+
+#[test_case(&ScarcityCase { fetch_cost: 1.0, waits: false }; "slots are ample")]
+#[test_case(&ScarcityCase { fetch_cost: 2.0, waits: true }; "slots are scarce")]
+fn requests_wait_for_the_object_where_slots_are_scarce(case: &ScarcityCase) {
+    let mut servers: SlotMap<ServerKey, Server> = SlotMap::default();
+    for n in 0..4 {
+        let entry = Arc::new(entry(&format!("s{n}"), "lookup", "a1"));
+        servers.insert(Server::new(entry, "a".to_owned(), at(0)));
+    }
+    let want = Want { object: Some(1), zone: "a1", base: 0.1, fetch_cost: case.fetch_cost };
+    let choose = |servers: &SlotMap<ServerKey, Server>| {
+        let list: Vec<(ServerKey, &Server)> = servers.iter().collect();
+        best(NOW, &want, &list).map(|e| e.server)
+    };
+    let home = choose(&servers).expect("a server is chosen");
+    // Three run and six wait.
+    servers[home].in_flight_elsewhere = 9;
+    assert_eq!(choose(&servers) == Some(home), case.waits);
+}
