--- a/crates/core/src/steer/steering/mod.rs
+++ b/crates/core/src/steer/steering/mod.rs
@@ -27,9 +27,9 @@
 /// Part of a route's objective that is assumed as latency before the first answer.
 const ASSUMED_PART: f64 = 0.4;
 /// Utilization of a service's slots up to which objects may be fetched freely.
-const AMPLE_UTILIZATION: f64 = 0.5;
+const AMPLE_UTILIZATION: f64 = 0.35;
 /// Growth of the cost of a fetch with the utilization above that.
-const SCARCITY_COST: f64 = 2.0;
+const SCARCITY_COST: f64 = 8.0;
 
 #[derive(Clone, Debug, Default)]
 struct ServiceState {
