Call the store less: gather changes for 500 ms, share the first reading

At the first start of the fleet, before callers come, only the readers of a region read; the others take copies. Rollout states are read only where rollouts were ordered. Readers gather for 500 ms: the longest path of a change is 0.5 + 0.35 + 0.25 s and one exchange, against 2.5 s. Test: a fleet that starts for the first time reads the store once a region.

--- a/crates/edge/src/control/mod.rs
+++ b/crates/edge/src/control/mod.rs
@@ -17,7 +17,7 @@
 
 use tokio::{runtime, task::LocalSet};
 
-use self::beliefs::Beliefs;
+use self::beliefs::{Beliefs, Kind};
 use crate::{
     error::EdgeError,
     shared::{Phase, Shared},
@@ -32,6 +32,11 @@
 /// Longest pause after a failed call to the store.
 const MAX_PAUSE: Duration = Duration::from_millis(1200);
 
+/// Time after which the hosts of a fleet that starts for the first time know each other.
+const ACQUAINTANCE: Duration = Duration::from_millis(1200);
+/// Time for which they wait for what the first readers read.
+const FIRST_COPY_TIMEOUT: Duration = Duration::from_secs(4);
+
 /// Starts the control thread.
 pub fn spawn(shared: Arc<Shared>) -> Result<JoinHandle<Result<(), EdgeError>>, EdgeError> {
     let build = thread::Builder::new().name("control".to_owned());
@@ -68,6 +73,23 @@
     })
 }
 
+/// At the first start of the whole fleet, waits until another host has given a copy or this host is
+/// one of the first readers: no callers come yet, and many hosts would read the same from the store.
+async fn first_reader_or_copy(beliefs: &Beliefs, kind: Kind) {
+    if !beliefs.shared.cfg.first_start {
+        return;
+    }
+    tokio::time::sleep(ACQUAINTANCE).await;
+    let wait = async {
+        while beliefs.at(kind) == 0 && !beliefs.is_reader() {
+            tokio::time::sleep(IDLE_PERIOD).await;
+        }
+    };
+    if tokio::time::timeout(FIRST_COPY_TIMEOUT, wait).await.is_err() {
+        tracing::info!(event = 315, ?kind, "No host has given a copy; reading the store.");
+    }
+}
+
 /// Pauses between failed calls, longer after each.
 #[derive(Debug)]
 struct Backoff {
--- a/crates/edge/src/control/orders.rs
+++ b/crates/edge/src/control/orders.rs
@@ -10,6 +10,7 @@
 use super::{
     Backoff, Dependency, IDLE_PERIOD, STORE_TIMEOUT,
     beliefs::{Beliefs, Kind},
+    first_reader_or_copy,
 };
 
 /// Time that one watch waits for a change; a store that swallowed the call is noticed soon after.
@@ -20,7 +21,8 @@
     let mut store = Store::new(beliefs.shared.cfg.store, STORE_TIMEOUT);
     let mut backoff = Backoff::default();
     let mut dependency = Dependency::new("orders in the store");
-    let mut is_complete = false;
+    first_reader_or_copy(&beliefs, Kind::Orders).await;
+    let mut is_complete = beliefs.at(Kind::Orders) > 0;
     loop {
         if is_complete && !beliefs.is_reader() {
             tokio::time::sleep(IDLE_PERIOD).await;
@@ -50,6 +52,11 @@
     let result = store.range(keys::ORDERS, Freshness::Latest).await;
     beliefs.shared.metrics.store_call("range orders", result.is_ok());
     beliefs.replace(Kind::Orders, result?);
+    if beliefs.has_rollouts() {
+        let states = store.range(keys::ROLLOUT_STATES, Freshness::Latest).await;
+        beliefs.shared.metrics.store_call("range states", states.is_ok());
+        beliefs.replace(Kind::States, states?);
+    }
     Ok(())
 }
 
--- a/crates/edge/src/control/registry.rs
+++ b/crates/edge/src/control/registry.rs
@@ -72,7 +72,7 @@
     let own = store.range(keys::OWN, freshness).await;
     metrics.store_call("range own", own.is_ok());
     beliefs.replace(Kind::Own, own?);
-    if freshness == Freshness::Latest || beliefs.has_rollouts() {
+    if beliefs.has_rollouts() {
         let states = store.range(keys::ROLLOUT_STATES, freshness).await;
         metrics.store_call("range states", states.is_ok());
         beliefs.replace(Kind::States, states?);
--- a/crates/edge/src/control/servers.rs
+++ b/crates/edge/src/control/servers.rs
@@ -10,19 +10,21 @@
 use super::{
     Backoff, Dependency, IDLE_PERIOD, STORE_TIMEOUT,
     beliefs::{Beliefs, Kind},
+    first_reader_or_copy,
 };
 
 /// Time that one watch waits for a change; a store that swallowed the call is noticed soon after.
 const WATCH_WAIT: Duration = Duration::from_millis(2500);
 /// Pause after changes, so that a burst of them comes together.
-const GATHER: Duration = Duration::from_millis(250);
+const GATHER: Duration = Duration::from_millis(500);
 
 /// Reads all entries, then their changes, for as long as the process runs.
 pub async fn follow(beliefs: Rc<Beliefs>) {
     let mut store = Store::new(beliefs.shared.cfg.store, STORE_TIMEOUT);
     let mut backoff = Backoff::default();
     let mut dependency = Dependency::new("servers in the store");
-    let (mut is_complete, mut is_reading) = (false, true);
+    first_reader_or_copy(&beliefs, Kind::Servers).await;
+    let (mut is_complete, mut is_reading) = (beliefs.at(Kind::Servers) > 0, true);
     loop {
         if is_complete && !beliefs.is_reader() {
             is_reading = false;
--- a/crates/edge/src/options.rs
+++ b/crates/edge/src/options.rs
@@ -35,6 +35,8 @@
     pub metrics: SocketAddr,
     /// Part of a core that the host may use, in thousandths.
     pub millicores: u32,
+    /// Whether the whole fleet starts for the first time.
+    pub first_start: bool,
     /// Address of the platform's store.
     pub store: SocketAddr,
     /// Region of each failure domain.
@@ -55,6 +57,7 @@
             peers: local(7460),
             metrics: local(7461),
             millicores: 1000,
+            first_start: false,
             store: local(8382),
             domains: HashMap::new(),
             terms: Terms::default(),
@@ -79,6 +82,7 @@
     Setting("host", "cores", false, |o, t| {
         put(&mut o.millicores, positive(t).map(|cores| (cores * 1000.0) as u32))
     }),
+    Setting("host", "first_start", false, |o, t| put(&mut o.first_start, yes_or_no(t))),
     Setting("store", "address", true, |o, t| put(&mut o.store, address(t))),
     Setting("bounds", "max_lookup_ttl", false, |o, t| time(&mut o.terms.max_lookup_ttl, t)),
     Setting("bounds", "stop_grace", false, |o, t| time(&mut o.terms.stop_grace, t)),
@@ -168,6 +172,10 @@
     fields::plain("an IP address with a port is allowed")(text)
 }
 
+fn yes_or_no(text: &str) -> Result<bool, String> {
+    fields::plain("'true' or 'false' is allowed")(text)
+}
+
 fn positive(text: &str) -> Result<f64, String> {
     match text.parse::<f64>() {
         Ok(number) if number > 0.0 && number.is_finite() => Ok(number),
--- a/crates/edge/tests/processes/store.rs
+++ b/crates/edge/tests/processes/store.rs
@@ -131,6 +131,25 @@
     assert!(stopped.await);
 }
 
+/// Only the two readers of the region read the store; the others take copies.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_fleet_that_starts_for_the_first_time_reads_the_store_once_a_region() {
+    let store = Store::start().await;
+    fleet::configure(&store, 1);
+    let _server = Backend::start(&store, "lookup-1", "lookup", "a1").await;
+    let start = |n: usize| {
+        let zone = if n.is_multiple_of(2) { "a1" } else { "a2" };
+        Host::start_as(BINARY, &format!("host-{n}"), zone, store.address, true)
+    };
+    let hosts: Vec<Host> = (0..6).map(start).collect();
+    for host in &hosts {
+        host.ready().await;
+    }
+    let took_copy = |host: &&Host| host.log().iter().any(|line| line["event"] == 353);
+    let copies = hosts.iter().filter(took_copy).count();
+    assert!(copies >= 4, "{copies} of 6 hosts took a copy");
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_host_that_knows_no_configuration_says_so() {
     let store = Store::start().await;
