Use one client of the platform's store for all programs

Cause: the daemon and the tool spoke an own protocol to the store through a second client, with a second stand-in, and the daemon polled a list of hosts that the platform does not have. TCP connections with keepalive and an HTTP driver were made in two places, and the edge process took its clock from the daemon's crate. Now crates/store holds only the records and uses platform::store; crates/net holds the clock and the connection; the stand-in of platform/ serves the daemon's tests; the list of hosts goes.

--- a/crates/core/src/control/membership.rs
+++ b/crates/core/src/control/membership.rs
@@ -152,7 +152,7 @@
             **a != self.me.peer_address && !members.contains(a) && !self.fleet.has_address(**a)
         };
         self.met.retain(|a| !members.contains(a));
-        let all = self.met.iter().chain(&self.seeds).chain(&self.listed);
+        let all = self.met.iter().chain(&self.seeds);
         let hints: Vec<_> = all.filter(unknown).collect();
         let first = self.ticks as usize * HINTS_PER_TICK;
         let tried = (0..hints.len().min(HINTS_PER_TICK)).map(|n| *hints[(first + n) % hints.len()]);
--- a/crates/core/src/control/mod.rs
+++ b/crates/core/src/control/mod.rs
@@ -84,8 +84,6 @@
     },
     /// The acknowledgement could not be written.
     AckFailed,
-    /// Addresses of hosts from the platform's list.
-    HostList(&'a [SocketAddr]),
     /// The date now, for the times in declarations.
     Date(UnixMillis),
     /// A graceful stop was asked for.
@@ -134,7 +132,6 @@
 pub struct Control {
     me: HostInfo,
     seeds: Vec<SocketAddr>,
-    listed: Vec<SocketAddr>,
     /// Addresses of this failure domain that another host named.
     met: Vec<SocketAddr>,
     members: Members,
@@ -173,7 +170,6 @@
         Control {
             me,
             seeds: seeds.to_vec(),
-            listed: Vec::new(),
             met: Vec::new(),
             members: Members::default(),
             fleet: Fleet::default(),
@@ -228,7 +224,6 @@
             Input::PeerReply { from, reply } => self.see_reply(now, from, reply, fx),
             Input::Acks { root, acks } => self.see_acks(now, root, acks, fx),
             Input::AckFailed => self.acks.forget(),
-            Input::HostList(addresses) => self.listed = addresses.to_vec(),
             Input::Date(date) => self.date = Some((now, date)),
             Input::Stop => self.stop(now, fx),
         }
--- a/crates/daemon/src/control.rs
+++ b/crates/daemon/src/control.rs
@@ -53,8 +53,6 @@
     Acks(Root, Acks),
     /// The acknowledgement could not be written.
     AckFailed,
-    /// The platform's list of hosts.
-    HostList(Vec<SocketAddr>),
     /// A graceful stop was asked for.
     Stop,
     /// The process ends.
@@ -122,7 +120,7 @@
     let mut traffic_ticks = timers.subscribe(TICK_PERIOD).await;
     let mut control = Control::new(shared.me.clone(), &shared.cfg.seeds);
     let mut fx = Vec::new();
-    let mut carrier = Carrier { shared: Arc::clone(&shared), socket, store, tx, watches: None };
+    let mut carrier = Carrier { shared: Arc::clone(&shared), socket, store, tx, watch: None };
     log::write(&Event::new(Kind::Started, &shared.cfg.name));
     loop {
         let event = tokio::select! {
@@ -187,7 +185,6 @@
         ControlEvent::PeerReply(from, reply) => Input::PeerReply { from: *from, reply },
         ControlEvent::Acks(root, acks) => Input::Acks { root, acks },
         ControlEvent::AckFailed => Input::AckFailed,
-        ControlEvent::HostList(addresses) => Input::HostList(addresses),
         ControlEvent::Stop | ControlEvent::Close => Input::Stop,
     }
 }
@@ -198,21 +195,15 @@
     socket: peer::udp::Socket,
     store: Client,
     tx: ControlTx,
-    watches: Option<Watches>,
+    watch: Option<Watch>,
 }
 
-/// Tasks of a host that reads the platform's services; they end when this is dropped.
-struct Watches {
-    root: tokio::task::JoinHandle<()>,
-    hosts: Option<tokio::task::JoinHandle<()>>,
-}
+/// The task of a host that watches the store; it ends when this is dropped.
+struct Watch(tokio::task::JoinHandle<()>);
 
-impl Drop for Watches {
+impl Drop for Watch {
     fn drop(&mut self) {
-        self.root.abort();
-        if let Some(hosts) = &self.hosts {
-            hosts.abort();
-        }
+        self.0.abort();
     }
 }
 
@@ -224,8 +215,8 @@
             Effect::AskPeer { to, call } => {
                 tokio::spawn(ask_peer(Arc::clone(&self.shared), to, call, tx));
             }
-            Effect::WatchStore(true) => self.watches = Some(self.watch()),
-            Effect::WatchStore(false) => self.watches = None,
+            Effect::WatchStore(true) => self.watch = Some(self.watch()),
+            Effect::WatchStore(false) => self.watch = None,
             Effect::ReadRoot => {
                 tokio::spawn(async move { platform::read_root(&store, &tx).await });
             }
@@ -247,14 +238,8 @@
         }
     }
 
-    fn watch(&self) -> Watches {
-        let (store, tx, url) =
-            (self.store.clone(), self.tx.clone(), self.shared.cfg.platform.host_list.clone());
-        let hosts = (!url.is_empty()).then(|| {
-            let tx = tx.clone();
-            tokio::spawn(platform::poll_host_list(url, tx))
-        });
-        Watches { root: tokio::spawn(platform::watch_root(store, tx)), hosts }
+    fn watch(&self) -> Watch {
+        Watch(tokio::spawn(platform::watch_root(self.store.clone(), self.tx.clone())))
     }
 }
 
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -1,7 +1,6 @@
 //! Sockets, files and timers round the core: one thread for control state, others for traffic.
 
 pub mod cli;
-pub mod clock;
 pub mod control;
 pub mod error;
 pub mod front;
@@ -14,6 +13,8 @@
 pub mod shared;
 pub mod timer;
 
+pub(crate) use jasminestage_net::clock;
+
 use std::sync::Arc;
 
 use clap::Parser;
--- a/crates/daemon/src/options/load.rs
+++ b/crates/daemon/src/options/load.rs
@@ -70,12 +70,6 @@
     ),
     setting("fleet", "seeds", |o, t| put(&mut o.seeds, addresses(t)), |_| String::new()),
     required("platform", "store", |o, t| put(&mut o.platform.store, url(t))),
-    setting(
-        "platform",
-        "host_list",
-        |o, t| put(&mut o.platform.host_list, url(t)),
-        |o| o.platform.host_list.clone(),
-    ),
     setting(
         "platform",
         "timeout",
--- a/crates/daemon/src/options/mod.rs
+++ b/crates/daemon/src/options/mod.rs
@@ -66,8 +66,6 @@
 pub struct PlatformOptions {
     /// Base URL of the key-value service.
     pub store: String,
-    /// URL of the list of hosts, empty when there is none.
-    pub host_list: String,
     /// Longest time for one call.
     pub timeout: Duration,
 }
@@ -76,7 +74,6 @@
     fn default() -> Self {
         PlatformOptions {
             store: "http://127.0.0.1:2379".to_owned(),
-            host_list: String::new(),
             timeout: Duration::from_secs(1),
         }
     }
--- a/crates/daemon/src/platform.rs
+++ b/crates/daemon/src/platform.rs
@@ -1,13 +1,12 @@
-//! The platform's services: the store and the list of hosts.
+//! The platform's store.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{sync::Arc, time::Duration};
 
 use jasminestage_core::{
     config::{ChunkHash, DomainAck, Root},
     host::HostInfo,
 };
 use jasminestage_store::{Client, Observer, Options, StoreError, Versioned};
-use serde::Deserialize;
 
 use crate::{
     clock,
@@ -18,8 +17,6 @@
 
 /// Time before a failed call is tried again.
 const RETRY_PERIOD: Duration = Duration::from_millis(500);
-/// Time between two reads of the list of hosts.
-const HOST_LIST_PERIOD: Duration = Duration::from_secs(5);
 
 /// A client of the store whose calls are counted.
 pub fn client(cfg: &PlatformOptions, metrics: Arc<Metrics>) -> Client {
@@ -127,25 +124,3 @@
         tx.send(ControlEvent::AckFailed).await;
     }
 }
-
-/// One group of a Prometheus HTTP service discovery list.
-#[derive(Debug, Deserialize)]
-struct TargetGroup {
-    targets: Vec<String>,
-}
-
-/// Reads the platform's list of hosts again and again; the list is a hint only.
-pub async fn poll_host_list(url: String, tx: ControlTx) {
-    let http = reqwest::Client::new();
-    loop {
-        let call = http.get(&url).timeout(HOST_LIST_PERIOD).send();
-        if let Ok(answer) = call.await
-            && let Ok(groups) = answer.json::<Vec<TargetGroup>>().await
-        {
-            let targets = groups.iter().flat_map(|g| &g.targets);
-            let addresses: Vec<SocketAddr> = targets.filter_map(|t| t.parse().ok()).collect();
-            tx.send(ControlEvent::HostList(addresses)).await;
-        }
-        tokio::time::sleep(HOST_LIST_PERIOD).await;
-    }
-}
--- a/crates/edge/src/control/beliefs.rs
+++ b/crates/edge/src/control/beliefs.rs
@@ -17,7 +17,7 @@
     },
     time::Instant,
 };
-use jasminestage_daemon::clock;
+use jasminestage_net::clock;
 use jasminestage_platform::entries;
 
 use crate::shared::Shared;
--- a/crates/edge/src/front/request.rs
+++ b/crates/edge/src/front/request.rs
@@ -15,7 +15,7 @@
     time::Instant,
     world::Repeat,
 };
-use jasminestage_daemon::clock;
+use jasminestage_net::clock;
 use jasminestage_platform::headers;
 use tokio::time::timeout;
 use xxhash_rust::xxh3::Xxh3;
--- a/crates/edge/src/shared.rs
+++ b/crates/edge/src/shared.rs
@@ -11,7 +11,7 @@
     steer::{digest::Announcement, steering::Steering, view::View},
     time::Instant,
 };
-use jasminestage_daemon::clock;
+use jasminestage_net::clock;
 use tokio::sync::watch;
 
 use crate::{metrics::Metrics, options::Options};
--- a/crates/edge/src/upstream/pool.rs
+++ b/crates/edge/src/upstream/pool.rs
@@ -8,13 +8,8 @@
     time::Duration,
 };
 
-use bytes::Bytes;
-use http_body_util::Full;
-use hyper::client::conn::http1::{self, SendRequest};
-use hyper_util::rt::TokioIo;
 use jasminestage_core::time::Instant;
-use jasminestage_daemon::clock;
-use tokio::{net::TcpStream, task::JoinHandle, time::timeout};
+use jasminestage_net::{Connection, clock};
 
 /// Longest time until a connection is made.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
@@ -24,40 +19,23 @@
 const AT_MOST_ONCE_MAX_IDLE: Duration = Duration::from_secs(2);
 /// Part of the time named by the server for which an idle connection is used.
 const USED_IDLE_PART: f64 = 0.7;
-/// Time on an idle connection after which the kernel probes the other end, and between probes.
-const KEEPALIVE: Duration = Duration::from_secs(1);
-/// Probes without an answer after which a connection counts as dead.
-const KEEPALIVE_PROBES: u32 = 2;
 /// Time for which no used connection carries a request that must run at most once after one was
 /// lost: something may have forgotten idle connections.
 const DISTRUST: Duration = Duration::from_secs(10);
 /// Idle connections kept for one server.
 const MAX_IDLE_CONNECTIONS: usize = 8;
 
-/// An open connection; dropping it closes the socket at once.
-pub struct Connection {
-    /// Sends requests on it.
-    pub sender: SendRequest<Full<Bytes>>,
-    driver: JoinHandle<()>,
-    /// How long the server keeps it when idle.
-    pub keep_alive: Option<Duration>,
-}
-
-impl Drop for Connection {
-    fn drop(&mut self) {
-        self.driver.abort();
-    }
-}
-
 struct Idle {
     connection: Connection,
     since: Instant,
+    /// How long the server keeps it.
+    keep_alive: Option<Duration>,
 }
 
 impl Idle {
     /// Whether it is open and has not rested too long; `limit` holds where the server names no time.
     fn is_usable(&self, now: Instant, limit: Duration) -> bool {
-        let named = self.connection.keep_alive.map(|k| k.mul_f64(USED_IDLE_PART));
+        let named = self.keep_alive.map(|k| k.mul_f64(USED_IDLE_PART));
         let rested = now.saturating_since(self.since);
         rested <= named.unwrap_or(limit) && !self.connection.sender.is_closed()
     }
@@ -100,15 +78,15 @@
         until.is_none_or(|until| until <= clock::now())
     }
 
-    /// Keeps a connection for later requests.
-    pub fn keep(&self, server: &str, connection: Connection) {
+    /// Keeps a connection for later requests; the server may have said for how long it does so.
+    pub fn keep(&self, server: &str, connection: Connection, keep_alive: Option<Duration>) {
         if connection.sender.is_closed() {
             return;
         }
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         let list = idle.entry(server.to_owned()).or_default();
         if list.len() < MAX_IDLE_CONNECTIONS {
-            list.push(Idle { connection, since: clock::now() });
+            list.push(Idle { connection, since: clock::now(), keep_alive });
         }
     }
 
@@ -123,23 +101,7 @@
     }
 }
 
-/// Makes a connection.
+/// Connects to a server.
 pub async fn connect(address: SocketAddr) -> io::Result<Connection> {
-    let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address))
-        .await
-        .map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
-    stream.set_nodelay(true)?;
-    let probes = socket2::TcpKeepalive::new()
-        .with_time(KEEPALIVE)
-        .with_interval(KEEPALIVE)
-        .with_retries(KEEPALIVE_PROBES);
-    socket2::SockRef::from(&stream).set_tcp_keepalive(&probes)?;
-    let (sender, driver) =
-        http1::handshake(TokioIo::new(stream)).await.map_err(io::Error::other)?;
-    let driver = tokio::spawn(async move {
-        if let Err(e) = driver.await {
-            tracing::debug!(error = %e, "A connection to a server ended.");
-        }
-    });
-    Ok(Connection { sender, driver, keep_alive: None })
+    Connection::open(address, CONNECT_TIMEOUT).await
 }
--- a/crates/edge/src/upstream/send.rs
+++ b/crates/edge/src/upstream/send.rs
@@ -10,11 +10,11 @@
     },
     time::Instant,
 };
-use jasminestage_daemon::clock;
+use jasminestage_net::{Connection, clock};
 use jasminestage_platform::headers;
 use tokio::time::timeout;
 
-use super::pool::{Connection, Pool, connect};
+use super::pool::{Pool, connect};
 use crate::metrics::Metrics;
 
 /// A complete answer of a server.
@@ -140,8 +140,7 @@
         _ => Outcome::Answered { status, took: clock::now().saturating_since(sent) },
     };
     if outcome != Outcome::BadAnswer {
-        connection.keep_alive = headers::keep_alive(&parts.headers);
-        pool.keep(&to.server.id, connection);
+        pool.keep(&to.server.id, connection, headers::keep_alive(&parts.headers));
     }
     let answer = matches!(outcome, Outcome::Answered { .. }).then(|| {
         let mut headers = parts.headers;
--- a/crates/standins/src/fleet.rs
+++ b/crates/standins/src/fleet.rs
@@ -10,11 +10,11 @@
 };
 
 use jasminestage_core::world;
+use jasminestage_platform_standin::store::Store;
 
 use crate::{
     backend::{Backend, Behaviour},
     forwarder::{Forwarder, Mode},
-    platform::Platform,
     process::{HostOptions, HostProcess, binary, eventually},
 };
 
@@ -77,7 +77,7 @@
 /// A running fleet; everything ends when it is dropped.
 pub struct Fleet {
     /// The platform.
-    pub platform: Platform,
+    pub platform: Store,
     /// Backend servers by name.
     pub backends: HashMap<String, Backend>,
     /// Hosts in the order of the options.
@@ -106,7 +106,7 @@
 
     /// Starts everything without applying the declaration.
     pub async fn start_empty(folder: &Path, cfg: FleetOptions) -> Result<Fleet, String> {
-        let platform = Platform::start().await;
+        let platform = Store::start().await;
         let world = world::parse(&cfg.declaration).map_err(|e| e.to_string())?;
         let mut declaration = with_seats_for(&cfg.declaration, &cfg.hosts);
         let mut backends = HashMap::new();
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -4,6 +4,5 @@
 pub mod fleet;
 pub mod forwarder;
 pub mod metrics;
-pub mod platform;
 pub mod process;
 pub mod serve;
--- a/crates/standins/tests/config.rs
+++ b/crates/standins/tests/config.rs
@@ -2,6 +2,7 @@
 
 use std::time::{Duration, Instant};
 
+use jasminestage_platform_standin::store::Fault;
 use jasminestage_standins::{
     fleet::{Fleet, FleetOptions},
     process::{HostProcess, eventually},
@@ -119,14 +120,8 @@
 }
 
 const STORE_CASES: &[StoreCase] = &[
-    StoreCase { name: "down", happens: |fleet| fleet.platform.take_down() },
-    StoreCase {
-        name: "slow",
-        happens: |fleet| {
-            fleet.platform.bring_back();
-            fleet.platform.switches().delay = 3 * SECOND;
-        },
-    },
+    StoreCase { name: "down", happens: |fleet| fleet.platform.set_fault(Fault::Busy) },
+    StoreCase { name: "slow", happens: |fleet| fleet.platform.set_fault(Fault::Slow(3 * SECOND)) },
 ];
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
@@ -150,13 +145,12 @@
     let fleet = start(&folder, false).await;
     let text = with_keys(&fleet, &[OTHER_KEY]);
     for prefix in ["jasminestage/chunk/", "jasminestage/root"] {
-        fleet.platform.switches().lose_prefix = prefix.to_owned();
-        fleet.platform.switches().lose_answers = 1;
+        fleet.platform.lose_answers(prefix, 1);
         let (code, out, err) = apply(&fleet, "w.ini", &text, &[]);
         assert_eq!(code, 0, "{prefix}: {err}");
         assert!(out.contains("is written"), "{prefix}: {out}");
     }
-    assert_eq!(fleet.platform.switches().lose_answers, 0, "the answer of a write was lost");
+    assert_eq!(fleet.platform.answers_to_lose(), 0, "the answer of a write was lost");
     let http = reqwest::Client::new();
     let refused = eventually(3 * SECOND, async || {
         codes(&http, &fleet.hosts, "keyed", KEY).await == ["105"; 6]
@@ -173,7 +167,7 @@
         serde_json::from_slice(&get.expect("the tool runs").stdout).expect("JSON");
     let based = get["revision"].to_string();
     let texts = [with_keys(&fleet, &[OTHER_KEY]), with_keys(&fleet, &[KEY])];
-    fleet.platform.switches().delay = Duration::from_millis(50);
+    fleet.platform.set_fault(Fault::Slow(Duration::from_millis(50)));
     let race = std::thread::scope(|scope| {
         let runs: Vec<_> = texts
             .iter()
@@ -206,7 +200,7 @@
     let folder = tempfile::tempdir().expect("a folder for the test");
     let mut fleet = start(&folder, false).await;
     let http = reqwest::Client::new();
-    fleet.platform.take_down();
+    fleet.platform.set_fault(Fault::Busy);
     for host in &mut fleet.hosts[1..] {
         host.kill();
         *host = HostProcess::start(folder.path(), host.cfg.clone()).expect("the host starts");
@@ -216,7 +210,7 @@
     assert!(opened.await, "open routes are served by the revision that one host kept");
     let keyed = codes(&http, &fleet.hosts[1..], "keyed", KEY).await;
     assert_eq!(keyed, ["110"; 5], "no fresh host has authority");
-    fleet.platform.bring_back();
+    fleet.platform.set_fault(Fault::None);
     let back = eventually(15 * SECOND, async || {
         codes(&http, &fleet.hosts, "keyed", KEY).await == ["0"; 6]
     });
--- a/crates/standins/tests/daemon.rs
+++ b/crates/standins/tests/daemon.rs
@@ -5,9 +5,9 @@
     time::Duration,
 };
 
+use jasminestage_platform_standin::store::Store;
 use jasminestage_standins::{
     fleet::{Fleet, FleetOptions},
-    platform::Platform,
     process::{HostOptions, HostProcess, binary, eventually},
 };
 
@@ -51,7 +51,7 @@
         Case { name: "admin", take: |o, a| o.admin = a },
         Case { name: "peer", take: |o, a| o.peer = a },
     ];
-    let platform = Platform::start().await;
+    let platform = Store::start().await;
     for case in cases {
         let folder = tempfile::tempdir().expect("a folder for the test");
         let taken = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
--- a/crates/standins/tests/rollout.rs
+++ b/crates/standins/tests/rollout.rs
@@ -8,6 +8,7 @@
 };
 
 use callers::{Callers, Counts, LAGERWERK, fleet};
+use jasminestage_platform_standin::store::Fault;
 use jasminestage_standins::{
     fleet::{Fleet, FleetOptions},
     process::eventually,
@@ -125,7 +126,7 @@
     declare_move(&mut fleet);
     let begun = eventually(SPAN, async || new_answers(&callers.counts()) > 5).await;
     assert!(begun, "the new version gets its share");
-    fleet.platform.take_down();
+    fleet.platform.set_fault(Fault::Busy);
     tokio::time::sleep(Duration::from_millis(500)).await;
     for (_, backend) in fleet.backends.iter().filter(|(n, _)| n.starts_with("new-")) {
         backend.behaviour().fail_every = 1;
@@ -140,7 +141,7 @@
     let before = new(&fleet);
     tokio::time::sleep(Duration::from_secs(1)).await;
     assert_eq!(new(&fleet), before, "no new work while the store is down");
-    fleet.platform.bring_back();
+    fleet.platform.set_fault(Fault::None);
     let recorded = eventually(SPAN, async || logged(&fleet, "A move was taken back.")).await;
     assert!(recorded, "the record follows when the store is back");
     assert_eq!(new(&fleet), before, "no new work afterwards");
--- a/crates/standins/tests/wire.rs
+++ b/crates/standins/tests/wire.rs
@@ -2,10 +2,10 @@
 
 use std::{net::SocketAddr, time::Duration};
 
+use jasminestage_platform_standin::store::Store;
 use jasminestage_standins::{
     fleet::status,
     metrics::metric,
-    platform::Platform,
     process::{HostOptions, HostProcess, eventually},
 };
 use tokio::net::UdpSocket;
@@ -46,7 +46,7 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn recorded_frames_do_not_count_again_nor_after_a_restart() {
     let folder = tempfile::tempdir().expect("a folder for the test");
-    let platform = Platform::start().await;
+    let platform = Store::start().await;
     let near = UdpSocket::bind("127.0.0.1:0").await.expect("a port");
     let far = UdpSocket::bind("127.0.0.1:0").await.expect("a port");
     let b = HostOptions::new("b", "two", &platform.url());
@@ -80,7 +80,7 @@
 async fn a_flood_of_foreign_datagrams_is_counted_and_fills_no_log() {
     const FLOOD: usize = 500;
     let folder = tempfile::tempdir().expect("a folder for the test");
-    let platform = Platform::start().await;
+    let platform = Store::start().await;
     let host = HostOptions::new("a", "one", &platform.url());
     let process = HostProcess::start(folder.path(), host.clone()).expect("it starts");
     let ready = async || metric(host.admin, REJECTED).await.is_some();
@@ -136,7 +136,7 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn hosts_hear_each_other_throughout_a_change_of_the_secret() {
     const SILENCE: Duration = Duration::from_secs(2);
-    let platform = Platform::start().await;
+    let platform = Store::start().await;
     let http = reqwest::Client::new();
     for case in SECRET_CASES {
         let folder = tempfile::tempdir().expect("a folder for the test");
--- a/crates/store/src/client.rs
+++ b/crates/store/src/client.rs
@@ -2,39 +2,30 @@
 
 use std::{
     fmt,
+    net::SocketAddr,
     sync::Arc,
     time::{Duration, Instant},
 };
 
-use futures_util::StreamExt;
 use jasminestage_core::config::{Acks, ChunkHash, DomainAck, Root, chunk::Chunk};
-use serde::{Serialize, de::DeserializeOwned};
+use jasminestage_platform::store::{
+    Condition, Freshness, Put, Store, StoreError as CallError, Written,
+};
 use thiserror::Error;
-use tokio::time::timeout;
+use tokio::sync::Mutex;
 
-use crate::{
-    api::{
-        Compare, PutRequest, RangeRequest, RangeResponse, RequestOp, TxnRequest, TxnResponse,
-        WatchCreate, WatchLine, WatchRequest,
-    },
-    records::{ACK_END, ACK_PREFIX, ROOT_KEY, ack_key, chunk_key},
-};
+use crate::records::{ACK_PREFIX, ROOT_KEY, ack_key, chunk_key};
 
-/// Largest line of a watch in bytes.
-const MAX_WATCH_LINE: usize = 4 * 1024 * 1024;
+/// Time that one watch waits for a change; a store that swallowed the call is noticed soon after.
+const WATCH_WAIT: Duration = Duration::from_secs(5);
 
-/// Silence after which a watch counts as dead and is replaced.
-const WATCH_SILENCE_LIMIT: Duration = Duration::from_secs(10);
 /// Told of each call: its kind, whether it was answered, and how long it took.
 pub type Observer = Arc<dyn Fn(&'static str, bool, Duration) + Send + Sync>;
 
-/// Largest answer to a call in bytes.
-const MAX_ANSWER: usize = 16 * 1024 * 1024;
-
 /// Settings of the client.
 #[derive(Clone)]
 pub struct Options {
-    /// Base URL of the service.
+    /// Base URL of the service: `http://`, an IP address and a port.
     pub url: String,
     /// Longest time for one call.
     pub timeout: Duration,
@@ -61,27 +52,19 @@
 /// Why a call to the store failed.
 #[derive(Debug, Error)]
 pub enum StoreError {
-    /// The service did not answer or answered with an error.
-    #[error("The store at '{url}' does not answer: {source}.")]
-    Call {
-        /// Base URL of the service.
-        url: String,
-        /// The error of the HTTP client.
-        source: reqwest::Error,
-    },
-    /// The service's answer is not what the interface says.
-    #[error("The answer of the store at '{url}' is damaged: {source}.")]
-    Damaged {
+    /// The URL of the service names no IP address and port.
+    #[error("The URL of the store, '{url}', is not 'http://' with an IP address and a port.")]
+    Address {
         /// Base URL of the service.
         url: String,
-        /// The error of the decoder.
-        source: serde_json::Error,
     },
-    /// The service's answer is larger than the limit.
-    #[error("The answer of the store at '{url}' is larger than {MAX_ANSWER} bytes.")]
-    TooLong {
+    /// The service did not answer or answered with an error.
+    #[error("The store at '{url}' does not answer: {source}")]
+    Call {
         /// Base URL of the service.
         url: String,
+        /// The error of the call.
+        source: CallError,
     },
     /// The root record cannot be read.
     #[error("The root record in the store is damaged: {0}.")]
@@ -92,9 +75,6 @@
     /// A chunk is not text.
     #[error("The chunk '{0}' is not UTF-8 text.")]
     ChunkDamaged(ChunkHash),
-    /// A watch ended.
-    #[error("The watch on '{0}' ended.")]
-    WatchEnded(String),
 }
 
 /// A value and the version that a compare-and-swap must name.
@@ -106,58 +86,66 @@
     pub version: u64,
 }
 
-/// Client of the platform's key-value service.
-#[derive(Clone, Debug)]
+/// Client of the platform's key-value service; clones share one connection.
+#[derive(Clone)]
 pub struct Client {
-    http: reqwest::Client,
+    store: Arc<Mutex<Option<Store>>>,
     cfg: Options,
 }
 
+impl fmt::Debug for Client {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Client").field("cfg", &self.cfg).finish_non_exhaustive()
+    }
+}
+
 impl Client {
     /// A client that has not connected yet.
     pub fn new(cfg: Options) -> Self {
-        Client { http: reqwest::Client::new(), cfg }
+        Client { store: Arc::default(), cfg }
     }
 
     /// Reads the value of one key.
     pub async fn get(&self, key: &str) -> Result<Option<Versioned<Vec<u8>>>, StoreError> {
-        let req = RangeRequest { key: key.into(), ..RangeRequest::default() };
-        let answer: RangeResponse = self.post("/v3/kv/range", &req).await?;
-        let found = answer.kvs.into_iter().next();
-        Ok(found.map(|kv| Versioned { value: kv.value, version: kv.mod_revision }))
+        let found = self.call("get", async |store| store.get(key).await).await?;
+        Ok(found.map(|item| Versioned { value: item.value, version: item.revision }))
     }
 
     /// Writes a key if it still has `version` (0: if it does not exist); says whether it did.
     pub async fn swap(&self, key: &str, version: u64, value: &[u8]) -> Result<bool, StoreError> {
-        let compare = Compare {
-            result: "EQUAL".into(),
-            target: "MOD".into(),
-            key: key.into(),
-            mod_revision: version,
-        };
-        let put = PutRequest { key: key.into(), value: value.to_vec(), lease: 0 };
-        let req =
-            TxnRequest { compare: vec![compare], success: vec![RequestOp { put: Some(put) }] };
-        let answer: TxnResponse = self.post("/v3/kv/txn", &req).await?;
-        Ok(answer.succeeded)
+        let conditions = [Condition { key: key.to_owned(), revision: version }];
+        Ok(self.write(&conditions, key, value).await? != Written::ConditionFailed)
     }
 
     /// Writes a key whatever it holds.
     pub async fn put(&self, key: &str, value: &[u8]) -> Result<(), StoreError> {
-        let put = PutRequest { key: key.into(), value: value.to_vec(), lease: 0 };
-        let success = vec![RequestOp { put: Some(put) }];
-        let req = TxnRequest { compare: Vec::new(), success };
-        self.post::<_, TxnResponse>("/v3/kv/txn", &req).await.map(|_| ())
+        self.write(&[], key, value).await.map(|_| ())
+    }
+
+    async fn write(
+        &self,
+        conditions: &[Condition],
+        key: &str,
+        value: &[u8],
+    ) -> Result<Written, StoreError> {
+        let writes = [Put { key: key.to_owned(), value: value.to_vec(), lease: 0 }];
+        self.call("write", async |store| store.write(conditions, &writes, &[]).await).await
     }
 
     /// Reads what the failure domains have acknowledged; damaged records are left out.
     pub async fn acks(&self) -> Result<Acks, StoreError> {
-        let req = RangeRequest { key: ACK_PREFIX.into(), range_end: ACK_END.into() };
-        let answer: RangeResponse = self.post("/v3/kv/range", &req).await?;
-        let read = answer.kvs.into_iter().filter_map(|kv| {
-            let key = String::from_utf8(kv.key).ok()?;
-            let domain = key.strip_prefix(ACK_PREFIX)?.to_owned();
-            Some((domain, serde_json::from_slice(&kv.value).ok()?))
+        let found = self
+            .call("range", async |store| store.range(ACK_PREFIX, Freshness::Latest).await)
+            .await?;
+        let read = found.items.into_iter().filter_map(|item| {
+            let domain = item.key.strip_prefix(ACK_PREFIX)?.to_owned();
+            match serde_json::from_slice(&item.value) {
+                Ok(ack) => Some((domain, ack)),
+                Err(e) => {
+                    tracing::warn!(domain, error = %e, "An acknowledgement is damaged.");
+                    None
+                }
+            }
         });
         Ok(read.collect())
     }
@@ -195,84 +183,55 @@
         Ok(hash)
     }
 
-    /// Watches the root record; calls `changed` after each change until the watch ends or has been
-    /// silent for so long that it must be replaced.
+    /// Watches the root record; calls `changed` after each change until a call fails. It has a
+    /// connection of its own, since a watch keeps it busy.
     pub async fn watch_root(&self, mut changed: impl FnMut()) -> Result<(), StoreError> {
-        let create = WatchCreate { key: ROOT_KEY.into(), ..WatchCreate::default() };
-        let req = WatchRequest { create_request: create };
-        let send = self.http.post(format!("{}/v3/watch", self.cfg.url)).json(&req).send();
-        let start = Instant::now();
-        let Ok(answer) = timeout(WATCH_SILENCE_LIMIT, send).await else { return Ok(()) };
-        let answer = answer.and_then(|a| a.error_for_status());
-        self.observe("/v3/watch", answer.is_ok(), start.elapsed());
-        let answer = answer.map_err(|e| self.failed(e))?;
-        let mut stream = answer.bytes_stream();
-        let mut buf = Vec::new();
+        let mut store = self.connect()?;
+        let read = store.range(ROOT_KEY, Freshness::Latest).await;
+        let mut after = self.observed("range", Instant::now(), read)?.at;
         loop {
-            let Ok(bytes) = timeout(WATCH_SILENCE_LIMIT, stream.next()).await else {
-                return Ok(());
-            };
-            let Some(bytes) = bytes else { break };
-            buf.extend_from_slice(&bytes.map_err(|e| self.failed(e))?);
-            while let Some(end) = buf.iter().position(|b| *b == b'\n') {
-                let line: Vec<u8> = buf.drain(..=end).collect();
-                let line: Option<WatchLine> = serde_json::from_slice(&line).ok();
-                if line.is_some_and(|l| !l.result.events.is_empty()) {
-                    changed();
-                }
-            }
-            if buf.len() > MAX_WATCH_LINE {
-                break;
+            let start = Instant::now();
+            let watched = store.watch(ROOT_KEY, after, WATCH_WAIT).await;
+            let (changes, at) = self.observed("watch", start, watched)?;
+            after = after.max(at);
+            if !changes.is_empty() {
+                changed();
             }
         }
-        Err(StoreError::WatchEnded(ROOT_KEY.to_owned()))
     }
 
-    async fn post<Q: Serialize, A: DeserializeOwned>(
+    async fn call<T>(
         &self,
-        path: &str,
-        req: &Q,
-    ) -> Result<A, StoreError> {
-        let url = format!("{}{path}", self.cfg.url);
-        let start = Instant::now();
-        let send = self.http.post(url).timeout(self.cfg.timeout).json(req).send();
-        let body = match send.await.and_then(|a| a.error_for_status()) {
-            Ok(answer) => self.read(answer).await,
-            Err(e) => Err(self.failed(e)),
+        kind: &'static str,
+        call: impl AsyncFnOnce(&mut Store) -> Result<T, CallError>,
+    ) -> Result<T, StoreError> {
+        let mut guard = self.store.lock().await;
+        let store = match &mut *guard {
+            Some(store) => store,
+            none => none.insert(self.connect()?),
         };
-        let answer = body.and_then(|body| {
-            let damaged = |source| StoreError::Damaged { url: self.cfg.url.clone(), source };
-            serde_json::from_slice(&body).map_err(damaged)
-        });
-        self.observe(path, answer.is_ok(), start.elapsed());
-        answer
+        let start = Instant::now();
+        let outcome = call(store).await;
+        self.observed(kind, start, outcome)
     }
 
-    /// Reads the body of an answer up to a limit.
-    async fn read(&self, mut answer: reqwest::Response) -> Result<Vec<u8>, StoreError> {
-        let mut body = Vec::new();
-        while let Some(bytes) = answer.chunk().await.map_err(|e| self.failed(e))? {
-            if body.len() + bytes.len() > MAX_ANSWER {
-                return Err(StoreError::TooLong { url: self.cfg.url.clone() });
-            }
-            body.extend_from_slice(&bytes);
-        }
-        Ok(body)
+    fn connect(&self) -> Result<Store, StoreError> {
+        let url = self.cfg.url.as_str();
+        let address: Option<SocketAddr> =
+            url.strip_prefix("http://").and_then(|a| a.trim_end_matches('/').parse().ok());
+        let address = address.ok_or_else(|| StoreError::Address { url: url.to_owned() })?;
+        Ok(Store::new(address, self.cfg.timeout))
     }
 
-    fn observe(&self, path: &str, is_ok: bool, took: Duration) {
-        let kind = match path {
-            "/v3/kv/range" => "range",
-            "/v3/kv/txn" => "txn",
-            "/v3/watch" => "watch",
-            _ => "other",
-        };
+    fn observed<T>(
+        &self,
+        kind: &'static str,
+        start: Instant,
+        outcome: Result<T, CallError>,
+    ) -> Result<T, StoreError> {
         if let Some(observer) = &self.cfg.observer {
-            observer(kind, is_ok, took);
+            observer(kind, outcome.is_ok(), start.elapsed());
         }
-    }
-
-    fn failed(&self, source: reqwest::Error) -> StoreError {
-        StoreError::Call { url: self.cfg.url.clone(), source }
+        outcome.map_err(|source| StoreError::Call { url: self.cfg.url.clone(), source })
     }
 }
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -1,9 +1,6 @@
-//! Client of the platform's key-value service.
-//!
-//! The service is met by the JSON form of the etcd v3 API (`/v3/kv/range`, `/v3/kv/txn`,
-//! `/v3/watch`), with keys and values in base64 and 64-bit numbers as strings.
+//! The records that jasminestage keeps in the platform's store: the declaration and what the failure
+//! domains have acknowledged.
 
-pub mod api;
 pub mod client;
 pub mod records;
 
--- a/crates/store/src/records.rs
+++ b/crates/store/src/records.rs
@@ -12,8 +12,6 @@
 
 /// Keys of the acknowledgements of the failure domains.
 pub const ACK_PREFIX: &str = "jasminestage/ack/";
-/// End of the range of acknowledgements, exclusive.
-pub const ACK_END: &str = "jasminestage/ack0";
 
 /// Key of the acknowledgement of one failure domain.
 pub fn ack_key(domain: &str) -> String {
