Explain a request from its id: lines for every decision, and jasminestage why

A further try (361), a refusal for the quota with use here and elsewhere and the hosts not heard (362) and a caller that left (363) have lines of their own; line 360 has the load behind the choice and the age of the server's report. Lines of bad requests no longer compete with good ones: 100 and 60 a second. jasminestage why ID reads log files or standard input, prints the lines about the request, what happened on its host and its server at that time, and the cause in a sentence. Changed bounds are used at a SIGHUP (event 305), not only from the next start.

--- a/crates/cli/src/cli.rs
+++ b/crates/cli/src/cli.rs
@@ -119,6 +119,13 @@
         #[arg(long)]
         key_digest: Option<String>,
     },
+    /// Show what became of a request and why, by the logs of the hosts.
+    Why {
+        /// Id of the request.
+        request: String,
+        /// Log files of hosts; standard input when none is named.
+        logs: Vec<PathBuf>,
+    },
     /// Report how fast routes and workspaces burn their error budgets.
     Report {
         /// Write the report as one HTML page to this file.
--- a/crates/cli/src/commands/mod.rs
+++ b/crates/cli/src/commands/mod.rs
@@ -14,6 +14,7 @@
 mod routes;
 mod status;
 mod wait;
+mod why;
 mod workspaces;
 
 use std::{fs, path::Path, time::Duration};
@@ -53,6 +54,7 @@
             let question = explain::Question { route, client: *client, key_digest };
             explain::run(cfg, &question).await
         }
+        Command::Why { request, logs } => why::run(cfg, request, logs),
         Command::Report { html } => report::run(cfg, html.as_deref()).await,
         Command::Completions { shell } => generate::completions(*shell),
         Command::Man => generate::man(),
--- a/crates/cli/src/error.rs
+++ b/crates/cli/src/error.rs
@@ -103,6 +103,12 @@
     /// What was named is not declared.
     #[error("{0} is not in the declaration in the store; look at it with 'get'.")]
     NotFound(String),
+    /// No log line names a request.
+    #[error(
+        "No line of the logs names request '{0}'. Look for event 304, which counts lines that were \
+         left out, and give the logs of all hosts."
+    )]
+    NotLogged(String),
     /// A host refused a question.
     #[error("The host cannot answer: {0}")]
     Refused(String),
@@ -148,7 +154,7 @@
             CliError::NotAccepted { .. } => 7,
             CliError::SeatsNotSettled { .. } => 8,
             CliError::NoAnswer(_) => 9,
-            CliError::NotFound(_) | CliError::Refused(_) => 10,
+            CliError::NotFound(_) | CliError::NotLogged(_) | CliError::Refused(_) => 10,
         }
     }
 }
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod options;
 pub mod output;
 pub mod report;
+pub mod why;
 
 use std::process::ExitCode;
 
--- a/crates/core/src/steer/quota.rs
+++ b/crates/core/src/steer/quota.rs
@@ -47,6 +47,15 @@
     pub unheard: usize,
 }
 
+/// The inputs of a decision about a workspace's quota.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct QuotaState {
+    /// Requests that this host admitted in the last window.
+    pub used: f64,
+    /// Use at the other hosts.
+    pub elsewhere: Elsewhere,
+}
+
 /// Use of one workspace's quota on this host.
 #[derive(Clone, Debug, Default)]
 struct Usage {
@@ -141,6 +150,14 @@
         Ok(())
     }
 
+    /// Use of a workspace's quota; empty when no request of it has come.
+    pub fn state(&self, workspace: &str) -> QuotaState {
+        self.workspaces.get(workspace).map_or_else(QuotaState::default, |usage| QuotaState {
+            used: usage.used(),
+            elsewhere: usage.elsewhere,
+        })
+    }
+
     /// Takes over what the other hosts say.
     pub fn update(&mut self, now: Instant, terms: &Terms, of: impl Fn(&str) -> Elsewhere) {
         for (name, usage) in &mut self.workspaces {
--- a/crates/core/src/steer/server.rs
+++ b/crates/core/src/steer/server.rs
@@ -164,6 +164,11 @@
         seen.max(reported)
     }
 
+    /// Age of the load that it reported last.
+    pub fn report_age(&self, now: Instant) -> Option<Duration> {
+        self.report.map(|(at, _)| now.saturating_since(at))
+    }
+
     /// Mean latency in seconds, when it has answered.
     pub fn latency(&self) -> Option<f64> {
         self.latency
--- a/crates/core/src/steer/steering/choose.rs
+++ b/crates/core/src/steer/steering/choose.rs
@@ -11,6 +11,7 @@
     steer::{
         cold::feeder,
         pick::{self, Want},
+        quota::QuotaState,
         refusal::{Reason, Refusal},
         regions,
         server::{Server, ServerKey},
@@ -88,6 +89,11 @@
         taken.map_err(|wait| Refusal { reason: Reason::OverQuota, retry_after: Some(wait) })
     }
 
+    /// What this host and the others have used of a workspace's quota, as the last decision saw it.
+    pub fn quota_state(&self, workspace: &str) -> QuotaState {
+        self.quotas.state(workspace)
+    }
+
     /// Decides whether a request is one that crashes servers; called once its body is known.
     pub fn check_fingerprint(
         &self,
@@ -145,6 +151,7 @@
         if now < server.cold_until {
             self.cold.note(now, server.hash, cold_rate);
         }
+        let (load, load_age) = (server.load(now), server.report_age(now));
         server.start(flight.object);
         let entry = Arc::clone(&server.entry);
         flight.tried.push(found.server);
@@ -163,6 +170,8 @@
             timeout: left,
             patience: patience.max(left.mul_f64(MIN_PATIENCE_PART)),
             expected: Duration::from_secs_f64(found.latency),
+            load,
+            load_age,
         })
     }
 
--- a/crates/core/src/steer/steering/flight.rs
+++ b/crates/core/src/steer/steering/flight.rs
@@ -83,6 +83,10 @@
     pub patience: Duration,
     /// Expected latency.
     pub expected: Duration,
+    /// Requests that it runs or queues, by the estimate behind the choice.
+    pub load: f64,
+    /// Age of the server's own report of its load.
+    pub load_age: Option<Duration>,
 }
 
 /// What follows after a try.
--- a/crates/edge/src/control/beliefs.rs
+++ b/crates/edge/src/control/beliefs.rs
@@ -14,6 +14,7 @@
         lapse::{KeyedChange, Lapses},
         mirror::{ItemChange, Mirror, Snapshot},
         news::{ServerNews, Update},
+        terms::Terms,
     },
     time::Instant,
 };
@@ -345,6 +346,12 @@
         !self.control.borrow().view().rollouts.is_empty()
     }
 
+    /// Takes over changed bounds of the deployment.
+    pub fn set_terms(&self, terms: Terms) {
+        self.control.borrow_mut().set_terms(terms);
+        self.publish();
+    }
+
     /// Takes no new callers from now on.
     pub fn leave(&self) {
         self.control.borrow_mut().stop();
--- a/crates/edge/src/control/mod.rs
+++ b/crates/edge/src/control/mod.rs
@@ -58,6 +58,7 @@
         tokio::task::spawn_local(gossip::tell(Rc::clone(&beliefs), Rc::clone(&sockets.udp)));
         tokio::task::spawn_local(snapshots::serve(Rc::clone(&beliefs), sockets.tcp));
         tokio::task::spawn_local(snapshots::pull(Rc::clone(&beliefs)));
+        tokio::task::spawn_local(follow_terms(Rc::clone(&beliefs)));
         let mut phase = shared.phase();
         while *phase.borrow_and_update() < Phase::Ended {
             if *phase.borrow() >= Phase::Leaving {
@@ -73,6 +74,15 @@
     })
 }
 
+/// Takes over changed bounds for as long as the process runs.
+async fn follow_terms(beliefs: Rc<Beliefs>) {
+    let mut terms = beliefs.shared.terms();
+    while terms.changed().await.is_ok() {
+        let changed = terms.borrow_and_update().clone();
+        beliefs.set_terms(changed);
+    }
+}
+
 /// At the first start of the whole fleet, waits until another host has given a copy or this host is
 /// one of the first readers: no callers come yet, and many hosts would read the same from the store.
 async fn first_reader_or_copy(beliefs: &Beliefs, kind: Kind) {
--- a/crates/edge/src/front/mod.rs
+++ b/crates/edge/src/front/mod.rs
@@ -4,6 +4,7 @@
 mod request;
 mod serve;
 mod side;
+mod trace;
 
 use std::{sync::Arc, time::Duration};
 
--- a/crates/edge/src/front/request.rs
+++ b/crates/edge/src/front/request.rs
@@ -12,7 +12,6 @@
         server::Outcome,
         steering::{Arrival, Flight, Next},
     },
-    time::Instant,
     world::Repeat,
 };
 use jasminestage_net::clock;
@@ -20,9 +19,11 @@
 use tokio::time::timeout;
 use xxhash_rust::xxh3::Xxh3;
 
-use super::answer::{self, Reply};
+use super::{
+    answer::{self, Reply},
+    trace::Trace,
+};
 use crate::{
-    log,
     shared::{Phase, Shared},
     upstream::{Answer, Outgoing, Pool, Tried, send},
 };
@@ -39,7 +40,7 @@
     let mut reply = match serve(&shared, &pool, &parts, body, &id, &mut trace).await {
         Ok(answer) => deliver(answer),
         Err(Failure::Refused(refusal)) => {
-            trace.refused(refusal);
+            trace.refused(&refusal);
             answer::refusal(refusal)
         }
         Err(Failure::CallerLeft) => return None,
@@ -96,7 +97,7 @@
     let at_most_once = flight.flight.route.repeat == Repeat::AtMostOnce;
     loop {
         let mut to = shared.decide(|steering, now| steering.choose(now, &mut flight.flight))?;
-        trace.sent(&to);
+        trace.sent(&to, &flight.flight);
         let outgoing = Outgoing {
             parts,
             headers: &sent_headers,
@@ -172,88 +173,3 @@
     *reply.headers_mut() = answer.headers;
     reply
 }
-
-/// Collects what one log line says of a request.
-struct Trace<'a> {
-    shared: &'a Shared,
-    id: &'a str,
-    arrived: Instant,
-    route: String,
-    workspace: String,
-    server: String,
-    expected_ms: u64,
-    tries: u32,
-    outcome: &'static str,
-    code: u16,
-}
-
-impl<'a> Trace<'a> {
-    fn new(shared: &'a Shared, id: &'a str, arrived: Instant) -> Self {
-        Trace {
-            shared,
-            id,
-            arrived,
-            route: String::new(),
-            workspace: String::new(),
-            server: String::new(),
-            expected_ms: 0,
-            tries: 0,
-            outcome: "none",
-            code: 0,
-        }
-    }
-
-    fn admitted(&mut self, flight: &Flight) {
-        self.route.clone_from(&flight.route.name);
-        self.workspace = flight.workspace.as_ref().map_or_else(String::new, |w| w.name.clone());
-    }
-
-    fn sent(&mut self, to: &jasminestage_core::steer::steering::Send) {
-        self.server.clone_from(&to.server.id);
-        self.expected_ms = to.expected.as_millis() as u64;
-        self.tries += 1;
-    }
-
-    fn tried(&mut self, outcome: Outcome) {
-        self.outcome = match outcome {
-            Outcome::Answered { .. } => "answered",
-            Outcome::Shed => "shed",
-            Outcome::WrongServer => "wrong server",
-            Outcome::NotSent => "not sent",
-            Outcome::Lost => "lost",
-            Outcome::BadAnswer => "bad answer",
-            Outcome::TimedOut => "timed out",
-            Outcome::Abandoned => "abandoned",
-        };
-        self.shared.metrics.tried(self.outcome);
-    }
-
-    fn refused(&mut self, refusal: Refusal) {
-        self.code = refusal.reason.number();
-        self.shared.metrics.refused(refusal.reason);
-    }
-
-    fn answered(&self, status: u16) {
-        let took = clock::now().saturating_since(self.arrived);
-        self.shared.metrics.answered(status, took);
-        if !log::admits_request_line() {
-            return;
-        }
-        let configuration = self.shared.view.load().catalog.version;
-        tracing::info!(
-            event = 360,
-            request = self.id,
-            route = self.route,
-            workspace = self.workspace,
-            configuration,
-            server = self.server,
-            expected_ms = self.expected_ms,
-            tries = self.tries,
-            outcome = self.outcome,
-            code = self.code,
-            status,
-            took_ms = took.as_millis() as u64,
-            "A request was answered."
-        );
-    }
-}
--- /dev/null
+++ b/crates/edge/src/front/trace.rs
@@ -0,0 +1,176 @@
+//! Log lines and metrics of one request.
+
+use jasminestage_core::{
+    steer::{
+        quota::QuotaState,
+        refusal::{Reason, Refusal},
+        server::Outcome,
+        steering::{Flight, Send},
+    },
+    time::Instant,
+};
+use jasminestage_net::clock;
+
+use crate::{
+    log::{self, RequestKind},
+    shared::Shared,
+};
+
+/// Collects what is logged about one request; the line is written at its answer, or when it is
+/// dropped because its caller left.
+pub struct Trace<'a> {
+    shared: &'a Shared,
+    id: &'a str,
+    arrived: Instant,
+    route: String,
+    workspace: String,
+    /// The last try.
+    to: Option<Send>,
+    tries: u32,
+    outcome: &'static str,
+    refusal: Option<Reason>,
+    quota: QuotaState,
+    is_answered: bool,
+}
+
+impl<'a> Trace<'a> {
+    /// The trace of a request whose head has arrived.
+    pub fn new(shared: &'a Shared, id: &'a str, arrived: Instant) -> Self {
+        Trace {
+            shared,
+            id,
+            arrived,
+            route: String::new(),
+            workspace: String::new(),
+            to: None,
+            tries: 0,
+            outcome: "none",
+            refusal: None,
+            quota: QuotaState::default(),
+            is_answered: false,
+        }
+    }
+
+    /// Notes that the request was taken.
+    pub fn admitted(&mut self, flight: &Flight) {
+        self.route.clone_from(&flight.route.name);
+        self.workspace = flight.workspace.as_ref().map_or_else(String::new, |w| w.name.clone());
+    }
+
+    /// Notes that it goes to a server; a further one has its own line.
+    pub fn sent(&mut self, to: &Send, flight: &Flight) {
+        if self.tries > 0 && log::admits_request_line(RequestKind::Bad) {
+            let left = flight.deadline.saturating_since(clock::now());
+            tracing::info!(
+                event = 361,
+                request = self.id,
+                route = self.route,
+                before = self.server(),
+                outcome = self.outcome,
+                server = to.server.id,
+                expected_ms = to.expected.as_millis() as u64,
+                left_ms = left.as_millis() as u64,
+                "A request goes to another server."
+            );
+        }
+        self.to = Some(to.clone());
+        self.tries += 1;
+    }
+
+    /// Notes how a try ended.
+    pub fn tried(&mut self, outcome: Outcome) {
+        self.outcome = match outcome {
+            Outcome::Answered { .. } => "answered",
+            Outcome::Shed => "shed",
+            Outcome::WrongServer => "wrong server",
+            Outcome::NotSent => "not sent",
+            Outcome::Lost => "lost",
+            Outcome::BadAnswer => "bad answer",
+            Outcome::TimedOut => "timed out",
+            Outcome::Abandoned => "abandoned",
+        };
+        self.shared.metrics.tried(self.outcome);
+    }
+
+    /// Notes that the system itself answers.
+    pub fn refused(&mut self, refusal: &Refusal) {
+        self.refusal = Some(refusal.reason);
+        self.shared.metrics.refused(refusal.reason);
+        if refusal.reason == Reason::OverQuota {
+            self.quota = self.shared.decide(|steering, _| steering.quota_state(&self.workspace));
+        }
+    }
+
+    /// Writes the line of a request that gets an answer.
+    pub fn answered(mut self, status: u16) {
+        self.is_answered = true;
+        let took = clock::now().saturating_since(self.arrived);
+        self.shared.metrics.answered(status, took);
+        let is_good = self.refusal.is_none() && status < 500 && self.tries == 1;
+        let kind = if is_good { RequestKind::Good } else { RequestKind::Bad };
+        if !log::admits_request_line(kind) {
+            return;
+        }
+        let code = self.refusal.map_or(0, Reason::number);
+        let took_ms = took.as_millis() as u64;
+        let configuration = self.shared.view.load().catalog.version;
+        if self.refusal == Some(Reason::OverQuota) {
+            tracing::info!(
+                event = 362,
+                request = self.id,
+                route = self.route,
+                workspace = self.workspace,
+                configuration,
+                code,
+                status,
+                used_here = self.quota.used,
+                used_elsewhere = self.quota.elsewhere.used,
+                hosts = self.quota.elsewhere.hosts,
+                hosts_unheard = self.quota.elsewhere.unheard,
+                took_ms,
+                "A request was refused for its workspace's quota."
+            );
+            return;
+        }
+        let to = self.to.as_ref();
+        tracing::info!(
+            event = 360,
+            request = self.id,
+            route = self.route,
+            workspace = self.workspace,
+            configuration,
+            server = self.server(),
+            expected_ms = to.map_or(0, |to| to.expected.as_millis() as u64),
+            load = to.map_or(0.0, |to| to.load),
+            load_age_ms = to.and_then(|to| to.load_age).map(|age| age.as_millis() as u64),
+            tries = self.tries,
+            outcome = self.outcome,
+            code,
+            status,
+            took_ms,
+            "A request was answered."
+        );
+    }
+
+    fn server(&self) -> &str {
+        self.to.as_ref().map_or("", |to| to.server.id.as_str())
+    }
+}
+
+impl Drop for Trace<'_> {
+    fn drop(&mut self) {
+        if self.is_answered || !log::admits_request_line(RequestKind::Bad) {
+            return;
+        }
+        let took = clock::now().saturating_since(self.arrived);
+        tracing::info!(
+            event = 363,
+            request = self.id,
+            route = self.route,
+            server = self.server(),
+            tries = self.tries,
+            took_ms = took.as_millis() as u64,
+            "The caller of a request left before its answer."
+        );
+    }
+}
--- a/crates/edge/src/log.rs
+++ b/crates/edge/src/log.rs
@@ -16,8 +16,10 @@
 
 /// Lines that may wait for the writer.
 const QUEUE_LINES: usize = 4096;
-/// Lines about requests in one second; further ones are counted only.
-const REQUEST_LINES_PER_SECOND: u32 = 100;
+/// Lines about good requests in one second; further ones are counted only.
+const GOOD_LINES_PER_SECOND: u32 = 60;
+/// Lines about refused, failed and repeated requests in one second; further ones are counted only.
+const BAD_LINES_PER_SECOND: u32 = 100;
 
 /// Starts logging; lines are written until the guard is dropped.
 pub fn start() -> WorkerGuard {
@@ -52,25 +54,48 @@
     tracing::info!(event = 303, "The host has stopped.");
 }
 
+/// How a request went, as far as the volume of lines is concerned.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RequestKind {
+    /// Answered by the first server.
+    Good,
+    /// Refused, failed, repeated or left by its caller.
+    Bad,
+}
+
+/// Lines about requests in the second that began last.
+#[derive(Clone, Copy, Debug, Default)]
+struct Window {
+    start: Option<Instant>,
+    good: u32,
+    bad: u32,
+}
+
 thread_local! {
-    static WINDOW: Cell<(Option<Instant>, u32)> = const { Cell::new((None, 0)) };
+    static WINDOW: Cell<Window> = const { Cell::new(Window { start: None, good: 0, bad: 0 }) };
 }
 
 /// Whether one more line about a request fits into this second. The first line of a second that
 /// follows a full one says how many were left out.
-pub fn admits_request_line() -> bool {
-    WINDOW.with(|window| {
-        let (start, lines) = window.get();
+pub fn admits_request_line(kind: RequestKind) -> bool {
+    WINDOW.with(|cell| {
+        let mut window = cell.get();
         let now = Instant::now();
-        if start.is_none_or(|s| now.duration_since(s) >= Duration::from_secs(1)) {
-            if lines > REQUEST_LINES_PER_SECOND {
-                let dropped = lines - REQUEST_LINES_PER_SECOND;
-                tracing::warn!(event = 304, dropped, "Lines about requests were left out.");
+        if window.start.is_none_or(|s| now.duration_since(s) >= Duration::from_secs(1)) {
+            let good = window.good.saturating_sub(GOOD_LINES_PER_SECOND);
+            let bad = window.bad.saturating_sub(BAD_LINES_PER_SECOND);
+            if good + bad > 0 {
+                tracing::warn!(event = 304, good, bad, "Lines about requests were left out.");
             }
-            window.set((Some(now), 1));
-            return true;
+            window = Window { start: Some(now), good: 0, bad: 0 };
         }
-        window.set((start, lines + 1));
-        lines < REQUEST_LINES_PER_SECOND
+        let (lines, most) = match kind {
+            RequestKind::Good => (&mut window.good, GOOD_LINES_PER_SECOND),
+            RequestKind::Bad => (&mut window.bad, BAD_LINES_PER_SECOND),
+        };
+        *lines += 1;
+        let fits = *lines <= most;
+        cell.set(window);
+        fits
     })
 }
--- a/crates/edge/src/shared.rs
+++ b/crates/edge/src/shared.rs
@@ -8,7 +8,7 @@
 use arc_swap::ArcSwap;
 use jasminestage_core::{
     host::Incarnation,
-    steer::{digest::Announcement, steering::Steering, view::View},
+    steer::{digest::Announcement, steering::Steering, terms::Terms, view::View},
     time::Instant,
 };
 use jasminestage_net::clock;
@@ -42,6 +42,7 @@
     /// Metrics.
     pub metrics: Metrics,
     phase: watch::Sender<Phase>,
+    terms: watch::Sender<Terms>,
     steering: Mutex<Steering>,
 }
 
@@ -56,6 +57,7 @@
             peers: cfg.peers,
             millicores: cfg.millicores,
         };
+        let terms = watch::Sender::new(cfg.terms.clone());
         let view = Arc::new(View::empty(cfg.terms.clone(), me.clone(), cfg.domains.clone()));
         Shared {
             cfg,
@@ -64,6 +66,7 @@
             view: ArcSwap::from(Arc::clone(&view)),
             metrics,
             phase: watch::Sender::new(Phase::Serving),
+            terms,
             steering: Mutex::new(Steering::new(view)),
         }
     }
@@ -81,6 +84,20 @@
         self.view.store(view);
     }
 
+    /// Takes over changed bounds; says whether they differ from the ones in use.
+    pub fn change_terms(&self, terms: Terms) -> bool {
+        self.terms.send_if_modified(|current| {
+            let changed = *current != terms;
+            *current = terms;
+            changed
+        })
+    }
+
+    /// Follows the bounds of the deployment.
+    pub fn terms(&self) -> watch::Receiver<Terms> {
+        self.terms.subscribe()
+    }
+
     /// Follows the phase of the process.
     pub fn phase(&self) -> watch::Receiver<Phase> {
         self.phase.subscribe()
--- a/crates/edge/src/stop.rs
+++ b/crates/edge/src/stop.rs
@@ -25,24 +25,36 @@
     }
     tracing::info!(event = 302, "The host stops.");
     shared.enter(Phase::Leaving);
-    tokio::time::sleep(LEAVING.min(shared.cfg.terms.stop_grace / 3)).await;
+    tokio::time::sleep(LEAVING.min(stop_grace(&shared) / 3)).await;
     shared.enter(Phase::Closing);
     Ok(())
 }
 
 /// Longest time between closing and the end of the process.
 pub fn closing_limit(shared: &Shared) -> Duration {
-    shared.cfg.terms.stop_grace.saturating_sub(LEAVING).saturating_sub(RESERVE)
+    stop_grace(shared).saturating_sub(LEAVING).saturating_sub(RESERVE)
 }
 
-/// Checks changed settings at each SIGHUP; the ones in use go on until the next start.
+fn stop_grace(shared: &Shared) -> Duration {
+    shared.terms().borrow().stop_grace
+}
+
+/// Reads the settings again at each SIGHUP. Changed bounds are used at once, everything else from the
+/// next start; settings that are not usable change nothing.
 pub async fn follow_reload(shared: Arc<Shared>) -> Result<(), EdgeError> {
     let mut hangup = signal(SignalKind::hangup()).map_err(EdgeError::Thread)?;
     while hangup.recv().await.is_some() {
         match Options::load(&shared.settings) {
             Ok(cfg) => {
-                let changed = cfg != shared.cfg;
-                tracing::info!(event = 305, changed, "The settings were read again.");
+                let bounds_changed = shared.change_terms(cfg.terms.clone());
+                let others_changed =
+                    Options { terms: shared.cfg.terms.clone(), ..cfg } != shared.cfg;
+                tracing::info!(
+                    event = 305,
+                    bounds_changed,
+                    others_changed,
+                    "The settings were read again."
+                );
             }
             Err(e) => {
                 tracing::warn!(event = 306, error = %e, "The new settings are not usable.");
--- a/crates/edge/tests/processes/main.rs
+++ b/crates/edge/tests/processes/main.rs
@@ -12,6 +12,7 @@
     fleet::{self, Host},
     store::Store,
 };
+use serde_json::json;
 
 /// The program under test.
 pub const BINARY: &str = env!("CARGO_BIN_EXE_jasminestage-edge");
@@ -61,9 +62,11 @@
     }
 }
 
-/// The log line about a request; lines are written a little later than answers.
+/// The log line about the answer to a request; lines are written a little later than answers.
 pub async fn line_about(host: &Host, request: &str) -> serde_json::Value {
-    let find = || host.log().into_iter().find(|line| line["request"] == request);
+    let is_answer =
+        |line: &serde_json::Value| line["request"] == request && line["status"] != json!(null);
+    let find = || host.log().into_iter().find(is_answer);
     eventually(Duration::from_secs(5), async || find().is_some()).await;
     find().expect("the log names the request")
 }
--- a/crates/edge/tests/processes/path.rs
+++ b/crates/edge/tests/processes/path.rs
@@ -1,5 +1,7 @@
 //! The path of a request through real processes.
 
+use std::time::Duration;
+
 use http::Method;
 use jasminestage_platform_standin::{
     backend::Fault,
@@ -8,7 +10,7 @@
 };
 use test_case::test_case;
 
-use crate::{Site, line_about};
+use crate::{Site, eventually, line_about};
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_request_comes_back_whole_and_its_key_stays_here() {
@@ -75,3 +77,25 @@
         assert_eq!(line["status"], case.status);
     });
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_further_try_and_a_caller_that_left_have_lines_of_their_own() {
+    let site = Site::start(&["a1"]).await;
+    let host = &site.hosts[0];
+    for server in &site.servers {
+        server.set_fault(Fault::LosesAnswers);
+    }
+    ask(host.callers, "/read/x", "again", KEY).await.expect("an answer");
+    for server in &site.servers {
+        server.set_fault(Fault::Slow(Duration::from_secs(1)));
+    }
+    let asked = ask(host.callers, "/book/x", "left", KEY);
+    let left = tokio::time::timeout(Duration::from_millis(200), asked).await;
+    assert!(left.is_err(), "the server answers nothing");
+    for (request, event) in [("again", 361), ("left", 363)] {
+        let has_line = eventually(Duration::from_secs(5), async || {
+            host.log().iter().any(|line| line["request"] == request && line["event"] == event)
+        });
+        assert!(has_line.await, "{request}: {:?}", host.log());
+    }
+}
--- a/crates/edge/tests/processes/settings.rs
+++ b/crates/edge/tests/processes/settings.rs
@@ -2,7 +2,7 @@
 
 use std::{fs, process::Command};
 
-use jasminestage_platform_standin::fleet::Host;
+use jasminestage_platform_standin::{caller::page, fleet::Host};
 use rustix::process::Signal;
 use test_case::test_case;
 
@@ -50,3 +50,18 @@
     assert!(told.await, "{:?}", host.log());
     assert!(host.is_ready().await);
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn changed_bounds_are_used_after_a_reload() {
+    let site = Site::start(&["a1"]).await;
+    let host: &Host = &site.hosts[0];
+    let text = fs::read_to_string(host.settings()).expect("the settings can be read");
+    let text = text.replace("[bounds]\n", "[bounds]\nmax_lookup_ttl = 700 ms\n");
+    fs::write(host.settings(), text).expect("the settings can be written");
+    host.signal(Signal::HUP);
+    let changed = crate::eventually(std::time::Duration::from_secs(5), async || {
+        let found = page(host.directory, "/resolve?region=a&zone=a1").await;
+        found.is_some_and(|(_, body)| body.contains("700ms"))
+    });
+    assert!(changed.await, "{:?}", host.log());
+}
