Let the latency of a server that is no longer used fade

Seen by logging the inputs of each refusal; line 360 now has the expected latency of a refusal as well. The latency as a multiple of the service's loses half of its excess in 1.5 s without answers. Test: a server that was slow is tried again.

--- a/crates/core/src/steer/pick.rs
+++ b/crates/core/src/steer/pick.rs
@@ -118,8 +118,8 @@
 ) -> Estimate {
     let slots = f64::from(server.entry.slots.max(1));
     let queued = (server.load(now) + 1.0 - slots).max(0.0) / slots;
-    let ratio = server.latency().map_or(1.0, |l| l / want.base.max(0.001));
-    let slow = if ratio > SLOW_RATIO { ratio } else { 1.0 };
+    let slowness = server.slowness(now, want.base);
+    let slow = if slowness > SLOW_RATIO { slowness } else { 1.0 };
     let queueing = 1.0 + queued;
     let multiple = familiar * queueing;
     let latency = want.base * slow * multiple;
--- a/crates/core/src/steer/refusal.rs
+++ b/crates/core/src/steer/refusal.rs
@@ -111,10 +111,12 @@
     pub reason: Reason,
     /// When trying again makes sense.
     pub retry_after: Option<Duration>,
+    /// Latency that was expected of the best server, when that decided.
+    pub expected: Option<Duration>,
 }
 
 impl From<Reason> for Refusal {
     fn from(reason: Reason) -> Self {
-        Refusal { reason, retry_after: None }
+        Refusal { reason, retry_after: None, expected: None }
     }
 }
--- a/crates/core/src/steer/server.rs
+++ b/crates/core/src/steer/server.rs
@@ -20,6 +20,8 @@
 
 /// Weight of the newest latency sample in the mean.
 const LATENCY_WEIGHT: f64 = 0.2;
+/// Time in which an old latency loses half of its weight.
+const LATENCY_HALF_LIFE: Duration = Duration::from_millis(1500);
 /// Weight of the newest outcome in the failure rate.
 const FAILURE_WEIGHT: f64 = 0.25;
 /// Time in which an old failure rate loses half of its weight.
@@ -116,8 +118,8 @@
     pub in_flight_elsewhere: u32,
     /// Until when it counts as cold.
     pub cold_until: Instant,
-    /// Mean latency of its answers, in seconds.
-    latency: Option<f64>,
+    /// Mean latency of its answers in seconds, with the time of the last one.
+    latency: Option<(Instant, f64)>,
     failure_rate: f64,
     failure_at: Instant,
     lost_in_a_row: u32,
@@ -169,9 +171,13 @@
         self.report.map(|(at, _)| now.saturating_since(at))
     }
 
-    /// Mean latency in seconds, when it has answered.
-    pub fn latency(&self) -> Option<f64> {
-        self.latency
+    /// Its latency as a multiple of `base`, that of its service in seconds. What was seen fades, so that a
+    /// server which was slow is tried again.
+    pub fn slowness(&self, now: Instant, base: f64) -> f64 {
+        let Some((at, mean)) = self.latency else { return 1.0 };
+        let age = now.saturating_since(at).as_secs_f64();
+        let weight = 0.5f64.powf(age / LATENCY_HALF_LIFE.as_secs_f64());
+        1.0 + (mean / base.max(0.001) - 1.0) * weight
     }
 
     /// Share of requests that fail, fading with time.
@@ -209,7 +215,7 @@
         }
         let failed = match outcome {
             Outcome::Answered { status, took } => {
-                self.note_latency(took);
+                self.note_latency(now, took);
                 self.lost_in_a_row = 0;
                 self.backoff = FIRST_BACKOFF;
                 status >= 500
@@ -246,12 +252,10 @@
         self.backoff = (self.backoff * 2).min(MAX_BACKOFF);
     }
 
-    fn note_latency(&mut self, took: Duration) {
+    fn note_latency(&mut self, now: Instant, took: Duration) {
         let took = took.as_secs_f64();
-        self.latency = Some(match self.latency {
-            Some(mean) => mean + LATENCY_WEIGHT * (took - mean),
-            None => took,
-        });
+        let mean = self.latency.map_or(took, |(_, mean)| mean + LATENCY_WEIGHT * (took - mean));
+        self.latency = Some((now, mean));
     }
 }
 
--- a/crates/core/src/steer/steering/choose.rs
+++ b/crates/core/src/steer/steering/choose.rs
@@ -86,7 +86,8 @@
         let elsewhere = || self.used_elsewhere(now, &workspace.name);
         let taken = quotas.take(now, &view.terms, workspace, elsewhere);
         self.quotas = quotas;
-        taken.map_err(|wait| Refusal { reason: Reason::OverQuota, retry_after: Some(wait) })
+        taken
+            .map_err(|wait| Refusal { retry_after: Some(wait), ..Refusal::from(Reason::OverQuota) })
     }
 
     /// What this host and the others have used of a workspace's quota, as the last decision saw it.
@@ -144,7 +145,11 @@
         let limit = (objective * REFUSE_AT).min(left.as_secs_f64() * USABLE_PART);
         if found.latency > limit && flight.tried.is_empty() {
             let wait = Duration::from_secs_f64((found.latency - limit).clamp(0.1, 1.0));
-            return Err(Refusal { reason: Reason::Overloaded, retry_after: Some(wait) });
+            return Err(Refusal {
+                reason: Reason::Overloaded,
+                retry_after: Some(wait),
+                expected: Some(Duration::from_secs_f64(found.latency)),
+            });
         }
         let cold_rate = view.catalog.services.get(&flight.service).map_or(1.0, |s| s.cold_rate);
         let server = &mut self.servers[found.server];
--- a/crates/core/src/steer/steering/outcome.rs
+++ b/crates/core/src/steer/steering/outcome.rs
@@ -79,7 +79,7 @@
             return Reason::BadAnswer.into();
         }
         let retry_after = Some(Duration::from_millis(300));
-        Refusal { reason, retry_after }
+        Refusal { retry_after, ..Refusal::from(reason) }
     }
 
     /// Whether a request may be sent to one more server; takes a token of the budget.
--- a/crates/core/tests/steer/pick.rs
+++ b/crates/core/tests/steer/pick.rs
@@ -126,3 +126,18 @@
     servers[home].in_flight_elsewhere = 9;
     assert_eq!(choose(&servers) == Some(home), case.waits);
 }
+
+/// A host that no longer sends a slow server anything must not believe in its slowness for ever.
+#[test]
+fn a_server_that_was_slow_is_tried_again() {
+    let mut servers: SlotMap<ServerKey, Server> = SlotMap::default();
+    let entry = Arc::new(entry("s1", "lookup", "a1"));
+    let mut server = Server::new(entry, "a".to_owned(), at(0));
+    slow(&mut server);
+    servers.insert(server);
+    let list: Vec<(ServerKey, &Server)> = servers.iter().collect();
+    let want = Want { object: None, zone: "a1", base: 0.1, fetch_cost: 1.0 };
+    let expected = |millis| best(at(millis), &want, &list).map_or(0.0, |e| e.latency);
+    assert!(expected(10_000) > 0.9, "it was slow a moment ago");
+    assert!(expected(16_000) < 0.2, "nothing was seen of it for six seconds");
+}
--- a/crates/edge/src/front/trace.rs
+++ b/crates/edge/src/front/trace.rs
@@ -28,7 +28,7 @@
     to: Option<Send>,
     tries: u32,
     outcome: &'static str,
-    refusal: Option<Reason>,
+    refusal: Option<Refusal>,
     quota: QuotaState,
     is_answered: bool,
 }
@@ -94,7 +94,7 @@
 
     /// Notes that the system itself answers.
     pub fn refused(&mut self, refusal: &Refusal) {
-        self.refusal = Some(refusal.reason);
+        self.refusal = Some(*refusal);
         self.shared.metrics.refused(refusal.reason);
         if refusal.reason == Reason::OverQuota {
             self.quota = self.shared.decide(|steering, _| steering.quota_state(&self.workspace));
@@ -111,10 +111,10 @@
         if !log::admits_request_line(kind) {
             return;
         }
-        let code = self.refusal.map_or(0, Reason::number);
+        let code = self.refusal.map_or(0, |r| r.reason.number());
         let took_ms = took.as_millis() as u64;
         let configuration = self.shared.view.load().catalog.version;
-        if self.refusal == Some(Reason::OverQuota) {
+        if self.refusal.is_some_and(|r| r.reason == Reason::OverQuota) {
             tracing::info!(
                 event = 362,
                 request = self.id,
@@ -133,6 +133,7 @@
             return;
         }
         let to = self.to.as_ref();
+        let expected = self.refusal.and_then(|r| r.expected).or(to.map(|to| to.expected));
         tracing::info!(
             event = 360,
             request = self.id,
@@ -140,7 +141,7 @@
             workspace = self.workspace,
             configuration,
             server = self.server(),
-            expected_ms = to.map_or(0, |to| to.expected.as_millis() as u64),
+            expected_ms = expected.map_or(0, |e| e.as_millis() as u64),
             load = to.map_or(0.0, |to| to.load),
             load_age_ms = to.and_then(|to| to.load_age).map(|age| age.as_millis() as u64),
             tries = self.tries,
