Let a region that is heard count its own hosts

Test: far, four cases; three fail without the change. A try whose outcome is unknown keeps its reason (312, 313 or 314) when a further try is refused. why shows events of the host that answered only, and at most 12 lines of a kind.

--- a/crates/cli/src/commands/why.rs
+++ b/crates/cli/src/commands/why.rs
@@ -11,6 +11,9 @@
     why::{Finding, Line, explain, read},
 };
 
+/// Lines of each kind that are shown to people.
+const SHOWN_LINES: usize = 12;
+
 /// Explains one request by log files, or by standard input when none is named.
 pub fn run(cfg: &Options, request: &str, logs: &[PathBuf]) -> Result<(), CliError> {
     let mut lines = Vec::new();
@@ -38,11 +41,15 @@
 
 fn text(found: &Finding) -> String {
     let describe = |lines: &[Line]| {
-        lines.iter().map(|line| format!("  {}\n", line.describe())).collect::<String>()
+        let shown = lines.iter().take(SHOWN_LINES);
+        shown.map(|line| format!("  {}\n", line.describe())).collect::<String>()
     };
     let mut text = format!("{}\n\nAbout the request:\n{}", found.cause, describe(&found.lines));
     if !found.context.is_empty() {
         text.push_str(&format!("\nAt that time:\n{}", describe(&found.context)));
     }
+    if let Some(more) = found.context.len().checked_sub(SHOWN_LINES + 1) {
+        text.push_str(&format!("  and {} more lines; --output json shows all\n", more + 1));
+    }
     text.trim_end().to_owned()
 }
--- a/crates/cli/src/why/cause.rs
+++ b/crates/cli/src/why/cause.rs
@@ -52,7 +52,9 @@
     let since = last.at.duration_since(line.at);
     let is_before = since >= SignedDuration::ZERO && since <= BEFORE;
     match line.event {
-        event::SERVER_ANNOUNCED | event::SERVER_GONE => about_server && since.abs() <= BEFORE,
+        event::SERVER_ANNOUNCED | event::SERVER_GONE => {
+            about_server && line.source == last.source && since.abs() <= BEFORE
+        }
         event::ANSWERED => {
             let is_bad = line.number("status") >= 500;
             about_server && is_bad && line.text("request") != request && since.abs() <= AROUND
--- a/crates/core/src/steer/steering/choose.rs
+++ b/crates/core/src/steer/steering/choose.rs
@@ -67,7 +67,7 @@
             lane: unit_interval(stable_hash(2, req.id.as_bytes())),
             tried: Vec::new(),
             connect_failures: 0,
-            may_have_run: false,
+            unknown: None,
             is_prepaid: false,
             current: None,
         };
--- a/crates/core/src/steer/steering/flight.rs
+++ b/crates/core/src/steer/steering/flight.rs
@@ -5,7 +5,7 @@
 use crate::{
     steer::{
         catalog::{Route, Workspace},
-        refusal::Refusal,
+        refusal::{Reason, Refusal},
         server::{ServerEntry, ServerKey},
     },
     time::Instant,
@@ -57,7 +57,8 @@
     pub(super) lane: f64,
     pub(super) tried: Vec<ServerKey>,
     pub(super) connect_failures: usize,
-    pub(super) may_have_run: bool,
+    /// Why it is not known whether an earlier try ran.
+    pub(super) unknown: Option<Reason>,
     /// Whether a further try has been paid for.
     pub(super) is_prepaid: bool,
     pub(super) current: Option<Try>,
--- a/crates/core/src/steer/steering/outcome.rs
+++ b/crates/core/src/steer/steering/outcome.rs
@@ -67,7 +67,7 @@
             Outcome::BadAnswer => Reason::BadAnswer,
             Outcome::TimedOut => Reason::TimedOut,
         };
-        flight.may_have_run = true;
+        flight.unknown = Some(refusal);
         if idempotent && self.may_go_again(now, flight) {
             return Next::Again;
         }
@@ -75,8 +75,8 @@
     }
 
     pub(super) fn give_up(&self, flight: &Flight, reason: Reason) -> Refusal {
-        if flight.may_have_run {
-            return Reason::BadAnswer.into();
+        if let Some(unknown) = flight.unknown {
+            return unknown.into();
         }
         let retry_after = Some(Duration::from_millis(300));
         Refusal { retry_after, ..Refusal::from(reason) }
--- a/crates/core/src/steer/steering/peers.rs
+++ b/crates/core/src/steer/steering/peers.rs
@@ -121,14 +121,18 @@
     /// Use of a workspace's quota at the other hosts.
     pub(super) fn used_elsewhere(&self, now: Instant, workspace: &str) -> Elsewhere {
         let key = name_hash(workspace);
-        let hosts = self.view.host_count();
         let far = self.far.all(now);
-        let silent = self.view.peers.iter().filter(|p| !p.is_heard).count();
+        // A region that is heard knows best which of its hosts are alive: the store still lists hosts
+        // that have ended, and lists those that have just started a little later.
+        let is_told = |region: &str| far.iter().any(|s| s.region == region);
+        let listed = || self.view.peers.iter().filter(|p| !is_told(&p.region));
+        let told: usize = far.iter().map(|s| s.hosts.len() + s.unheard as usize).sum();
+        let silent = listed().filter(|p| !p.is_heard).count();
         let unheard = silent + far.iter().map(|s| s.unheard as usize).sum::<usize>();
         let near = self.view.peers.iter().filter(|p| p.is_heard && p.region == self.view.region);
         let digests = near.filter_map(|p| self.digests.get(&p.host.incarnation));
         let seen = digests.map(|(_, d)| &d.seen).chain(far.iter().map(|s| &s.seen));
         let used = seen.filter_map(|s| s.workspaces.get(&key)).sum::<u32>();
-        Elsewhere { used: f64::from(used), hosts, unheard: unheard.min(hosts - 1) }
+        Elsewhere { used: f64::from(used), hosts: 1 + listed().count() + told, unheard }
     }
 }
--- a/crates/core/tests/steer/far.rs
+++ b/crates/core/tests/steer/far.rs
@@ -5,16 +5,21 @@
 use jasminestage_core::{
     host::Incarnation,
     steer::{
+        catalog::{Catalog, Limits},
         control::{Change, Control, StoreContact},
         digest::{Progress, Summary, Trial, name_hash},
         far::FarRegions,
-        steering::Steering,
-        view::View,
+        steering::{Arrival, Steering},
+        view::{Peer, View},
     },
+    world::Repeat,
 };
 use test_case::test_case;
 
-use crate::common::{announcement, at, digest, entry, region_summary, terms, view, zones};
+use crate::common::{
+    announcement, at, digest, entry, peer, region_summary, route, service, terms, view, workspace,
+    zones,
+};
 
 const CONTACT: StoreContact = StoreContact { answers: true, read_ms: None };
 
@@ -148,3 +153,45 @@
     assert!(control.others_read_since(at(4500)));
     assert!(!control.others_read_since(at(4700)));
 }
+
+struct Alive {
+    /// Whether region `b`, of which the store lists two hosts, is heard.
+    hears_region: bool,
+    /// Hosts that its summary names, and those that it does not hear.
+    told: (usize, u32),
+    /// Hosts that may be alive, and those that are not heard.
+    counted: (usize, usize),
+}
+
+#[test_case(&Alive { hears_region: false, told: (0, 0), counted: (3, 2) }; "the region is silent")]
+#[test_case(&Alive { hears_region: true, told: (2, 0), counted: (3, 0) }; "its hosts have started anew")]
+#[test_case(&Alive { hears_region: true, told: (3, 0), counted: (4, 0) }; "one more has started")]
+#[test_case(&Alive { hears_region: true, told: (1, 1), counted: (3, 1) }; "it does not hear one of them")]
+fn a_region_that_is_heard_counts_its_hosts_itself(case: &Alive) {
+    let silent = |life, zone| Peer { is_heard: false, ready: false, ..peer(life, zone) };
+    let mut limited = view(&[entry("s", "lookup", "a1")]);
+    limited.peers = Arc::new(vec![silent(20, "b1"), silent(21, "b2")]);
+    let route = route("read", "lookup", Repeat::Idempotent);
+    let (services, limits) = (vec![service("lookup")], Limits::default());
+    let workspaces = vec![workspace("w", 20.0)];
+    limited.catalog = Arc::new(Catalog::new(2, vec![route], services, workspaces, limits));
+    let mut steering = Steering::new(Arc::new(limited));
+    if case.hears_region {
+        let mut summary = region_summary("b", 30, 1);
+        summary.hosts = (0..case.told.0).map(|n| (Incarnation(30 + n as u64), true)).collect();
+        summary.unheard = case.told.1;
+        steering.hear_region(at(1000), &summary);
+    }
+    let arrival = Arrival {
+        id: "r1",
+        host: "example",
+        path: "/read/x",
+        key: Some("key-w"),
+        object: None,
+        patience: None,
+    };
+    let flight = steering.admit(at(1100), &arrival).expect("the request is allowed");
+    assert!(steering.charge(at(1100), &flight).is_ok());
+    let elsewhere = steering.quota_state("w").elsewhere;
+    assert_eq!((elsewhere.hosts, elsewhere.unheard), case.counted);
+}
