--- a/crates/core/src/steer/control.rs
+++ b/crates/core/src/steer/control.rs
@@ -428,11 +428,23 @@
             progress,
             in_flight,
             seen,
-            regions: self.received.values().map(|(_, summary)| summary.clone()).collect(),
+            regions: self.newest_received(),
             others: others.skip(skip).take(NAMED_HOSTS).collect(),
         }
     }
 
+    /// The newest summary of each region that was sent to this host itself.
+    fn newest_received(&self) -> Vec<RegionSummary> {
+        let mut newest: HashMap<&str, &(Instant, RegionSummary)> = HashMap::new();
+        for ((region, _), received) in &self.received {
+            let known = newest.entry(region).or_insert(received);
+            if known.0 < received.0 {
+                *known = received;
+            }
+        }
+        newest.into_values().map(|(_, summary)| summary.clone()).collect()
+    }
+
     /// What this host tells the other regions, with the hosts to tell.
     ///
     /// Every host speaks to a region that is not heard, since the speakers may be cut off from it.
--- a/crates/core/tests/steer/far.rs
+++ b/crates/core/tests/steer/far.rs
@@ -195,3 +195,13 @@
     let elsewhere = steering.quota_state("w").elsewhere;
     assert_eq!((elsewhere.hosts, elsewhere.unheard), case.counted);
 }
+
+#[test]
+fn one_summary_of_a_region_is_passed_on() {
+    let mut control = control(&[2]);
+    control.hear_region(at(10), region_summary("b", 20, 1));
+    control.hear_region(at(20), region_summary("b", 21, 1));
+    let digest = control.digest(Progress::default(), CONTACT, vec![], Summary::default());
+    let speakers: Vec<Incarnation> = digest.regions.iter().map(|s| s.speaker).collect();
+    assert_eq!(speakers, [Incarnation(21)]);
+}
