Make the digest of a caller's key in one place

It stood in five; world::key_digest serves the catalog, the look-up, admission and the daemon. No change of behaviour: cargo test -p jasminestage-core, all passed.

--- a/crates/core/src/lookup/mod.rs
+++ b/crates/core/src/lookup/mod.rs
@@ -2,12 +2,10 @@
 
 use std::{net::IpAddr, time::Duration};
 
-use sha2::{Digest, Sha256};
-
 use crate::{
     result::Code,
     view::{LiveHost, View},
-    world::{Access, KeyDigest, RegionKey, WorkspaceKey},
+    world::{Access, RegionKey, WorkspaceKey, key_digest},
 };
 
 /// Hosts named in one answer.
@@ -70,8 +68,7 @@
 }
 
 fn workspace_of(view: &View, key: &[u8]) -> Option<WorkspaceKey> {
-    let digest: KeyDigest = Sha256::digest(key).into();
-    view.world.key_owners.get(&digest).copied()
+    view.world.key_owners.get(&key_digest(key)).copied()
 }
 
 /// Whether a host holds a home of a workspace.
--- a/crates/core/src/steer/catalog.rs
+++ b/crates/core/src/steer/catalog.rs
@@ -2,9 +2,7 @@
 
 use std::{collections::HashMap, sync::Arc, time::Duration};
 
-use sha2::{Digest, Sha256};
-
-use crate::world::{KeyDigest, Repeat};
+use crate::world::{KeyDigest, Repeat, key_digest};
 
 /// A service with its share of a route's requests.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -113,11 +111,6 @@
     }
 }
 
-/// Digest of a caller's key.
-pub fn key_digest(key: &str) -> KeyDigest {
-    Sha256::digest(key.as_bytes()).into()
-}
-
 /// One version of the whole configuration.
 #[derive(Clone, Debug, Default)]
 pub struct Catalog {
@@ -180,6 +173,6 @@
 
     /// The workspace that holds a key. Only digests are compared.
     pub fn owner(&self, key: &str) -> Option<&Arc<Workspace>> {
-        self.owners.get(&key_digest(key)).map(|n| &self.workspaces[*n])
+        self.owners.get(&key_digest(key.as_bytes())).map(|n| &self.workspaces[*n])
     }
 }
--- a/crates/core/src/traffic/admit.rs
+++ b/crates/core/src/traffic/admit.rs
@@ -2,7 +2,6 @@
 
 use std::time::Duration;
 
-use sha2::{Digest, Sha256};
 use subtle::ConstantTimeEq;
 
 use crate::{
@@ -10,7 +9,7 @@
     result::Code,
     time::Instant,
     view::{View, holds_authority},
-    world::{Access, KeyDigest, Route, RouteKey, WorkspaceKey},
+    world::{Access, KeyDigest, Route, RouteKey, WorkspaceKey, key_digest},
 };
 
 /// A request as the front end hands it in.
@@ -77,7 +76,7 @@
 
 /// Digest of the key that a request carries.
 pub fn digest(req: &Request<'_>) -> Option<KeyDigest> {
-    req.key.map(|key| Sha256::digest(key).into())
+    req.key.map(key_digest)
 }
 
 fn authenticate(view: &View, digest: &KeyDigest) -> Result<WorkspaceKey, Code> {
--- a/crates/core/src/world/mod.rs
+++ b/crates/core/src/world/mod.rs
@@ -12,6 +12,7 @@
     time::Duration,
 };
 
+use sha2::{Digest as _, Sha256};
 use slotmap::{SecondaryMap, SlotMap, new_key_type};
 
 pub use self::{
@@ -38,6 +39,11 @@
 
 /// SHA-256 digest of a caller's key.
 pub type KeyDigest = [u8; 32];
+
+/// Digest of a caller's key.
+pub fn key_digest(key: &[u8]) -> KeyDigest {
+    Sha256::digest(key).into()
+}
 /// Requests per second.
 pub type Rate = u32;
 /// Share of traffic in parts per million.
--- a/crates/core/tests/steer/common.rs
+++ b/crates/core/tests/steer/common.rs
@@ -5,14 +5,14 @@
 use jasminestage_core::{
     host::Incarnation,
     steer::{
-        catalog::{Catalog, Limits, Route, Service, WeightedService, Workspace, key_digest},
+        catalog::{Catalog, Limits, Route, Service, WeightedService, Workspace},
         digest::{Announcement, Digest, Progress, RegionSummary, Summary},
         server::ServerEntry,
         terms::Terms,
         view::{Peer, View},
     },
     time::Instant,
-    world::Repeat,
+    world::{Repeat, key_digest},
 };
 
 pub fn at(millis: u64) -> Instant {
@@ -120,7 +120,7 @@
 pub fn workspace(name: &str, rate: f64) -> Workspace {
     Workspace {
         name: name.to_owned(),
-        keys: vec![key_digest(&format!("key-{name}"))],
+        keys: vec![key_digest(format!("key-{name}").as_bytes())],
         priority: 0,
         rate,
         burst: rate,
--- a/crates/daemon/src/front/measure.rs
+++ b/crates/daemon/src/front/measure.rs
@@ -6,10 +6,9 @@
     burn::{self, Verdict},
     result::Code,
     view::View,
-    world::KeyDigest,
+    world::key_digest,
 };
 use salvo::{Depot, FlowCtrl, Request, Response, async_trait, handler::Handler, http::header};
-use sha2::{Digest, Sha256};
 
 use super::headers;
 use crate::{
@@ -106,8 +105,7 @@
 /// Name of the workspace whose key came with the request.
 fn workspace<'v>(view: &'v View, req: &Request) -> Option<&'v str> {
     let key = req.headers().get(header::AUTHORIZATION)?.as_bytes().strip_prefix(b"Bearer ")?;
-    let digest: KeyDigest = Sha256::digest(key).into();
-    let owner = *view.world.key_owners.get(&digest)?;
+    let owner = *view.world.key_owners.get(&key_digest(key))?;
     Some(&view.world.workspaces[owner].name)
 }
 
--- a/crates/daemon/src/front/request.rs
+++ b/crates/daemon/src/front/request.rs
@@ -8,7 +8,7 @@
     once::PassedRequest,
     result::Code,
     traffic::{self, Origin, Step},
-    world::Repeat,
+    world::{Repeat, key_digest},
 };
 use salvo::{
     Depot, FlowCtrl, Request, Response, async_trait,
@@ -69,7 +69,7 @@
         let pass = PassedRequest {
             owner: Incarnation(0),
             route: route.clone(),
-            key: request.key.map(|key| Sha256::digest(key).into()),
+            key: request.key.map(key_digest),
             id: request.id.unwrap_or_default().to_owned(),
             deadline: 0,
             method: call.method.to_string(),
