Count timeouts as faults of a version on trial, and judge it by its excess

All servers were busy, so the usual latency times six lay above the route's timeout and a try that timed out did not count as slow; and twice the failure rate of the other versions (0.13 to 0.16 under that load) was more than the fault showed in time. Ruled out: records and digests of the rollout (all hosts followed within 3 s). A timeout counts as a failure, an answer after 0.8 of the timeout is slow in any case, and a version is faulty when its rate is above the others' by 0.12 and two standard deviations. Tests: steering, a version that runs into the timeout; rollout, a third fails while all are under load; both fail without the change.

--- a/crates/core/src/steer/rollout.rs
+++ b/crates/core/src/steer/rollout.rs
@@ -16,8 +16,12 @@
 const SUCCESS_AT: f64 = 0.82;
 /// Failures that prove a fault, together with a failure rate above the other versions'.
 const MIN_FAILURES: u32 = 4;
-/// Failure rate above twice that of the other versions that proves a fault.
+/// Failure rate above that of the other versions that proves a fault.
 const EXCESS_FAILURE_RATE: f64 = 0.12;
+/// Standard deviations of the failure rate that are put down to chance.
+const CHANCE_DEVIATIONS: f64 = 2.0;
+/// Failure rate that is assumed of the other versions at least, for the deviation.
+const MIN_FAILURE_RATE: f64 = 0.02;
 /// Answers of the other versions below which their failure rate counts as zero.
 const MIN_OTHER_ANSWERS: u32 = 10;
 
@@ -120,5 +124,7 @@
     } else {
         f64::from(sum.other_failures) / f64::from(sum.other_answers)
     };
-    rate > EXCESS_FAILURE_RATE + 2.0 * other
+    let assumed = other.max(MIN_FAILURE_RATE);
+    let deviation = (assumed * (1.0 - assumed) / f64::from(sum.answers.max(1))).sqrt();
+    rate > EXCESS_FAILURE_RATE + other + CHANCE_DEVIATIONS * deviation
 }
--- a/crates/core/src/steer/steering/outcome.rs
+++ b/crates/core/src/steer/steering/outcome.rs
@@ -28,6 +28,9 @@
 /// An answer of a version on trial counts as bad beyond this multiple of the usual latency; its
 /// servers know no object yet, which alone makes them three times slower.
 const TRIAL_SLOW_RATIO: f64 = 6.0;
+/// Part of the route's timeout from which on an answer is bad in any case: where all servers are busy,
+/// the usual latency may rise so far that nothing is beyond its multiple.
+const TRIAL_SLOW_PART: f64 = 0.8;
 
 impl Steering {
     /// Decides what follows after a try.
@@ -127,6 +130,7 @@
             _ => {}
         }
         let objective = flight.route.objective.as_secs_f64();
+        let timeout = flight.route.timeout.as_secs_f64();
         let state = self.services.entry(flight.service.clone()).or_default();
         let base = state.base.unwrap_or(objective * ASSUMED_PART);
         let took = now.saturating_since(current.sent);
@@ -146,11 +150,13 @@
                 server.forget(object);
             }
         }
-        let slow = took.as_secs_f64() > (base * TRIAL_SLOW_RATIO).max(objective);
+        let slow_from = (base * TRIAL_SLOW_RATIO).max(objective);
+        let slow = took.as_secs_f64() > slow_from.min(timeout * TRIAL_SLOW_PART);
         let failed = match outcome {
             Outcome::Answered { status, .. } => status >= 500 || slow,
             Outcome::BadAnswer | Outcome::Lost => true,
-            Outcome::TimedOut | Outcome::Abandoned => slow,
+            Outcome::TimedOut => true,
+            Outcome::Abandoned => slow,
             Outcome::Shed | Outcome::WrongServer | Outcome::NotSent => return,
         };
         let trial = &mut state.trial;
--- a/crates/core/tests/steer/rollout.rs
+++ b/crates/core/tests/steer/rollout.rs
@@ -31,6 +31,8 @@
 #[test_case(&Verdict { seen: [10, 5, 1000, 1], is_faulty: true }; "half of the answers fail")]
 #[test_case(&Verdict { seen: [40, 8, 1000, 200], is_faulty: false }; "the others fail as often")]
 #[test_case(&Verdict { seen: [60, 20, 1000, 20], is_faulty: true }; "one route fails")]
+#[test_case(&Verdict { seen: [322, 112, 3056, 464], is_faulty: true }; "a third fails while all are under load")]
+#[test_case(&Verdict { seen: [118, 22, 2692, 370], is_faulty: false }; "little above the others under load")]
 fn a_version_is_judged_against_the_others(case: &Verdict) {
     let [answers, failures, other_answers, other_failures] = case.seen;
     // Two hosts saw half of it each.
--- a/crates/core/tests/steer/steering.rs
+++ b/crates/core/tests/steer/steering.rs
@@ -254,3 +254,32 @@
         steering.finish(at(1001), &mut flight, answered(200), None);
     }
 }
+
+/// Where all answers are slow, the usual latency leaves no room for a multiple below the timeout.
+#[test]
+fn a_version_that_runs_into_the_timeout_is_faulty() {
+    let new = ServerEntry { version: "v2".to_owned(), ..entry("s1", "lookup", "a1") };
+    let mut view = view(&[new]);
+    let order = RolloutOrder {
+        service: "lookup".to_owned(),
+        version: "v2".to_owned(),
+        duration: Duration::from_secs(16),
+        revision: 9,
+    };
+    let rollout = Rollout { order, state: RolloutState::Running, started: at(0) };
+    view.rollouts = Arc::new([("lookup".to_owned(), rollout)].into());
+    let mut steering = host(view);
+    let mut play = |n: u64, outcome: Outcome, took: u64| {
+        let (id, now) = (format!("r{n}"), 13_000 + n * 3000);
+        let mut flight = steering.admit(at(now), &arrival(&id, "/read/x")).expect("allowed");
+        steering.choose(at(now), &mut flight).expect("the server is free");
+        steering.finish(at(now + took), &mut flight, outcome, None);
+        steering.is_faulty("lookup")
+    };
+    for n in 0..40 {
+        let usual = Outcome::Answered { status: 200, took: Duration::from_millis(350) };
+        assert!(!play(n, usual, 350), "answers in time are no fault");
+    }
+    let is_faulty = (40..80).any(|n| play(n, Outcome::TimedOut, 1200));
+    assert!(is_faulty, "forty tries in a row have timed out");
+}
