--- a/crates/core/tests/steer/steering.rs
+++ b/crates/core/tests/steer/steering.rs
@@ -270,7 +270,7 @@
     view.rollouts = Arc::new([("lookup".to_owned(), rollout)].into());
     let mut steering = host(view);
     let mut play = |n: u64, outcome: Outcome, took: u64| {
-        let (id, now) = (format!("r{n}"), 13_000 + n * 3000);
+        let (id, now) = (format!("r{n}"), 13_000 + n * 4000);
         let mut flight = steering.admit(at(now), &arrival(&id, "/read/x")).expect("allowed");
         steering.choose(at(now), &mut flight).expect("the server is free");
         steering.finish(at(now + took), &mut flight, outcome, None);
