Answer a region that is known by its summaries only

The store was away while hosts were killed in turn; host 2, alone in its region, had started anew and knew no host of the other region, so it never spoke to the one that heard nobody, which refused everything with code 301 though host 2 had the configuration. Ruled out: load (the trace shows the same hosts without a configuration alone and beside load). Speakers of received summaries are answered where fewer than two hosts of a region are known. Tests: far, a region that is known by its summary only is answered (fails without the change); soak seed 221 stays as a case, and the check now says how requests ended.

--- a/crates/core/src/steer/control/peers.rs
+++ b/crates/core/src/steer/control/peers.rs
@@ -220,8 +220,14 @@
             }
             let hosts = self.view.peers.iter().filter(|p| p.region == *region);
             let hosts = hosts.filter(|p| p.is_heard || !is_heard).map(|p| &p.host);
-            targets
-                .extend(first_by_rank(hosts, SPEAKERS + usize::from(!is_heard)).map(|h| h.peers));
+            let count = SPEAKERS + usize::from(!is_heard);
+            let known: Vec<SocketAddr> = first_by_rank(hosts, count).map(|h| h.peers).collect();
+            // A host that started while the store was away knows those that speak to it.
+            let speakers = self.received.values().map(|(_, summary)| summary);
+            let speakers = speakers.filter(|s| s.region == *region && known.len() < SPEAKERS);
+            let speakers = speakers.map(|s| s.address).filter(|a| !known.contains(a));
+            targets.extend(speakers.collect::<Vec<_>>());
+            targets.extend(known);
         }
         (summary, targets)
     }
--- a/crates/core/tests/steer/far.rs
+++ b/crates/core/tests/steer/far.rs
@@ -205,3 +205,15 @@
     let speakers: Vec<Incarnation> = digest.regions.iter().map(|s| s.speaker).collect();
     assert_eq!(speakers, [Incarnation(21)]);
 }
+
+/// A host that started while the store was away has no list of hosts.
+#[test]
+fn a_region_that_is_known_by_its_summary_only_is_answered() {
+    let mut control = Control::new(terms(), announcement(1, "a1"), zones());
+    let summary = region_summary("b", 20, 1);
+    let speaker = summary.address;
+    control.hear_region(at(10), summary);
+    control.tick(at(20));
+    let (_, told) = control.region_summary(at(20), Progress::default(), Summary::default());
+    assert_eq!(told, [speaker]);
+}
--- a/crates/edge/tests/soak/callers.rs
+++ b/crates/edge/tests/soak/callers.rs
@@ -1,7 +1,7 @@
 //! Callers that keep connections open, and what they and the servers saw.
 
 use std::{
-    collections::HashMap,
+    collections::{BTreeMap, HashMap},
     net::SocketAddr,
     sync::{Arc, Mutex, PoisonError},
     time::Duration,
@@ -91,7 +91,12 @@
         }
         let served = asked.iter().filter(|a| a.answer.is_some_and(|a| a.1)).count();
         assert!(broken.is_empty(), "seed {seed}: {broken:#?}\nfaults: {history:#?}");
-        assert!(served * 3 > asked.len(), "seed {seed}: {served} of {} served", asked.len());
+        let mut ends: BTreeMap<Option<u16>, usize> = BTreeMap::new();
+        for request in asked.iter() {
+            *ends.entry(request.answer.map(|(status, _)| status)).or_default() += 1;
+        }
+        let of = asked.len();
+        assert!(served * 3 > of, "seed {seed}: {served} of {of} served: {ends:?}\n{history:#?}");
     }
 }
 
--- a/crates/edge/tests/soak/main.rs
+++ b/crates/edge/tests/soak/main.rs
@@ -108,6 +108,8 @@
 #[test_case(2; "seed 2")]
 #[test_case(3; "seed 3")]
 #[test_case(4; "seed 4")]
+// A host that started while the store was away never spoke to the region that it heard.
+#[test_case(221; "seed 221")]
 fn promises_hold(seed: u64) {
     run(seed);
 }
