--- a/crates/edge/src/control/servers.rs
+++ b/crates/edge/src/control/servers.rs
@@ -16,7 +16,7 @@
 /// Time that one watch waits for a change; a store that swallowed the call is noticed soon after.
 const WATCH_WAIT: Duration = Duration::from_millis(2500);
 /// Pause after changes, so that a burst of them comes together.
-const GATHER: Duration = Duration::from_millis(500);
+const GATHER: Duration = Duration::from_millis(250);
 
 /// Reads all entries, then their changes, for as long as the process runs.
 pub async fn follow(beliefs: Rc<Beliefs>) {
