Remember removals, so that an older write does not restore an item

Cause: a host that follows the store by a watch may get a removal from another host before the watch delivers the write that preceded it.

--- a/crates/core/src/steer/mirror.rs
+++ b/crates/core/src/steer/mirror.rs
@@ -1,9 +1,12 @@
 //! A local copy of the store's items under one key prefix.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashMap};
 
 use serde::{Deserialize, Serialize};
 
+/// Number of removals above which the older half is forgotten.
+const MAX_REMOVALS: usize = 4096;
+
 /// A key-value pair of the store with the revision of its last change.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Item {
@@ -59,11 +62,14 @@
     pub items: Vec<Item>,
 }
 
-/// A local copy in which an item changes only to a newer revision. The revisions of removed items
-/// are not kept.
+/// A local copy in which an item changes only to a newer revision. The revisions of the latest
+/// removals are kept as well, because a watch of the store may deliver a write after another host
+/// has already sent the removal that followed it.
 #[derive(Clone, Debug, Default)]
 pub struct Mirror {
     items: BTreeMap<String, Item>,
+    /// Revision of the removal, by key.
+    removed: HashMap<String, u64>,
     revision: u64,
     last_change: u64,
 }
@@ -125,12 +131,24 @@
         applied
     }
 
+    fn record_removal(&mut self, key: &str, revision: u64) {
+        self.removed.insert(key.to_owned(), revision);
+        if self.removed.len() > MAX_REMOVALS {
+            let mut revisions: Vec<u64> = self.removed.values().copied().collect();
+            revisions.sort_unstable();
+            let oldest_kept = revisions[MAX_REMOVALS / 2];
+            self.removed.retain(|_, revision| *revision >= oldest_kept);
+        }
+    }
+
     fn apply_one(&mut self, change: &ItemChange) -> bool {
         let known_revision = self.items.get(change.key()).map_or(0, |i| i.revision);
+        let removed_revision = self.removed.get(change.key()).copied().unwrap_or(0);
         let (is_new, revision) = match change {
             ItemChange::Written(item) => {
-                let is_new = item.revision > known_revision;
+                let is_new = item.revision > known_revision.max(removed_revision);
                 if is_new {
+                    self.removed.remove(&item.key);
                     self.items.insert(item.key.clone(), item.clone());
                 }
                 (is_new, item.revision)
@@ -140,6 +158,9 @@
                 if is_new {
                     self.items.remove(key);
                 }
+                if *revision > known_revision.max(removed_revision) {
+                    self.record_removal(key, *revision);
+                }
                 (is_new, *revision)
             }
         };
--- a/crates/core/tests/steer/mirror.rs
+++ b/crates/core/tests/steer/mirror.rs
@@ -54,3 +54,48 @@
     assert!(mirror.replace(newer).is_empty());
     assert_eq!(mirror.last_change(), 11);
 }
+
+struct ReorderCase {
+    /// Batches of changes, each with the revision up to which it is complete.
+    batches: fn() -> Vec<(Vec<ItemChange>, u64)>,
+    /// Whether the item exists at the end.
+    exists: bool,
+}
+
+/// A host sends a removal before the store delivers the write that preceded it. If the write were
+/// applied, a server that has left would be used again until it is next written.
+#[test_case(&ReorderCase { batches: || vec![(vec![removed("a", 7)], 8), (vec![written("a", 6)], 6)], exists: false }; "a write before the removal of a known item")]
+#[test_case(&ReorderCase { batches: || vec![(vec![removed("b", 7)], 8), (vec![written("b", 6)], 6)], exists: false }; "a write before the removal of an unknown item")]
+#[test_case(&ReorderCase { batches: || vec![(vec![removed("a", 7)], 8), (vec![written("a", 9)], 9)], exists: true }; "a new item under the same key")]
+#[test_case(&ReorderCase { batches: || vec![(vec![removed("a", 7)], 8), (vec![removed("a", 6)], 8), (vec![written("a", 6)], 8)], exists: false }; "an older removal after the removal")]
+fn a_removed_item_is_not_restored_by_an_older_write(case: &ReorderCase) {
+    let mut mirror = Mirror::default();
+    mirror.apply(vec![written("a", 5)], 5);
+    let mut last_key = String::new();
+    for (changes, revision) in (case.batches)() {
+        last_key = changes[0].key().to_owned();
+        mirror.apply(changes, revision);
+    }
+    assert_eq!(mirror.get(&last_key).is_some(), case.exists);
+}
+
+#[test]
+fn an_older_write_does_not_return_after_a_snapshot_without_the_item() {
+    let mut mirror = Mirror::default();
+    mirror.apply(vec![written("a", 5)], 5);
+    mirror.replace(Snapshot { revision: 9, last_change: 8, items: vec![item("b", 6)] });
+    assert!(mirror.apply(vec![written("a", 7)], 7).is_empty());
+    assert!(mirror.get("a").is_none());
+}
+
+#[test]
+fn the_number_of_remembered_removals_is_bounded() {
+    let mut mirror = Mirror::default();
+    for revision in 1..20_000 {
+        mirror.apply(vec![removed(&format!("k{revision}"), revision)], revision);
+    }
+    let latest = mirror.apply(vec![written("k19999", 19_000)], 19_999);
+    assert!(latest.is_empty(), "the latest removal is remembered");
+    let oldest = mirror.apply(vec![written("k1", 1)], 19_999);
+    assert_eq!(oldest.len(), 1, "the oldest removal is forgotten");
+}
