Obey what servers report in answers, and bound the memory for answers

Server-Leaving takes an incarnation out for good, on this host at once and elsewhere with the next digest; Retry-After of a 503 is a pause for this host. Answers without an end took a host from 9 to 320 to 500 MB with 60 requests at once. Change: both are decoded once in platform/headers.rs (ServerReport); LeavingServers keeps incarnations apart from the copied entries and sends them with the traffic statistics; the outcome of an earlier incarnation no longer changes its successor; requests that only paused servers could take are refused with the earliest end. A body may have 4 MiB ([answers] max_bytes), all together a quarter of memory_mb; a head 64 KiB. Lines about requests are limited by a field instead of a thread-local.

--- a/crates/core/src/steer/server.rs
+++ b/crates/core/src/steer/server.rs
@@ -10,7 +10,10 @@
 use serde::{Deserialize, Serialize};
 use slotmap::new_key_type;
 
-use super::digest::{NameHash, name_hash};
+use super::{
+    digest::{NameHash, name_hash},
+    leaving::{IncarnationHash, incarnation_hash},
+};
 use crate::time::Instant;
 
 new_key_type! {
@@ -35,6 +38,8 @@
 const MAX_BACKOFF: Duration = Duration::from_secs(2);
 /// Number of consecutive lost or timed-out requests after which a server is backed off.
 const LOSSES_BEFORE_BACKOFF: u32 = 2;
+/// Longest pause that a server may ask for, so that a faulty value does not take it out for hours.
+const MAX_PAUSE: Duration = Duration::from_secs(300);
 /// Number of objects of this host's requests that a server is assumed to have cached.
 const MAX_CACHED_OBJECTS: usize = 24;
 
@@ -57,12 +62,20 @@
     pub draining: bool,
     /// Time for which the server stays cold after the announcement.
     pub cold_duration: Duration,
-    /// Sequence number of the announcement.
+    /// Sequence number of the announcement, counted from the start of the incarnation.
     pub sequence: u64,
     /// Start of this incarnation in milliseconds since the Unix epoch, if the server announces it.
     pub started_unix_ms: Option<u64>,
 }
 
+impl ServerEntry {
+    /// Whether `newer` announces another incarnation of the server than this entry.
+    pub fn is_succeeded_by(&self, newer: &ServerEntry) -> bool {
+        self.started_unix_ms != newer.started_unix_ms
+            || (newer.started_unix_ms.is_none() && newer.sequence < self.sequence)
+    }
+}
+
 /// Outcome of an attempt to run a request on a server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum AttemptOutcome {
@@ -101,6 +114,17 @@
     pub slots: u32,
 }
 
+/// What a server reports about itself with a response.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ServerReport {
+    /// Its load.
+    pub load: Option<LoadReport>,
+    /// Whether it is about to stop and takes no new requests.
+    pub is_leaving: bool,
+    /// Time for which it asks this host to send it no requests.
+    pub pause: Option<Duration>,
+}
+
 /// A server with the measurements of this host.
 #[derive(Clone, Debug)]
 pub struct Server {
@@ -121,6 +145,12 @@
     pub remote_in_flight: u32,
     /// Time until which the server is treated as cold.
     pub cold_until: Instant,
+    /// Hash of the announced incarnation.
+    pub incarnation: IncarnationHash,
+    /// Whether this incarnation has announced in a response that it is about to stop.
+    pub is_leaving: bool,
+    /// Time until which the server asked this host to send it no requests.
+    paused_until: Instant,
     /// Time of the last answer and mean latency in seconds.
     mean_latency: Option<(Instant, f64)>,
     failure_rate: f64,
@@ -138,12 +168,15 @@
         Server {
             hash: super::stable_hash(0, entry.id.as_bytes()),
             short_hash: name_hash(&entry.id),
+            incarnation: incarnation_hash(&entry),
             is_announced: true,
             entry,
             region,
             in_flight: 0,
             remote_in_flight: 0,
             cold_until,
+            is_leaving: false,
+            paused_until: Instant::ZERO,
             mean_latency: None,
             failure_rate: 0.0,
             failure_rate_at: Instant::ZERO,
@@ -160,12 +193,17 @@
         now < self.backoff_until
     }
 
+    /// End of the pause that the server asked for, if it has not passed.
+    pub fn paused_until(&self, now: Instant) -> Option<Instant> {
+        (now < self.paused_until).then_some(self.paused_until)
+    }
+
     /// Estimated number of requests that the server runs or queues.
     pub fn load(&self, now: Instant) -> f64 {
         let counted = f64::from(self.in_flight + self.remote_in_flight);
         let Some((at, report)) = self.load_report else { return counted };
         let age = now.saturating_since(at).as_secs_f64() / LOAD_REPORT_DECAY.as_secs_f64();
-        let reported = f64::from(report.running + report.waiting) * (-age).exp();
+        let reported = (f64::from(report.running) + f64::from(report.waiting)) * (-age).exp();
         counted.max(reported)
     }
 
@@ -216,11 +254,11 @@
         &mut self,
         now: Instant,
         outcome: AttemptOutcome,
-        report: Option<LoadReport>,
+        report: Option<ServerReport>,
     ) {
         self.in_flight = self.in_flight.saturating_sub(1);
         if let Some(report) = report {
-            self.load_report = Some((now, report));
+            self.apply_report(now, report);
         }
         let failed = match outcome {
             AttemptOutcome::Answered { status, took } => {
@@ -253,6 +291,16 @@
         self.failure_rate_at = now;
     }
 
+    fn apply_report(&mut self, now: Instant, report: ServerReport) {
+        if let Some(load) = report.load {
+            self.load_report = Some((now, load));
+        }
+        self.is_leaving |= report.is_leaving;
+        if let Some(pause) = report.pause {
+            self.paused_until = self.paused_until.max(now + pause.min(MAX_PAUSE));
+        }
+    }
+
     fn back_off(&mut self, now: Instant) {
         if now < self.backoff_until {
             return;
--- a/crates/core/src/steer/steering/choose.rs
+++ b/crates/core/src/steer/steering/choose.rs
@@ -15,6 +15,7 @@
         quota::QuotaState,
         refusal::{Refusal, RefusalReason},
         regions,
+        rollout::Verdict,
         server::{Server, ServerKey},
         stable_hash, unit_interval,
         view::View,
@@ -130,9 +131,11 @@
         if view.evacuated_zones.len() >= view.zone_regions.len() && !view.zone_regions.is_empty() {
             return Err(self.final_refusal(request, RefusalReason::NoServer));
         }
-        let is_faulty =
-            view.rollouts.contains_key(&request.service) && self.is_faulty(&request.service);
-        let version_filters = VersionPreference::for_request(&view, now, request, is_faulty);
+        let verdict = match view.rollouts.contains_key(&request.service) {
+            true => self.rollout_verdict(&request.service),
+            false => Verdict::Sound,
+        };
+        let version_filters = VersionPreference::for_request(&view, now, request, verdict);
         let objective_s = request.route.latency_objective.as_secs_f64();
         let state = self.services.entry(request.service.clone()).or_default();
         let base_latency_s = state.base_latency_s.unwrap_or(objective_s * ASSUMED_LATENCY_FRACTION);
@@ -156,7 +159,8 @@
             }
         }
         let Some(best) = best else {
-            return Err(self.final_refusal(request, RefusalReason::NoServer));
+            let refusal = self.final_refusal(request, RefusalReason::NoServer);
+            return Err(self.with_end_of_pauses(now, &view, request, refusal));
         };
         let max_latency_s =
             (objective_s * MAX_OBJECTIVE_MULTIPLE).min(left.as_secs_f64() * MAX_TIME_LEFT_FRACTION);
@@ -180,6 +184,7 @@
         request.tried_servers.push(best.server);
         request.current_attempt = Some(Attempt {
             server: best.server,
+            incarnation: server.incarnation,
             sent_at: now,
             latency_multiple: best.latency_multiple,
             queue_factor: best.queue_factor,
@@ -198,6 +203,29 @@
         })
     }
 
+    /// Tells the caller to come back when the first of the service's paused servers takes requests
+    /// again, if no request of it can be sent before.
+    fn with_end_of_pauses(
+        &self,
+        now: Instant,
+        view: &View,
+        request: &PendingRequest,
+        refusal: Refusal,
+    ) -> Refusal {
+        let usable = self
+            .servers
+            .values()
+            .filter(|s| s.entry.service == request.service && self.is_in_service(view, s));
+        let ends = usable.map(|s| s.paused_until(now)).collect::<Option<Vec<Instant>>>();
+        let first_end = ends.and_then(|ends| ends.into_iter().min());
+        match first_end {
+            Some(end) if refusal.retry_after.is_some() => {
+                Refusal { retry_after: Some(end.saturating_since(now)), ..refusal }
+            }
+            _ => refusal,
+        }
+    }
+
     /// Whether an overdue request may move to another server; takes a retry token if so. A stopping
     /// host lets servers finish the requests that they run.
     pub fn may_switch_server(&mut self, now: Instant, request: &mut PendingRequest) -> bool {
@@ -254,6 +282,7 @@
             && request.workspace.as_ref().is_none_or(|w| allows_region(&w.allowed_regions))
             && !request.tried_servers.contains(&key)
             && !server.is_backing_off(now)
+            && server.paused_until(now).is_none()
             && (now >= server.cold_until || self.may_send_cold(now, view, server))
     }
 
--- a/crates/core/src/steer/steering/outcome.rs
+++ b/crates/core/src/steer/steering/outcome.rs
@@ -8,7 +8,7 @@
     steer::{
         crash::ServerCrash,
         refusal::{Refusal, RefusalReason},
-        server::{AttemptOutcome, LoadReport},
+        server::{AttemptOutcome, ServerReport},
     },
     time::Instant,
 };
@@ -41,7 +41,7 @@
         now: Instant,
         request: &mut PendingRequest,
         outcome: AttemptOutcome,
-        report: Option<LoadReport>,
+        report: Option<ServerReport>,
     ) -> NextAction {
         let Some(attempt) = request.current_attempt.take() else {
             return NextAction::Refuse(RefusalReason::BadAnswer.into());
@@ -108,11 +108,14 @@
         request: &PendingRequest,
         attempt: &Attempt,
         outcome: AttemptOutcome,
-        report: Option<LoadReport>,
+        report: Option<ServerReport>,
     ) {
         let view = Arc::clone(&self.view);
         let cold_start =
             view.catalog.services.get(&request.service).map_or(Duration::ZERO, |s| s.cold_start);
+        if report.is_some_and(|r| r.is_leaving) {
+            self.leaving.observe(now, attempt.incarnation);
+        }
         let Some(server) = self.servers.get_mut(attempt.server) else { return };
         let normalize = |took: Duration| took.div_f64(attempt.latency_multiple.max(1.0));
         let normalized = match outcome {
@@ -121,7 +124,10 @@
             }
             other => other,
         };
-        server.finish_request(now, normalized, report);
+        // After a restart of the server, the outcome tells nothing about its new incarnation.
+        if server.incarnation == attempt.incarnation {
+            server.finish_request(now, normalized, report);
+        }
         let (hash, was_cold) = (server.hash, now < server.cold_until);
         match outcome {
             AttemptOutcome::NotSent => {
--- a/crates/core/src/steer/steering/request.rs
+++ b/crates/core/src/steer/steering/request.rs
@@ -5,6 +5,7 @@
 use crate::{
     steer::{
         catalog::{Route, Workspace},
+        leaving::IncarnationHash,
         refusal::{Refusal, RefusalReason},
         server::{ServerEntry, ServerKey},
     },
@@ -32,6 +33,8 @@
 #[derive(Clone, Debug)]
 pub(super) struct Attempt {
     pub(super) server: ServerKey,
+    /// Incarnation of the server at the time of the choice.
+    pub(super) incarnation: IncarnationHash,
     pub(super) sent_at: Instant,
     /// `latency_multiple` of the estimate, by which the measured latency is normalized.
     pub(super) latency_multiple: f64,
--- a/crates/core/src/time.rs
+++ b/crates/core/src/time.rs
@@ -50,7 +50,7 @@
     type Output = Instant;
 
     fn add(self, duration: Duration) -> Instant {
-        Instant(self.0.saturating_add(duration.as_micros() as u64))
+        Instant(self.0.saturating_add(saturating_micros(duration)))
     }
 }
 
@@ -58,6 +58,11 @@
     type Output = Instant;
 
     fn sub(self, duration: Duration) -> Instant {
-        Instant(self.0.saturating_sub(duration.as_micros() as u64))
+        Instant(self.0.saturating_sub(saturating_micros(duration)))
     }
 }
+
+/// Microseconds of a duration, which may come from a stored value and be longer than the clock.
+fn saturating_micros(duration: Duration) -> u64 {
+    u64::try_from(duration.as_micros()).unwrap_or(u64::MAX)
+}
--- a/crates/core/tests/steer/pick.rs
+++ b/crates/core/tests/steer/pick.rs
@@ -5,7 +5,7 @@
 use jasminestage_core::{
     steer::{
         pick::{Criteria, lowest_cost_server},
-        server::{AttemptOutcome, LoadReport, Server, ServerKey},
+        server::{AttemptOutcome, LoadReport, Server, ServerKey, ServerReport},
     },
     time::Instant,
 };
@@ -37,6 +37,7 @@
 fn full_queue(server: &mut Server) {
     server.start_request(None);
     let report = LoadReport { running: 3, waiting: 9, slots: 3 };
+    let report = ServerReport { load: Some(report), ..ServerReport::default() };
     server.finish_request(NOW, AttemptOutcome::Shed, Some(report));
 }
 
--- a/crates/edge/src/front/trace.rs
+++ b/crates/edge/src/front/trace.rs
@@ -11,10 +11,7 @@
 };
 use jasminestage_net::clock;
 
-use crate::{
-    log::{self, RequestOutcome},
-    shared::Shared,
-};
+use crate::{log::RequestOutcome, shared::Shared};
 
 /// Collects the data that is logged about a request. The line is written with the response, or when
 /// the trace is dropped because the caller disconnected.
@@ -59,7 +56,7 @@
 
     /// Records that the request is sent to a server, and logs every attempt after the first.
     pub fn record_dispatch(&mut self, dispatch: &Dispatch, request: &PendingRequest) {
-        if self.attempts > 0 && log::admits_request_line(RequestOutcome::Bad) {
+        if self.attempts > 0 && self.shared.request_lines.admits(RequestOutcome::Bad) {
             let time_left = request.deadline.saturating_since(clock::now());
             tracing::info!(
                 event = 361,
@@ -109,7 +106,7 @@
         self.shared.metrics.record_response(status, duration);
         let is_good = self.refusal.is_none() && status < 500 && self.attempts == 1;
         let outcome = if is_good { RequestOutcome::Good } else { RequestOutcome::Bad };
-        if !log::admits_request_line(outcome) {
+        if !self.shared.request_lines.admits(outcome) {
             return;
         }
         let code = self.refusal.map_or(0, |r| r.reason.number());
@@ -162,7 +159,7 @@
 
 impl Drop for Trace<'_> {
     fn drop(&mut self) {
-        if self.is_finished || !log::admits_request_line(RequestOutcome::Bad) {
+        if self.is_finished || !self.shared.request_lines.admits(RequestOutcome::Bad) {
             return;
         }
         let duration = clock::now().saturating_since(self.arrived_at);
--- a/crates/edge/src/log.rs
+++ b/crates/edge/src/log.rs
@@ -4,7 +4,7 @@
 //! and counted, so that logging never blocks.
 
 use std::{
-    cell::Cell,
+    sync::{Mutex, PoisonError},
     time::{Duration, Instant},
 };
 
@@ -73,15 +73,17 @@
     bad: u32,
 }
 
-thread_local! {
-    static WINDOW: Cell<Window> = const { Cell::new(Window { start: None, good: 0, bad: 0 }) };
+/// Limits the lines about requests of one process.
+#[derive(Debug, Default)]
+pub struct LineLimiter {
+    window: Mutex<Window>,
 }
 
-/// Counts a line about a request and returns whether it may be written. The first line after a
-/// window with dropped lines logs how many were dropped.
-pub fn admits_request_line(outcome: RequestOutcome) -> bool {
-    WINDOW.with(|cell| {
-        let mut window = cell.get();
+impl LineLimiter {
+    /// Counts a line about a request and returns whether it may be written. The first line after a
+    /// window with dropped lines logs how many were dropped.
+    pub fn admits(&self, outcome: RequestOutcome) -> bool {
+        let mut window = self.window.lock().unwrap_or_else(PoisonError::into_inner);
         let now = Instant::now();
         if window.start.is_none_or(|s| now.duration_since(s) >= Duration::from_secs(1)) {
             let good = window.good.saturating_sub(GOOD_LINES_PER_SECOND);
@@ -89,15 +91,13 @@
             if good + bad > 0 {
                 tracing::warn!(event = 304, good, bad, "Log lines about requests were dropped.");
             }
-            window = Window { start: Some(now), good: 0, bad: 0 };
+            *window = Window { start: Some(now), good: 0, bad: 0 };
         }
         let (lines, limit) = match outcome {
             RequestOutcome::Good => (&mut window.good, GOOD_LINES_PER_SECOND),
             RequestOutcome::Bad => (&mut window.bad, BAD_LINES_PER_SECOND),
         };
         *lines += 1;
-        let is_admitted = *lines <= limit;
-        cell.set(window);
-        is_admitted
-    })
+        *lines <= limit
+    }
 }
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -26,6 +26,9 @@
     attempts: Counter<u64>,
     connections: Counter<u64>,
     store_calls: Counter<u64>,
+    cut_responses: Counter<u64>,
+    invalid_retry_after: Counter<u64>,
+    response_memory: Gauge<u64>,
     configuration: Gauge<u64>,
     hosts: Gauge<u64>,
     servers: Gauge<u64>,
@@ -64,6 +67,18 @@
             attempts: counter("jasminestage.tries", "Tries at servers by outcome."),
             connections: counter("jasminestage.connections", "New connections to servers."),
             store_calls: counter("jasminestage.store.calls", "Calls to the store by outcome."),
+            cut_responses: counter(
+                "jasminestage.responses.cut",
+                "Responses of servers that were cut, by the limit that they exceeded.",
+            ),
+            invalid_retry_after: counter(
+                "jasminestage.retry_after.invalid",
+                "Responses of servers with a Retry-After header that cannot be read.",
+            ),
+            response_memory: gauge(
+                "jasminestage.responses.bytes",
+                "Bytes of the responses of servers that are read or delivered.",
+            ),
             configuration: gauge("jasminestage.configuration", "Version in force."),
             hosts: gauge("jasminestage.hosts", "Hosts that may be alive."),
             servers: gauge("jasminestage.servers", "Announced servers."),
@@ -98,6 +113,21 @@
         self.connections.add(1, &[]);
     }
 
+    /// Counts a response that was cut, by the limit that it exceeded.
+    pub fn count_cut_response(&self, limit: &'static str) {
+        self.cut_responses.add(1, &[KeyValue::new("limit", limit)]);
+    }
+
+    /// Counts a response whose `Retry-After` header cannot be read.
+    pub fn count_invalid_retry_after(&self) {
+        self.invalid_retry_after.add(1, &[]);
+    }
+
+    /// Records the size of all response bodies in memory.
+    pub fn record_response_memory(&self, bytes: usize) {
+        self.response_memory.record(bytes as u64, &[]);
+    }
+
     /// Counts a call to the store by outcome.
     pub fn count_store_call(&self, operation: &'static str, is_ok: bool) {
         let labels = [KeyValue::new("operation", operation), KeyValue::new("ok", is_ok)];
--- a/crates/edge/src/options.rs
+++ b/crates/edge/src/options.rs
@@ -35,6 +35,12 @@
     pub metrics: SocketAddr,
     /// CPU time that the host may use, in thousandths of a core.
     pub millicores: u32,
+    /// Memory that the host may use, in MB.
+    pub memory_mb: u32,
+    /// Maximum size of the body of one response of a server.
+    pub max_response_bytes: usize,
+    /// Maximum number of requests of one connection that run at the same time.
+    pub max_pipelined_requests: usize,
     /// Whether the whole fleet starts for the first time, without any callers yet.
     pub first_start: bool,
     /// Address of the platform's store.
@@ -57,6 +63,9 @@
             peers: local(7460),
             metrics: local(7461),
             millicores: 1000,
+            memory_mb: 256,
+            max_response_bytes: 4 * 1024 * 1024,
+            max_pipelined_requests: 8,
             first_start: false,
             store: local(8382),
             domains: HashMap::new(),
@@ -82,6 +91,15 @@
     Setting("host", "cores", false, |o, t| {
         assign(&mut o.millicores, parse_positive(t).map(|cores| (cores * 1000.0) as u32))
     }),
+    Setting("host", "memory_mb", false, |o, t| {
+        assign(&mut o.memory_mb, parse_positive(t).map(|mb| mb as u32))
+    }),
+    Setting("answers", "max_bytes", false, |o, t| {
+        assign(&mut o.max_response_bytes, parse_count(t))
+    }),
+    Setting("host", "max_pipelined_requests", false, |o, t| {
+        assign(&mut o.max_pipelined_requests, parse_count(t))
+    }),
     Setting("host", "first_start", false, |o, t| assign(&mut o.first_start, parse_bool(t))),
     Setting("store", "address", true, |o, t| assign(&mut o.store, parse_address(t))),
     Setting("bounds", "max_lookup_ttl", false, |o, t| {
@@ -109,6 +127,8 @@
     }),
 ];
 
+/// Fraction of the host's memory that the bodies of responses may use.
+const RESPONSE_MEMORY_FRACTION: f64 = 0.25;
 /// Section that assigns each failure domain to its region.
 const DOMAINS_SECTION: &str = "domains";
 
@@ -145,6 +165,11 @@
         Ok(cfg)
     }
 
+    /// Maximum size of the bodies of all responses in flight together, in bytes.
+    pub fn response_memory(&self) -> usize {
+        (f64::from(self.memory_mb) * 1e6 * RESPONSE_MEMORY_FRACTION) as usize
+    }
+
     fn apply_section(&mut self, section: &Section<'_>) -> Result<(), EdgeError> {
         for entry in &section.entries {
             if section.kind == DOMAINS_SECTION {
@@ -199,6 +224,13 @@
     }
 }
 
+fn parse_count(text: &str) -> Result<usize, String> {
+    match text.parse() {
+        Ok(number) if number > 0 => Ok(number),
+        _ => Err("a whole number above 0 is allowed".to_owned()),
+    }
+}
+
 fn parse_non_negative(text: &str) -> Result<f64, String> {
     match text.parse::<f64>() {
         Ok(number) if number >= 0.0 && number.is_finite() => Ok(number),
--- a/crates/edge/src/shared.rs
+++ b/crates/edge/src/shared.rs
@@ -14,7 +14,7 @@
 use jasminestage_net::clock;
 use tokio::sync::watch;
 
-use crate::{metrics::Metrics, options::Options};
+use crate::{log::LineLimiter, metrics::Metrics, options::Options};
 
 /// Phase of the process, from normal operation to its end.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -42,6 +42,8 @@
     pub view: ArcSwap<View>,
     /// Metrics of the process.
     pub metrics: Metrics,
+    /// Limit on the log lines about requests.
+    pub request_lines: LineLimiter,
     phase: watch::Sender<Phase>,
     bounds: watch::Sender<Bounds>,
     steering: Mutex<Steering>,
@@ -67,6 +69,7 @@
             announcement,
             view: ArcSwap::from(Arc::clone(&view)),
             metrics,
+            request_lines: LineLimiter::default(),
             phase: watch::Sender::new(Phase::Serving),
             bounds,
             steering: Mutex::new(Steering::new(view)),
--- a/crates/edge/src/upstream/mod.rs
+++ b/crates/edge/src/upstream/mod.rs
@@ -1,9 +1,21 @@
 //! Connections to backend servers and attempts of requests on them.
 
+mod answer;
 mod pool;
 mod send;
 
+use std::sync::Arc;
+
 pub use self::{
+    answer::BodyMemory,
     pool::Pool,
     send::{AttemptResult, OutgoingRequest, ServerResponse, send},
 };
+
+/// Connections to the servers, and the memory for their responses.
+pub struct Upstream {
+    /// Idle connections.
+    pub pool: Pool,
+    /// Memory for the bodies of responses.
+    pub body_memory: Arc<BodyMemory>,
+}
--- a/crates/edge/src/upstream/send.rs
+++ b/crates/edge/src/upstream/send.rs
@@ -2,10 +2,10 @@
 
 use bytes::Bytes;
 use http::{HeaderMap, Request, StatusCode, header};
-use http_body_util::{BodyExt, Full};
+use http_body_util::Full;
 use jasminestage_core::{
     steer::{
-        server::{AttemptOutcome, LoadReport},
+        server::{AttemptOutcome, ServerReport},
         steering::Dispatch,
     },
     time::Instant,
@@ -14,8 +14,8 @@
 use jasminestage_platform::headers;
 use tokio::time::timeout;
 
-use super::pool::{Pool, connect};
-use crate::metrics::Metrics;
+use super::{Upstream, answer::read_body, pool::connect};
+use crate::{log::RequestOutcome, shared::Shared};
 
 /// A complete response of a server.
 #[derive(Clone, Debug)]
@@ -33,8 +33,8 @@
 pub struct AttemptResult {
     /// Outcome, on which the next action is based.
     pub outcome: AttemptOutcome,
-    /// Load that the server reported in its response.
-    pub report: Option<LoadReport>,
+    /// What the server reported about itself, if a response to the request arrived.
+    pub report: Option<ServerReport>,
     /// The response, if a complete and valid one arrived.
     pub response: Option<ServerResponse>,
 }
@@ -65,29 +65,29 @@
 
 /// Sends a request to one server and waits for the complete response.
 pub async fn send(
-    pool: &Pool,
-    metrics: &Metrics,
+    upstream: &Upstream,
+    shared: &Shared,
     dispatch: &Dispatch,
     outgoing: &OutgoingRequest<'_>,
 ) -> AttemptResult {
-    match timeout(dispatch.timeout, attempt(pool, metrics, dispatch, outgoing)).await {
+    match timeout(dispatch.timeout, attempt(upstream, shared, dispatch, outgoing)).await {
         Ok(result) => result,
         Err(_) => AttemptResult::failed(AttemptOutcome::TimedOut),
     }
 }
 
 async fn attempt(
-    pool: &Pool,
-    metrics: &Metrics,
+    upstream: &Upstream,
+    shared: &Shared,
     dispatch: &Dispatch,
     outgoing: &OutgoingRequest<'_>,
 ) -> AttemptResult {
     let server_id = dispatch.server.id.as_str();
-    if let Some(connection) = pool.take(server_id, outgoing.at_most_once)
-        && let Some(result) = exchange(pool, dispatch, outgoing, connection).await
+    if let Some(connection) = upstream.pool.take(server_id, outgoing.at_most_once)
+        && let Some(result) = exchange(upstream, shared, dispatch, outgoing, connection).await
     {
         if result.outcome == AttemptOutcome::Lost {
-            pool.block_at_most_once_reuse();
+            upstream.pool.block_at_most_once_reuse();
         }
         return result;
     }
@@ -98,8 +98,8 @@
             return AttemptResult::failed(AttemptOutcome::NotSent);
         }
     };
-    metrics.count_connection();
-    match exchange(pool, dispatch, outgoing, connection).await {
+    shared.metrics.count_connection();
+    match exchange(upstream, shared, dispatch, outgoing, connection).await {
         Some(result) => result,
         None => AttemptResult::failed(AttemptOutcome::NotSent),
     }
@@ -107,7 +107,8 @@
 
 /// Sends the request on one connection; returns `None` if no byte of the request was sent.
 async fn exchange(
-    pool: &Pool,
+    upstream: &Upstream,
+    shared: &Shared,
     dispatch: &Dispatch,
     outgoing: &OutgoingRequest<'_>,
     mut connection: Connection,
@@ -133,32 +134,52 @@
         }
     };
     let (parts, body) = incoming.into_parts();
-    let report = headers::load_report(&parts.headers);
-    let has_matching_id =
-        headers::text(&parts.headers, &headers::REQUEST_ID).is_none_or(|id| id == outgoing.id);
+    let status = parts.status.as_u16();
+    let is_signed = parts.headers.contains_key(&headers::RESPONSE_SIGNATURE);
+    // A late copy of an earlier response may arrive instead of the response to this request.
+    let has_matching_id = match headers::text(&parts.headers, &headers::REQUEST_ID) {
+        Some(id) => id == outgoing.id,
+        None => !is_signed,
+    };
     if !has_matching_id || parts.headers.contains_key(header::CONTENT_ENCODING) {
         return Some(AttemptResult::failed(AttemptOutcome::BadAnswer));
     }
-    let body = match body.collect().await {
-        Ok(body) => body.to_bytes(),
-        Err(_) => {
-            return Some(AttemptResult {
-                outcome: AttemptOutcome::BadAnswer,
-                report,
-                response: None,
-            });
+    let (report, invalid_pause) = headers::server_report(status, &parts.headers);
+    if let Some(e) = invalid_pause {
+        shared.metrics.count_invalid_retry_after();
+        if shared.request_lines.admits(RequestOutcome::Bad) {
+            let (server, request) = (&dispatch.server.id, outgoing.id);
+            tracing::warn!(event = 365, server, request, error = %e, "The Retry-After value of a server was ignored.");
+        }
+    }
+    let report = Some(report);
+    let body = match read_body(&upstream.body_memory, body).await {
+        Ok(body) => body,
+        Err(e) => {
+            if let Some(limit) = e.limit() {
+                shared.metrics.count_cut_response(limit);
+                if shared.request_lines.admits(RequestOutcome::Bad) {
+                    let (server, request) = (&dispatch.server.id, outgoing.id);
+                    tracing::warn!(event = 364, server, request, error = %e, "A response of a server was cut because it exceeded a limit.");
+                }
+            }
+            let outcome = AttemptOutcome::BadAnswer;
+            return Some(AttemptResult { outcome, report, response: None });
         }
     };
-    let status = parts.status.as_u16();
-    let is_signed = parts.headers.contains_key(&headers::RESPONSE_SIGNATURE);
     let outcome = match status {
         421 if !is_signed => AttemptOutcome::WrongServer,
         _ if headers::is_not_executed(status, &parts.headers) => AttemptOutcome::Shed,
         200..300 if !is_signed => AttemptOutcome::BadAnswer,
         _ => AttemptOutcome::Answered { status, took: clock::now().saturating_since(sent_at) },
     };
-    if outcome != AttemptOutcome::BadAnswer {
-        pool.keep(&dispatch.server.id, connection, headers::keep_alive_timeout(&parts.headers));
+    let may_reuse = outcome != AttemptOutcome::BadAnswer && !report.is_some_and(|r| r.is_leaving);
+    if may_reuse {
+        upstream.pool.keep(
+            &dispatch.server.id,
+            connection,
+            headers::keep_alive_timeout(&parts.headers),
+        );
     }
     let response = matches!(outcome, AttemptOutcome::Answered { .. }).then(|| {
         let mut headers = parts.headers;
--- a/crates/edge/tests/soak/faults.rs
+++ b/crates/edge/tests/soak/faults.rs
@@ -2,8 +2,13 @@
 
 use std::{sync::Arc, time::Duration};
 
-use jasminestage_platform_standin::{backend, fleet, proxy::ConnectionFault, store};
-use rand::{RngExt, rngs::StdRng};
+use jasminestage_platform_standin::{
+    backend, fleet,
+    proxy::ConnectionFault,
+    raw::{RawResponse, RawServer},
+    store,
+};
+use rand::{RngExt, SeedableRng, rngs::StdRng};
 use rustix::process::Signal;
 use tokio::time::Instant;
 
@@ -14,20 +19,39 @@
 /// Time within which a host must exit after SIGTERM.
 const STOP_LIMIT: Duration = Duration::from_secs(8);
 
+/// Key of the entry of the server that [`FaultInjector`] adds.
+const RAW_SERVER_KEY: &str = "servers/raw";
+/// Probability that a report, a raw response or an odd entry of a server follows a fault.
+const SERVER_TROUBLE_PROBABILITY: f64 = 0.3;
+
 /// Chooses random faults and applies them.
 pub struct FaultInjector {
     rng: StdRng,
+    /// Draws the troubles of servers, so that the sequence of the other faults stays the same.
+    trouble_rng: StdRng,
     history: Vec<String>,
     /// Version of the last configuration that was written.
     version: u64,
     /// Paused hosts, with the time at which each is resumed.
     paused: Vec<(usize, Instant)>,
+    /// Servers that have announced their stop.
+    leaving: Vec<usize>,
+    /// Server whose responses do not end, end early or come twice.
+    raw_server: Option<RawServer>,
 }
 
 impl FaultInjector {
-    /// Creates an injector whose faults are determined by a random number generator.
-    pub fn new(rng: StdRng) -> Self {
-        FaultInjector { rng, history: Vec::new(), version: 1, paused: Vec::new() }
+    /// Creates an injector whose faults are determined by a seed.
+    pub fn new(seed: u64) -> Self {
+        FaultInjector {
+            rng: StdRng::seed_from_u64(seed),
+            trouble_rng: StdRng::seed_from_u64(!seed),
+            history: Vec::new(),
+            version: 1,
+            paused: Vec::new(),
+            leaving: Vec::new(),
+            raw_server: None,
+        }
     }
 
     /// Returns descriptions of the injected faults in order.
@@ -49,6 +73,10 @@
             self.resume_paused(environment, false);
             let description = self.inject_one(environment, request_log).await;
             self.history.push(format!("{:?} {description}", start.elapsed()));
+            if self.trouble_rng.random_bool(SERVER_TROUBLE_PROBABILITY) {
+                let description = self.inject_server_trouble(environment).await;
+                self.history.push(format!("{:?} {description}", start.elapsed()));
+            }
         }
     }
 
@@ -132,6 +160,47 @@
         }
     }
 
+    async fn inject_server_trouble(&mut self, environment: &Environment) -> String {
+        let server = self.trouble_rng.random_range(0..environment.servers.len());
+        match self.trouble_rng.random_range(0..4) {
+            0 if self.leaving.contains(&server) => {
+                self.leaving.retain(|n| *n != server);
+                environment.servers[server].restart(&environment.store);
+                format!("server {server} restarted")
+            }
+            0 => {
+                self.leaving.push(server);
+                environment.servers[server].set_fault(backend::Fault::Leaving);
+                format!("server {server} leaves")
+            }
+            1 => {
+                let pause = Duration::from_millis(self.trouble_rng.random_range(100..1500));
+                environment.servers[server].set_fault(backend::Fault::Pauses(pause));
+                format!("server {server} pauses for {pause:?}")
+            }
+            2 => {
+                let odd = [b"[".repeat(50_000), b"{\"born\":1e400}".to_vec(), vec![0xff, 0x00]];
+                let value = odd[self.trouble_rng.random_range(0..odd.len())].clone();
+                environment.store.put_bytes("servers/odd", value);
+                "an odd entry among the servers".to_owned()
+            }
+            _ => {
+                let kinds = [
+                    RawResponse::EndlessHead,
+                    RawResponse::EndlessChunks,
+                    RawResponse::BytesAfterResponse,
+                    RawResponse::LateCopy,
+                    RawResponse::ShortBody,
+                ];
+                let kind = kinds[self.trouble_rng.random_range(0..kinds.len())];
+                environment.store.remove(RAW_SERVER_KEY);
+                let started = RawServer::start(&environment.store, "raw", "lookup", kind);
+                self.raw_server = Some(started.await);
+                format!("a server with responses of the kind {kind:?}")
+            }
+        }
+    }
+
     fn resume_paused(&mut self, environment: &Environment, all: bool) {
         let now = Instant::now();
         self.paused.retain(|(host, until)| {
@@ -150,8 +219,10 @@
         for proxy in &environment.store_proxies {
             proxy.set_fault(ConnectionFault::None);
         }
+        environment.store.remove(RAW_SERVER_KEY);
+        self.raw_server = None;
         for server in &environment.servers {
-            server.set_fault(backend::Fault::None);
+            server.restart(&environment.store);
         }
     }
 }
--- a/crates/edge/tests/soak/main.rs
+++ b/crates/edge/tests/soak/main.rs
@@ -16,7 +16,6 @@
     proxy::Proxy,
     store::Store,
 };
-use rand::{SeedableRng, rngs::StdRng};
 use test_case::test_case;
 
 use self::{callers::RequestLog, faults::FaultInjector};
@@ -69,7 +68,7 @@
     let addresses: Vec<_> = environment.hosts.iter().map(|h| h.caller_address).collect();
     let request_log = Arc::new(RequestLog::default());
     let callers = callers::start(&addresses, &request_log);
-    let mut injector = FaultInjector::new(StdRng::seed_from_u64(seed));
+    let mut injector = FaultInjector::new(seed);
     injector.inject(&mut environment, &request_log, FAULT_DURATION).await;
     injector.end(&mut environment).await;
     check_recovery(seed, &environment).await;
--- a/crates/net/src/connection.rs
+++ b/crates/net/src/connection.rs
@@ -13,6 +13,9 @@
 /// Unanswered probes after which the kernel closes a connection.
 const KEEPALIVE_PROBES: u32 = 2;
 
+/// Maximum size of the head of a response, and of a part of its body that is read at once.
+const MAX_READ_BUFFER_BYTES: usize = 64 * 1024;
+
 /// An open connection; dropping it closes the socket immediately.
 pub struct Connection {
     /// Sends requests on the connection.
@@ -36,8 +39,11 @@
             .with_interval(KEEPALIVE_INTERVAL)
             .with_retries(KEEPALIVE_PROBES);
         socket2::SockRef::from(&stream).set_tcp_keepalive(&probes)?;
-        let (sender, driver) =
-            http1::handshake(TokioIo::new(stream)).await.map_err(io::Error::other)?;
+        let (sender, driver) = http1::Builder::new()
+            .max_buf_size(MAX_READ_BUFFER_BYTES)
+            .handshake(TokioIo::new(stream))
+            .await
+            .map_err(io::Error::other)?;
         let driver = tokio::spawn(async move {
             if let Err(e) = driver.await {
                 tracing::debug!(%address, error = %e, "The HTTP connection failed.");
