Give a version no larger share while it cannot be compared with the others

A second order of the same version also kept the counts of the first, and a version that became regular by its delay did not publish the view. Change: Verdict::Inconclusive while more than 0.3 of the answers of either side fail: the share stays at the first step, and the version is rolled back at 0.92 of the time. 35 failures and a failure rate above 0.3 are a fault by themselves. Counts belong to the revision of the order.

--- a/crates/core/src/steer/control/rollouts.rs
+++ b/crates/core/src/steer/control/rollouts.rs
@@ -11,7 +11,7 @@
     host::Incarnation,
     steer::{
         digest::StoreProgress,
-        rollout::{RolloutOrder, RolloutState},
+        rollout::{RolloutOrder, RolloutState, Verdict},
         stable_hash,
     },
     time::{Instant, UnixMillis},
@@ -50,7 +50,8 @@
             self.rollout_starts.get(service).filter(|s| s.order_revision == order.revision)
         {
             let elapsed = Duration::from_millis(unix_now.saturating_sub(start.started_unix_ms));
-            rollout.started = rollout.started.min(now - elapsed.min(order.duration * 2));
+            rollout.started =
+                rollout.started.min(now - elapsed.min(order.duration.saturating_mul(2)));
         }
         let record = self.rollout_records.get(service);
         let record = record.filter(|r| r.version == order.version && r.revision > order.revision);
@@ -90,6 +91,7 @@
             }
         }
         if versions_by_service != *self.view.regular_versions {
+            self.is_view_changed = true;
             self.view.regular_versions = Arc::new(versions_by_service);
         }
     }
@@ -121,7 +123,7 @@
         &mut self,
         now: Instant,
         unix_now: UnixMillis,
-        is_faulty: impl Fn(&str) -> bool,
+        verdict: impl Fn(&str) -> Verdict,
     ) -> Vec<DueRecord> {
         let rank = self.writer_rank();
         let mut due = Vec::new();
@@ -132,7 +134,7 @@
             let is_recorded = self.rollout_records.get(service).is_some_and(|r| {
                 r.version == rollout.order.version && r.revision > rollout.order.revision
             });
-            let next = match rollout.next_state(now, is_faulty(service)) {
+            let next = match rollout.next_state(now, verdict(service)) {
                 Some(state) => state,
                 None if is_recorded => continue,
                 None => RolloutState::Running,
--- a/crates/core/src/steer/rollout.rs
+++ b/crates/core/src/steer/rollout.rs
@@ -14,6 +14,9 @@
 const STEPS: [(f64, f64); 4] = [(0.50, 1.5), (0.57, 3.0), (0.64, 6.0), (0.71, f64::INFINITY)];
 /// Fraction of the rollout's duration after which a version without faults has succeeded.
 const SUCCESS_FRACTION: f64 = 0.82;
+/// Fraction of the rollout's duration after which a version that could not be compared with the
+/// others is rolled back.
+const DECISION_FRACTION: f64 = 0.92;
 /// Smallest number of failures of a version that is considered faulty.
 const MIN_FAILURES: u32 = 4;
 /// Difference from the failure rate of the other versions, besides the random deviation, above which
@@ -26,6 +29,28 @@
 /// Number of responses of the other versions below which their failure rate is taken as zero.
 const MIN_BASELINE_RESPONSES: u32 = 10;
 
+/// Number of failures from which a version is judged by its own failure rate, since the other
+/// versions may fail as often under overload. The platform permits 50 failed responses.
+const MAX_FAILURES: u32 = 35;
+/// Failure rate of a version with [`MAX_FAILURES`] from which it is considered faulty.
+const MAX_FAILURE_RATE: f64 = 0.3;
+/// Number of responses from which a failure rate is meaningful.
+const MIN_RESPONSES: u32 = 8;
+/// Failure rate, of the new version or of the others, above which their comparison shows nothing.
+const MAX_COMPARABLE_RATE: f64 = 0.3;
+
+/// Judgement of a version during its rollout.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// No fault has been found.
+    Sound,
+    /// Too many responses of all versions fail to compare them, so the version must not get a
+    /// larger share.
+    Inconclusive,
+    /// The version is faulty.
+    Faulty,
+}
+
 /// An operator's order to roll out a version of a service.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct RolloutOrder {
@@ -64,11 +89,14 @@
 impl Rollout {
     /// Returns the new version's share of the requests. `permitted_share` is the largest share that a
     /// faulty version may have had over the whole rollout.
-    pub fn traffic_share(&self, now: Instant, is_faulty: bool, permitted_share: f64) -> f64 {
+    pub fn traffic_share(&self, now: Instant, verdict: Verdict, permitted_share: f64) -> f64 {
         match self.state {
             RolloutState::Succeeded => 1.0,
             RolloutState::RolledBack => 0.0,
-            RolloutState::Running if is_faulty => 0.0,
+            RolloutState::Running if verdict == Verdict::Faulty => 0.0,
+            RolloutState::Running if verdict == Verdict::Inconclusive => {
+                permitted_share * CANARY_MULTIPLE
+            }
             RolloutState::Running => {
                 let elapsed = self.elapsed_fraction(now);
                 let step = STEPS.iter().rev().find(|(from, _)| elapsed >= *from);
@@ -79,14 +107,18 @@
     }
 
     /// Returns the state to record now, if it differs from the recorded one.
-    pub fn next_state(&self, now: Instant, is_faulty: bool) -> Option<RolloutState> {
+    pub fn next_state(&self, now: Instant, verdict: Verdict) -> Option<RolloutState> {
         if self.state != RolloutState::Running {
             return None;
         }
-        if is_faulty {
-            return Some(RolloutState::RolledBack);
+        let elapsed = self.elapsed_fraction(now);
+        match verdict {
+            Verdict::Faulty => Some(RolloutState::RolledBack),
+            Verdict::Inconclusive => {
+                (elapsed >= DECISION_FRACTION).then_some(RolloutState::RolledBack)
+            }
+            Verdict::Sound => (elapsed >= SUCCESS_FRACTION).then_some(RolloutState::Succeeded),
         }
-        (self.elapsed_fraction(now) >= SUCCESS_FRACTION).then_some(RolloutState::Succeeded)
     }
 
     /// Changes to a recorded state and returns whether the state changed. A rollout that has ended
@@ -105,21 +137,18 @@
     }
 }
 
-/// Whether a version is faulty according to the results of all hosts.
-pub fn is_faulty<'a>(canaries: impl Iterator<Item = &'a CanaryStats>) -> bool {
+/// Judges a version by the results of all hosts.
+pub fn verdict<'a>(canaries: impl Iterator<Item = &'a CanaryStats>) -> Verdict {
     let mut total = CanaryStats::default();
     for canary in canaries {
         if canary.found_faulty {
-            return true;
+            return Verdict::Faulty;
         }
         total.responses += canary.responses;
         total.failures += canary.failures;
         total.baseline_responses += canary.baseline_responses;
         total.baseline_failures += canary.baseline_failures;
     }
-    if total.failures < MIN_FAILURES {
-        return false;
-    }
     let rate = f64::from(total.failures) / f64::from(total.responses.max(1));
     let baseline_rate = if total.baseline_responses < MIN_BASELINE_RESPONSES {
         0.0
@@ -130,5 +159,16 @@
     let deviation = (floored_baseline_rate * (1.0 - floored_baseline_rate)
         / f64::from(total.responses.max(1)))
     .sqrt();
-    rate > EXCESS_FAILURE_RATE + baseline_rate + RANDOM_DEVIATIONS * deviation
+    let is_worse = total.failures >= MIN_FAILURES
+        && rate > EXCESS_FAILURE_RATE + baseline_rate + RANDOM_DEVIATIONS * deviation;
+    let fails_too_often = total.failures >= MAX_FAILURES && rate > MAX_FAILURE_RATE;
+    if is_worse || fails_too_often {
+        return Verdict::Faulty;
+    }
+    let is_too_high =
+        |rate: f64, responses: u32| rate > MAX_COMPARABLE_RATE && responses >= MIN_RESPONSES;
+    if is_too_high(rate, total.responses) || is_too_high(baseline_rate, total.baseline_responses) {
+        return Verdict::Inconclusive;
+    }
+    Verdict::Sound
 }
--- a/crates/core/src/steer/steering/version_filter.rs
+++ b/crates/core/src/steer/steering/version_filter.rs
@@ -3,7 +3,10 @@
 use std::collections::HashSet;
 
 use super::request::PendingRequest;
-use crate::{steer::view::View, time::Instant};
+use crate::{
+    steer::{rollout::Verdict, view::View},
+    time::Instant,
+};
 
 /// A set of versions that may run a request.
 #[derive(Clone, Debug)]
@@ -33,7 +36,7 @@
         view: &View,
         now: Instant,
         request: &PendingRequest,
-        is_faulty: bool,
+        verdict: Verdict,
     ) -> Self {
         let Some(rollout) = view.rollouts.get(&request.service) else {
             let regular = view.regular_versions.get(&request.service).cloned();
@@ -50,7 +53,7 @@
             }
             _ => VersionFilter::Except(HashSet::from([rollout.order.version.clone()])),
         };
-        let share = rollout.traffic_share(now, is_faulty, view.bounds.canary_share);
+        let share = rollout.traffic_share(now, verdict, view.bounds.canary_share);
         VersionPreference(match () {
             () if share <= 0.0 => vec![old],
             () if share >= 1.0 => vec![new, old],
--- a/crates/core/tests/steer/control.rs
+++ b/crates/core/tests/steer/control.rs
@@ -5,7 +5,7 @@
 use jasminestage_core::steer::{
     catalog::{Catalog, Limits},
     control::{Change, ControlState, RolloutRecord, RolloutStart},
-    rollout::{RolloutOrder, RolloutState},
+    rollout::{RolloutOrder, RolloutState, Verdict},
 };
 use test_case::test_case;
 
@@ -84,11 +84,11 @@
 fn an_order_is_recorded_once_and_rolled_back_when_faulty() {
     let mut control = control();
     control.apply(at(0), 0, vec![Change::RolloutOrdered(order(5))]);
-    let due = control.due_records(at(0), 1000, |_| false);
+    let due = control.due_records(at(0), 1000, |_| Verdict::Sound);
     assert_eq!(due.iter().map(|d| d.state).collect::<Vec<_>>(), [RolloutState::Running]);
     control.apply(at(10), 1000, vec![recorded(RolloutState::Running, 6)]);
-    assert!(control.due_records(at(20), 1000, |_| false).is_empty());
-    let due = control.due_records(at(2000), 3000, |_| true);
+    assert!(control.due_records(at(20), 1000, |_| Verdict::Sound).is_empty());
+    let due = control.due_records(at(2000), 3000, |_| Verdict::Faulty);
     assert_eq!(due.iter().map(|d| d.state).collect::<Vec<_>>(), [RolloutState::RolledBack]);
 }
 
--- a/crates/core/tests/steer/steering.rs
+++ b/crates/core/tests/steer/steering.rs
@@ -5,7 +5,7 @@
 use jasminestage_core::{
     steer::{
         refusal::RefusalReason,
-        rollout::{Rollout, RolloutOrder, RolloutState},
+        rollout::{Rollout, RolloutOrder, RolloutState, Verdict},
         server::{AttemptOutcome, ServerEntry},
         steering::{NextAction, PendingRequest, RequestHead, Steering},
         view::View,
@@ -293,7 +293,7 @@
             steering.admit(at(now), &head(&id, "/read/x")).expect("the request is admitted");
         steering.choose_server(at(now), &mut request).expect("the server is available");
         steering.finish_attempt(at(now + took_ms), &mut request, outcome, None);
-        steering.is_faulty("lookup")
+        steering.rollout_verdict("lookup") == Verdict::Faulty
     };
     for n in 0..40 {
         let in_time = AttemptOutcome::Answered { status: 200, took: Duration::from_millis(350) };
@@ -302,3 +302,38 @@
     let is_faulty = (40..80).any(|n| run_attempt(n, AttemptOutcome::TimedOut, 1200));
     assert!(is_faulty, "forty attempts in a row have timed out");
 }
+
+/// An operator may order the same version again after its first rollout was rolled back. The
+/// failures of the first rollout must not end the second one.
+#[test]
+fn a_second_order_of_the_same_version_starts_with_new_counts() {
+    let rollout = |revision: u64, started: Instant| {
+        let order = RolloutOrder {
+            service: "lookup".to_owned(),
+            version: "v2".to_owned(),
+            duration: Duration::from_secs(16),
+            revision,
+        };
+        Arc::new(
+            [("lookup".to_owned(), Rollout { order, state: RolloutState::Running, started })]
+                .into(),
+        )
+    };
+    let new = ServerEntry { version: "v2".to_owned(), ..entry("s1", "lookup", "a1") };
+    let mut view = view(&[new]);
+    view.rollouts = rollout(9, at(0));
+    let mut steering = steering_with(view.clone());
+    for n in 0..20 {
+        let id = format!("r{n}");
+        let mut request =
+            steering.admit(at(13_000), &head(&id, "/read/x")).expect("the request is admitted");
+        // The version gets no requests once it has been found faulty.
+        if steering.choose_server(at(13_000), &mut request).is_ok() {
+            steering.finish_attempt(at(13_001), &mut request, answered(500), None);
+        }
+    }
+    assert_eq!(steering.rollout_verdict("lookup"), Verdict::Faulty);
+    view.rollouts = rollout(12, at(14_000));
+    steering.install_view(at(14_000), Arc::new(view));
+    assert_eq!(steering.rollout_verdict("lookup"), Verdict::Sound);
+}
