--- a/crates/core/src/steer/control/mod.rs
+++ b/crates/core/src/steer/control/mod.rs
@@ -1,12 +1,17 @@
 //! State of the control thread: the configuration, the servers, the rollouts and the other hosts.
 
 mod peers;
+mod relays;
 mod rollouts;
 
 use std::{collections::HashMap, sync::Arc};
 
 use self::peers::PeerState;
-pub use self::{peers::StoreStatus, rollouts::DueRecord};
+pub use self::{
+    peers::{DigestParts, StoreStatus},
+    relays::DueDigests,
+    rollouts::DueRecord,
+};
 use super::{
     bounds::Bounds,
     catalog::Catalog,
@@ -87,8 +92,13 @@
     /// Number of digests and summaries that this host has built.
     sequence: u64,
     region_summaries: RegionSummaries,
+    /// Hosts of the region with their readiness and revision of the operators' data, as last
+    /// compared for the sum that relays send.
+    last_sum: (Vec<(Incarnation, bool)>, u64),
     /// Summaries that this host received directly from other regions, with the time of receipt.
     received_summaries: HashMap<(String, Incarnation), (Instant, RegionSummary)>,
+    /// When this host last passed on the summaries of other regions that it received directly.
+    summaries_passed_on_at: Instant,
     /// Whether the view has changed since it was last published.
     is_view_changed: bool,
 }
@@ -109,7 +119,9 @@
             due_since: HashMap::new(),
             sequence: 0,
             region_summaries: RegionSummaries::default(),
+            last_sum: Default::default(),
             received_summaries: HashMap::new(),
+            summaries_passed_on_at: Instant::ZERO,
             is_view_changed: true,
         }
     }
--- a/crates/core/src/steer/control/peers.rs
+++ b/crates/core/src/steer/control/peers.rs
@@ -6,14 +6,17 @@
 use super::ControlState;
 use crate::{
     steer::{
-        digest::{Announcement, Digest, RegionSummary, StoreProgress, TrafficStats},
+        digest::{
+            Aggregate, AggregateScope, Announcement, Digest, NameHash, RegionSummary,
+            StoreProgress, TrafficStats,
+        },
         stable_hash,
         view::Peer,
     },
     time::Instant,
 };
 
-/// Time without a digest after which a host counts as unreachable, so that callers are no longer
+/// Time without state of a host after which it counts as unreachable, so that callers are no longer
 /// sent to it.
 const PEER_TIMEOUT: Duration = Duration::from_millis(1300);
 /// Time without a digest after which a host that is not listed in the store is removed.
@@ -29,7 +32,15 @@
 pub(super) struct PeerState {
     pub(super) host: Announcement,
     pub(super) ready: bool,
+    /// Whether the host considers itself a relay of its failure domain.
+    pub(super) is_relay: bool,
     pub(super) last_digest_at: Option<Instant>,
+    /// When this host learned of the host.
+    pub(super) known_since: Instant,
+    /// When a relay of the host's failure domain last reported that it sends digests.
+    pub(super) reported_at: Option<Instant>,
+    /// When the sum of the region last included the host as running.
+    pub(super) summed_at: Option<Instant>,
     /// Whether the store holds an announcement of the host.
     pub(super) is_listed: bool,
     pub(super) reaches_store: bool,
@@ -39,6 +50,62 @@
     pub(super) server_revision: u64,
 }
 
+impl PeerState {
+    fn new(now: Instant, host: Announcement) -> Self {
+        PeerState {
+            host,
+            known_since: now,
+            ready: false,
+            is_relay: false,
+            last_digest_at: None,
+            reported_at: None,
+            summed_at: None,
+            is_listed: false,
+            reaches_store: true,
+            store_read_at: None,
+            operator_revision: 0,
+            server_revision: 0,
+        }
+    }
+
+    /// Whether digests of the host arrive here.
+    pub(super) fn sends_digests(&self, now: Instant) -> bool {
+        self.last_digest_at.is_some_and(|at| now <= at + PEER_TIMEOUT)
+    }
+
+    /// Whether digests of the host arrive here or at a relay of its failure domain.
+    pub(super) fn is_reported(&self, now: Instant) -> bool {
+        self.sends_digests(now) || self.reported_at.is_some_and(|at| now <= at + PEER_TIMEOUT)
+    }
+
+    /// Whether this host or the relay that sends it the sum of the region gets state of the host.
+    /// What a sum reports is not passed on; else hosts that have ended would be reported in a circle.
+    pub(super) fn is_reachable(&self, now: Instant) -> bool {
+        self.is_reported(now) || self.summed_at.is_some_and(|at| now <= at + PEER_TIMEOUT)
+    }
+
+    /// Whether the host was reachable a few seconds ago.
+    fn is_recent(&self, now: Instant) -> bool {
+        let last_seen = self.last_digest_at.max(self.reported_at).max(self.summed_at);
+        last_seen.is_some_and(|at| now.saturating_since(at) < UNLISTED_PEER_TTL)
+    }
+}
+
+/// What a digest contains besides the state of the control thread.
+#[derive(Clone, Debug)]
+pub struct DigestParts {
+    /// Store revisions that this host has applied.
+    pub progress: StoreProgress,
+    /// Access to the store.
+    pub store: StoreStatus,
+    /// Requests that this host has in flight, by short hash of the server's id.
+    pub in_flight: Vec<(NameHash, u32)>,
+    /// Traffic statistics of this host.
+    pub stats: TrafficStats,
+    /// Sum of other hosts.
+    pub aggregate: Option<Aggregate>,
+}
+
 /// Access of this host to the store.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct StoreStatus {
@@ -56,16 +123,7 @@
         }
         self.remove_earlier_incarnations(&host);
         let incarnation = host.incarnation;
-        let peer = self.peers.entry(incarnation).or_insert_with(|| PeerState {
-            host,
-            ready: false,
-            last_digest_at: None,
-            is_listed: true,
-            reaches_store: true,
-            store_read_at: None,
-            operator_revision: 0,
-            server_revision: 0,
-        });
+        let peer = self.peers.entry(incarnation).or_insert_with(|| PeerState::new(now, host));
         peer.is_listed = true;
         self.update_view_peers(now);
     }
@@ -87,19 +145,12 @@
         if is_new {
             self.remove_earlier_incarnations(host);
         }
-        let peer = self.peers.entry(host.incarnation).or_insert_with(|| PeerState {
-            host: host.clone(),
-            ready: digest.ready,
-            last_digest_at: None,
-            is_listed: false,
-            reaches_store: true,
-            store_read_at: None,
-            operator_revision: 0,
-            server_revision: 0,
-        });
-        let before = (peer.ready, peer.last_digest_at.is_some_and(|at| now <= at + PEER_TIMEOUT));
+        let peer =
+            self.peers.entry(host.incarnation).or_insert_with(|| PeerState::new(now, host.clone()));
+        let before = (peer.ready, peer.is_reachable(now));
         peer.last_digest_at = Some(now);
         peer.ready = digest.ready;
+        peer.is_relay = digest.is_relay;
         peer.reaches_store = digest.reaches_store;
         let age = digest.store_read_age_ms.map(|ms| Duration::from_millis(u64::from(ms)));
         peer.store_read_at = age.map(|age| now - age);
@@ -110,11 +161,40 @@
             self.region_summaries.insert(now, summary);
             self.merge_rollout_progress(&summary.progress);
         }
-        if is_new || before != (digest.ready, true) {
+        let covered_changed =
+            digest.aggregate.as_ref().is_some_and(|aggregate| self.cover_hosts(now, aggregate));
+        if is_new || before != (digest.ready, true) || covered_changed {
             self.update_view_peers(now);
         }
     }
 
+    /// Records that a relay reports these hosts as running; returns whether that is a change.
+    fn cover_hosts(&mut self, now: Instant, aggregate: &Aggregate) -> bool {
+        let mut changed = false;
+        for host in &aggregate.new_hosts {
+            let is_known = self.peers.contains_key(&host.incarnation);
+            if !is_known && host.incarnation != self.view.local_host.incarnation {
+                self.remove_earlier_incarnations(host);
+                self.peers.insert(host.incarnation, PeerState::new(now, host.clone()));
+                changed = true;
+            }
+        }
+        for (incarnation, ready) in &aggregate.hosts {
+            let Some(peer) = self.peers.get_mut(incarnation) else { continue };
+            // The host's own digests are newer than what a relay reports about it.
+            let sends_digests = peer.sends_digests(now);
+            changed |= !peer.is_reachable(now) || (!sends_digests && peer.ready != *ready);
+            match aggregate.scope {
+                AggregateScope::Followers => peer.reported_at = Some(now),
+                AggregateScope::Region => peer.summed_at = Some(now),
+            }
+            if !sends_digests {
+                peer.ready = *ready;
+            }
+        }
+        changed
+    }
+
     /// Applies a summary that a host of another region sent to this host.
     pub fn receive_region_summary(&mut self, now: Instant, summary: RegionSummary) {
         if summary.region == self.view.region {
@@ -129,10 +209,7 @@
     pub fn tick(&mut self, now: Instant) {
         self.region_summaries.expire(now);
         self.received_summaries.retain(|_, (at, _)| now.saturating_since(*at) <= PEER_TIMEOUT);
-        self.peers.retain(|_, p| {
-            p.is_listed
-                || p.last_digest_at.is_some_and(|at| now.saturating_since(at) < UNLISTED_PEER_TTL)
-        });
+        self.peers.retain(|_, p| p.is_listed || p.is_recent(now));
         self.update_view_peers(now);
         self.update_regular_versions(now);
     }
@@ -144,7 +221,7 @@
         for state in self.peers.values() {
             let region = zones.get(&state.host.zone).cloned().unwrap_or_default();
             let (ready, is_reachable) = if region == self.view.region {
-                (state.ready, state.last_digest_at.is_some_and(|at| now <= at + PEER_TIMEOUT))
+                (state.ready, state.is_reachable(now))
             } else {
                 let hosts = self.region_summaries.get(now, &region).map(|s| s.hosts.as_slice());
                 let incarnation = state.host.incarnation;
@@ -160,32 +237,40 @@
         }
     }
 
-    /// Builds the digest for the other hosts of the region.
-    pub fn build_digest(
-        &mut self,
-        progress: StoreProgress,
-        store: StoreStatus,
-        in_flight: Vec<(u32, u32)>,
-        stats: TrafficStats,
-    ) -> Digest {
+    /// Builds a digest for other hosts of the region. The one with the sum of the region contains
+    /// all summaries of other regions, any other one only those that this host received directly
+    /// since it built the last such digest.
+    pub fn build_digest(&mut self, now: Instant, parts: DigestParts) -> Digest {
         self.sequence += 1;
+        let DigestParts { progress, store, in_flight, stats, aggregate } = parts;
+        let has_region_sum = aggregate.as_ref().is_some_and(|a| a.scope == AggregateScope::Region);
+        let region_summaries = if has_region_sum {
+            self.region_summaries.all(now).into_iter().cloned().collect()
+        } else {
+            let summaries = self.newest_received_summaries();
+            self.summaries_passed_on_at = now;
+            summaries
+        };
         let addresses =
             self.peers.values().filter(|p| p.last_digest_at.is_some()).map(|p| p.host.peer_address);
         let offset = self.sequence as usize % self.peers.len().max(1);
         Digest {
             sender: self.view.local_host.clone(),
             ready: self.view.is_ready(),
+            is_relay: self.is_relay(now),
             reaches_store: store.is_reachable,
             store_read_age_ms: store.read_age_ms,
             progress,
             in_flight,
             stats,
-            region_summaries: self.newest_received_summaries(),
+            aggregate,
+            region_summaries,
             known_hosts: addresses.skip(offset).take(MAX_KNOWN_HOSTS).collect(),
         }
     }
 
-    /// Returns the newest summary of each region among those that this host received directly.
+    /// Returns the newest summary of each region among those that this host has received directly and
+    /// not passed on yet.
     fn newest_received_summaries(&self) -> Vec<RegionSummary> {
         let mut newest: HashMap<&str, &(Instant, RegionSummary)> = HashMap::new();
         for ((region, _), received) in &self.received_summaries {
@@ -194,12 +279,14 @@
                 *newest_of_region = received;
             }
         }
-        newest.into_values().map(|(_, summary)| summary.clone()).collect()
+        let passed_on_at = self.summaries_passed_on_at;
+        let new = newest.into_values().filter(|(at, _)| *at > passed_on_at);
+        new.map(|(_, summary)| summary.clone()).collect()
     }
 
     /// Builds the summary for the other regions, with the addresses that it should be sent to.
     ///
-    /// While no summary of a region arrives, every host sends to it, since the gateways may have no
+    /// While no summary of a region arrives, every relay sends to it, since the gateways may have no
     /// connection to it.
     pub fn build_region_summary(
         &mut self,
@@ -222,19 +309,16 @@
             progress,
             stats,
         };
-        let hosts = same_region()
-            .filter(|p| p.is_reachable)
-            .map(|p| &p.host)
-            .chain([&self.view.local_host]);
-        let is_gateway = highest_ranked(hosts, GATEWAYS).any(|h| *h == self.view.local_host);
+        let (is_relay, is_gateway) = (self.is_relay(now), self.is_gateway(now));
         let mut targets = Vec::new();
         for region in self.view.regions.iter().filter(|r| **r != self.view.region) {
             let has_summary = self.region_summaries.get(now, region).is_some();
-            if !is_gateway && has_summary {
+            if !is_gateway && (has_summary || !is_relay) {
                 continue;
             }
             let hosts = self.view.peers.iter().filter(|p| p.region == *region);
-            let hosts = hosts.filter(|p| p.is_reachable || !has_summary).map(|p| &p.host);
+            let hosts = hosts.filter(|p| p.is_reachable || !has_summary);
+            let hosts = hosts.map(|p| (&p.host, p.ready));
             let count = GATEWAYS + usize::from(!has_summary);
             let known: Vec<SocketAddr> =
                 highest_ranked(hosts, count).map(|h| h.peer_address).collect();
@@ -249,18 +333,30 @@
         (summary, targets)
     }
 
-    /// Whether this host should read the store for the others of its region. A host that cannot
-    /// reach the store keeps trying.
+    /// Whether this host exchanges summaries with the other regions.
+    fn is_gateway(&self, now: Instant) -> bool {
+        let reachable = self.peers.values().filter(|p| self.is_in_region(p) && p.is_reachable(now));
+        let local = (&self.view.local_host, self.view.is_ready());
+        let hosts = reachable.map(|p| (&p.host, p.ready)).chain([local]);
+        highest_ranked(hosts, GATEWAYS).any(|h| *h == self.view.local_host)
+    }
+
+    /// Whether this host should read the store for the others of its region. Followers leave that to
+    /// the relays. A host that cannot reach the store keeps trying.
     pub fn is_store_reader(&self, now: Instant, reaches_store: bool) -> bool {
-        let same_region = self.peers.values().filter(|p| {
-            p.last_digest_at.is_some_and(|at| now <= at + PEER_TIMEOUT)
-                && self.view.zone_regions.get(&p.host.zone) == Some(&self.view.region)
-                && p.reaches_store
-        });
-        let this_host = reaches_store.then_some(&self.view.local_host);
-        !reaches_store
-            || highest_ranked(same_region.map(|p| &p.host).chain(this_host), STORE_READERS)
-                .any(|h| *h == self.view.local_host)
+        let mut readers = self
+            .peers
+            .values()
+            .filter(|p| self.is_in_region(p) && p.sends_digests(now) && p.reaches_store);
+        if !reaches_store {
+            return true;
+        }
+        if !self.is_relay(now) {
+            return readers.next().is_none();
+        }
+        let this_host = (&self.view.local_host, self.view.is_ready());
+        highest_ranked(readers.map(|p| (&p.host, p.ready)).chain([this_host]), STORE_READERS)
+            .any(|h| *h == self.view.local_host)
     }
 
     /// Whether another host has read the store after `time`.
@@ -268,11 +364,9 @@
         self.peers.values().any(|p| p.store_read_at.is_some_and(|at| at > time))
     }
 
-    /// Returns the peer addresses of the other hosts of the region.
-    pub fn same_region_addresses(&self) -> Vec<SocketAddr> {
-        let zones = &self.view.zone_regions;
-        let in_region = |p: &&PeerState| zones.get(&p.host.zone) == Some(&self.view.region);
-        self.peers.values().filter(in_region).map(|p| p.host.peer_address).collect()
+    /// Whether a host belongs to the region of this host.
+    pub(super) fn is_in_region(&self, peer: &PeerState) -> bool {
+        self.view.zone_regions.get(&peer.host.zone) == Some(&self.view.region)
     }
 
     /// Whether there is another host with this peer address.
@@ -305,8 +399,9 @@
         )
     }
 
-    /// Returns the address of the host with the highest revision above `own_revision`. Hosts of
-    /// other regions are considered only if no host of this region is newer.
+    /// Returns the address of the host with the highest revision above `own_revision`, preferably in
+    /// the failure domain of this host. Only gateways copy from other regions, and only if no host of
+    /// their own region is newer.
     fn host_with_newer_revision(
         &self,
         now: Instant,
@@ -314,33 +409,33 @@
         peer_revision: fn(&PeerState) -> u64,
         region_revision: fn(&StoreProgress) -> u64,
     ) -> Option<SocketAddr> {
-        let is_reachable =
-            |p: &&PeerState| p.last_digest_at.is_some_and(|at| now <= at + PEER_TIMEOUT);
+        let own_zone = &self.view.local_host.zone;
         let same_region = self
             .peers
             .values()
-            .filter(is_reachable)
-            .map(|p| (peer_revision(p), p.host.peer_address));
-        let other_regions = self
-            .region_summaries
+            .filter(|p| p.sends_digests(now) && peer_revision(p) > own_revision)
+            .max_by_key(|p| (p.host.zone == *own_zone, peer_revision(p)))
+            .map(|p| p.host.peer_address);
+        if same_region.is_some() || !self.is_gateway(now) {
+            return same_region;
+        }
+        self.region_summaries
             .all(now)
             .into_iter()
-            .map(|s| (region_revision(&s.progress), s.sender_address));
-        let if_newer = |(revision, address)| (revision > own_revision).then_some(address);
-        let newest_in_region = same_region.max_by_key(|(revision, _)| *revision).and_then(if_newer);
-        newest_in_region
-            .or_else(|| other_regions.max_by_key(|(revision, _)| *revision).and_then(if_newer))
+            .filter(|s| region_revision(&s.progress) > own_revision)
+            .max_by_key(|s| region_revision(&s.progress))
+            .map(|s| s.sender_address)
     }
 }
 
-/// Selects the `count` hosts that perform a task for the others: those with the largest CPU quota,
-/// in an order that is the same on all hosts.
-fn highest_ranked<'a>(
-    hosts: impl Iterator<Item = &'a Announcement>,
+/// Selects the `count` hosts that perform a task for the others, in an order that is the same on all
+/// hosts: first those that accept new callers, then those with the largest CPU quota.
+pub(super) fn highest_ranked<'a>(
+    hosts: impl Iterator<Item = (&'a Announcement, bool)>,
     count: usize,
 ) -> impl Iterator<Item = &'a Announcement> {
-    let mut hosts: Vec<&Announcement> = hosts.collect();
+    let mut hosts: Vec<(&Announcement, bool)> = hosts.collect();
     let hash = |h: &Announcement| stable_hash(9, &h.incarnation.0.to_le_bytes());
-    hosts.sort_by_key(|h| (std::cmp::Reverse(h.millicores), hash(h)));
-    hosts.into_iter().take(count)
+    hosts.sort_by_key(|(h, ready)| (!ready, std::cmp::Reverse(h.millicores), hash(h)));
+    hosts.into_iter().map(|(host, _)| host).take(count)
 }
--- a/crates/core/src/steer/digest.rs
+++ b/crates/core/src/steer/digest.rs
@@ -1,14 +1,20 @@
 //! State messages that hosts exchange several times a second.
 //!
-//! Hosts of one region exchange full digests. Regions exchange summaries through a few gateway
-//! hosts, and a host that received a summary forwards it inside its region, so the cost per host
-//! does not grow with the number of hosts in other regions.
+//! A few hosts of each failure domain are relays. The relays of a region exchange digests with each
+//! other; the other hosts, the followers, exchange digests only with the relays of their failure
+//! domain. A relay adds the sum of its followers to the digests for other relays, and the sum of the
+//! whole region to those for its followers. Regions exchange summaries through a few gateway hosts.
+//! So the cost per host grows neither with the hosts of other regions nor, except inside the failure
+//! domain, with those of its own.
 
-use std::{collections::BTreeMap, net::SocketAddr};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+};
 
 use serde::{Deserialize, Serialize};
 
-use super::{rollout::RolloutState, stable_hash};
+use super::{leaving::IncarnationHash, rollout::RolloutState, stable_hash};
 use crate::host::Incarnation;
 
 /// Short hash of a name, identical on all hosts.
@@ -26,6 +32,8 @@
     pub service: String,
     /// Version that is rolled out.
     pub version: String,
+    /// Revision of the rollout order.
+    pub order_revision: u64,
     /// Responses from servers of the new version.
     pub responses: u32,
     /// Failed responses from servers of the new version.
@@ -38,6 +46,15 @@
     pub found_faulty: bool,
 }
 
+impl CanaryStats {
+    /// Whether both count the responses of the same rollout.
+    pub fn is_same_rollout(&self, other: &CanaryStats) -> bool {
+        self.service == other.service
+            && self.version == other.version
+            && self.order_revision == other.order_revision
+    }
+}
+
 /// Identity and addresses of a host, as it publishes them in the store and in digests.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Announcement {
@@ -66,6 +83,8 @@
     pub canaries: Vec<CanaryStats>,
     /// Fingerprints of requests that crashed a server, each with the hash of that server's id.
     pub crashes: Vec<(u64, u64)>,
+    /// Servers that recently announced in a response that they are about to stop.
+    pub leaving: BTreeSet<IncarnationHash>,
 }
 
 impl TrafficStats {
@@ -78,9 +97,7 @@
             *self.admitted.entry(*workspace).or_default() += count;
         }
         for canary in &other.canaries {
-            let is_same =
-                |c: &&mut CanaryStats| c.service == canary.service && c.version == canary.version;
-            match self.canaries.iter_mut().find(is_same) {
+            match self.canaries.iter_mut().find(|c| c.is_same_rollout(canary)) {
                 Some(sum) => {
                     sum.responses += canary.responses;
                     sum.failures += canary.failures;
@@ -94,6 +111,7 @@
         self.crashes.extend(&other.crashes);
         self.crashes.sort_unstable();
         self.crashes.dedup();
+        self.leaving.extend(&other.leaving);
     }
 }
 
@@ -108,13 +126,49 @@
     pub rollouts: Vec<(String, u64, RolloutState)>,
 }
 
-/// State of one host, sent to the other hosts of its region.
+/// Hosts that an [`Aggregate`] covers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum AggregateScope {
+    /// The followers in the failure domain of the sender.
+    Followers,
+    /// All hosts of the region except the receiver.
+    Region,
+}
+
+/// Sum of the states of several hosts.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct StateSum {
+    /// Number of hosts that the sum includes.
+    pub host_count: usize,
+    /// Requests in flight, by short hash of the server's id.
+    pub in_flight: Vec<(NameHash, u32)>,
+    /// Traffic statistics.
+    pub stats: TrafficStats,
+}
+
+/// What a relay reports about other hosts.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Aggregate {
+    /// Which hosts are covered.
+    pub scope: AggregateScope,
+    /// The running hosts of the sender's failure domain or region, also those that the sum does not
+    /// include, and whether they accept new callers.
+    pub hosts: Vec<(Incarnation, bool)>,
+    /// Those of the hosts that the sender has known for a short time only.
+    pub new_hosts: Vec<Announcement>,
+    /// Sum of the states of the hosts in the scope.
+    pub sum: StateSum,
+}
+
+/// State of one host, sent to other hosts of its region.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Digest {
     /// The host that sent the digest.
     pub sender: Announcement,
     /// Whether the sender accepts new callers.
     pub ready: bool,
+    /// Whether the sender is a relay of its failure domain.
+    pub is_relay: bool,
     /// Whether the sender's last read of the store succeeded.
     pub reaches_store: bool,
     /// Milliseconds since the sender itself last read the store.
@@ -125,7 +179,9 @@
     pub in_flight: Vec<(NameHash, u32)>,
     /// Traffic statistics of the sender.
     pub stats: TrafficStats,
-    /// Summaries that the sender received directly from other regions.
+    /// Sum of other hosts, if the sender is a relay.
+    pub aggregate: Option<Aggregate>,
+    /// Summaries of other regions.
     pub region_summaries: Vec<RegionSummary>,
     /// Peer addresses of a few other hosts, for hosts that do not have them yet.
     pub known_hosts: Vec<SocketAddr>,
--- a/crates/core/src/steer/mod.rs
+++ b/crates/core/src/steer/mod.rs
@@ -12,6 +12,8 @@
 pub mod deferred_removals;
 pub mod digest;
 pub mod directory;
+pub mod exchange;
+pub mod leaving;
 pub mod mirror;
 pub mod pick;
 pub mod quota;
--- a/crates/core/src/steer/quota.rs
+++ b/crates/core/src/steer/quota.rs
@@ -32,6 +32,8 @@
 const INITIAL_TOKENS: f64 = 1.5;
 /// Time within which hosts receive each other's counts.
 const EXCHANGE_PERIOD: Duration = Duration::from_millis(200);
+/// The same when the counts arrive through relays.
+const DELAYED_EXCHANGE_PERIOD: Duration = Duration::from_millis(1000);
 /// Number of counting buckets per window.
 const BUCKETS_PER_WINDOW: u32 = 10;
 /// Longest time until the next token that is reported to a caller.
@@ -44,8 +46,10 @@
     pub admitted: f64,
     /// Hosts that may be running, this one included.
     pub host_count: usize,
-    /// Hosts that may be running but send no digests.
+    /// Hosts that may be running but whose state does not arrive.
     pub unreachable_hosts: usize,
+    /// Whether the counts arrive through relays, which takes longer.
+    pub is_delayed: bool,
 }
 
 /// Inputs of a quota decision for one workspace.
@@ -63,6 +67,7 @@
     /// Start of each counting bucket with the number of admitted requests.
     buckets: VecDeque<(Instant, u32)>,
     tokens: f64,
+    first_request_at: Instant,
     refilled_at: Instant,
     remote: RemoteUsage,
 }
@@ -112,10 +117,17 @@
         let reserved = allowance * self.remote.unreachable_hosts as f64 / host_count;
         let headroom = (allowance - admitted_here - self.remote.admitted - reserved).max(0.0);
         let total = admitted_here + self.remote.admitted;
-        let demand_share = if total > 0.0 { admitted_here / total } else { 1.0 / host_count };
+        // Until the first counts of the other hosts can have arrived, they show no demand elsewhere.
+        let is_demand_known = !self.remote.is_delayed
+            || now.saturating_since(self.first_request_at) > 2 * DELAYED_EXCHANGE_PERIOD;
+        let demand_share = match is_demand_known && total > 0.0 {
+            true => admitted_here / total,
+            false => 1.0 / host_count,
+        };
         let share = EVEN_SPLIT_FRACTION / host_count + (1.0 - EVEN_SPLIT_FRACTION) * demand_share;
         let per_period = headroom * PERIOD_FRACTION * share;
-        let rate = per_period / EXCHANGE_PERIOD.as_secs_f64();
+        let period = if self.remote.is_delayed { DELAYED_EXCHANGE_PERIOD } else { EXCHANGE_PERIOD };
+        let rate = per_period / period.as_secs_f64();
         let elapsed_s = now.saturating_since(self.refilled_at).as_secs_f64();
         let shared_burst = (BURST_FRACTION * headroom / host_count).min(MAX_BURST_TOKENS);
         let burst = shared_burst.max(MIN_BURST_TOKENS * headroom / allowance);
@@ -141,6 +153,7 @@
         }
         let usage = self.workspaces.entry(workspace.name.clone()).or_insert_with(|| QuotaUsage {
             tokens: INITIAL_TOKENS,
+            first_request_at: now,
             refilled_at: now,
             remote: remote(),
             ..QuotaUsage::default()
--- a/crates/core/src/steer/steering/mod.rs
+++ b/crates/core/src/steer/steering/mod.rs
@@ -4,25 +4,32 @@
 mod outcome;
 mod peers;
 mod plan;
+mod received;
 mod request;
 mod version_filter;
 
-use std::{collections::HashMap, sync::Arc, time::Duration};
+use std::{
+    collections::{HashMap, HashSet},
+    sync::Arc,
+    time::Duration,
+};
 
 use slotmap::SlotMap;
 
+use self::received::ReceivedStates;
 pub use self::request::{Dispatch, NextAction, PendingRequest, RequestHead};
 use super::{
     cold::ColdServerPacer,
     crash::CrashTracker,
-    digest::{CanaryStats, Digest, NameHash},
+    digest::{CanaryStats, NameHash},
+    leaving::LeavingServers,
     quota::Quotas,
     region_summaries::RegionSummaries,
     retry::RetryBudget,
     server::{Server, ServerKey},
     view::View,
 };
-use crate::{host::Incarnation, time::Instant};
+use crate::time::Instant;
 
 /// Base latency that is assumed before the first answer, as a fraction of the route's objective.
 const ASSUMED_LATENCY_FRACTION: f64 = 0.4;
@@ -69,11 +76,12 @@
     keys_by_id: HashMap<String, ServerKey>,
     keys_by_short_hash: HashMap<NameHash, ServerKey>,
     services: HashMap<String, ServiceState>,
-    digests: HashMap<Incarnation, (Instant, Digest)>,
+    received: ReceivedStates,
     remote_regions: RegionSummaries,
     quotas: Quotas,
     cold_pacer: ColdServerPacer,
     crashes: CrashTracker,
+    leaving: LeavingServers,
     last_plan_at: Instant,
     last_tick_at: Instant,
 }
@@ -87,11 +95,12 @@
             keys_by_id: HashMap::new(),
             keys_by_short_hash: HashMap::new(),
             services: HashMap::new(),
-            digests: HashMap::new(),
+            received: ReceivedStates::default(),
             remote_regions: RegionSummaries::default(),
             quotas: Quotas::default(),
             cold_pacer: ColdServerPacer::default(),
             crashes: CrashTracker::default(),
+            leaving: LeavingServers::default(),
             last_plan_at: Instant::ZERO,
             last_tick_at: Instant::ZERO,
         }
@@ -102,8 +111,8 @@
         &self.view
     }
 
-    /// Replaces the view and updates the servers to match it. Resets the counts of a service when
-    /// another version is rolled out.
+    /// Replaces the view and updates the servers to match it. Resets the counts of a service at a
+    /// new rollout order.
     pub fn install_view(&mut self, now: Instant, view: Arc<View>) {
         let servers_changed = !Arc::ptr_eq(&view.servers, &self.view.servers);
         let reopened_changed = !Arc::ptr_eq(&view.reopened_zones, &self.view.reopened_zones);
@@ -116,10 +125,11 @@
         }
         for (service, rollout) in view.rollouts.iter() {
             let state = self.services.entry(service.clone()).or_default();
-            if state.canary.version != rollout.order.version {
+            if state.canary.order_revision != rollout.order.revision {
                 state.canary = CanaryStats {
                     service: service.clone(),
                     version: rollout.order.version.clone(),
+                    order_revision: rollout.order.revision,
                     ..CanaryStats::default()
                 };
             }
@@ -131,9 +141,12 @@
             match self.keys_by_id.get(&entry.id) {
                 Some(key) => {
                     let server = &mut self.servers[*key];
-                    if server.entry.started_unix_ms != entry.started_unix_ms {
+                    if server.entry.is_succeeded_by(entry) {
                         let cold_until = now + entry.cold_duration;
                         *server = Server::new(Arc::clone(entry), server.region.clone(), cold_until);
+                        if entry.started_unix_ms.is_none() {
+                            self.leaving.remove(server.incarnation);
+                        }
                     } else if server.entry.sequence != entry.sequence {
                         server.cold_until = now + entry.cold_duration;
                         server.entry = Arc::clone(entry);
@@ -155,6 +168,7 @@
         self.keys_by_id.retain(|id, _| view.servers.contains_key(id));
         self.servers.retain(|_, s| {
             s.is_announced = view.servers.contains_key(&s.entry.id);
+            s.is_leaving |= self.leaving.contains(s.incarnation);
             s.is_announced || s.in_flight > 0
         });
         self.keys_by_short_hash.retain(|_, key| self.servers.contains_key(*key));
@@ -176,8 +190,10 @@
         self.last_tick_at = now;
         self.cold_pacer.expire(now);
         self.crashes.expire(now);
+        let announced: HashSet<_> = self.servers.values().map(|s| s.incarnation).collect();
+        self.leaving.expire(now, |server| announced.contains(&server));
         self.remote_regions.expire(now);
-        self.expire_digests(now);
+        self.expire_received_states(now);
         let mut quotas = std::mem::take(&mut self.quotas);
         quotas.update_remote_usage(now, &self.view.bounds, |workspace| {
             self.remote_usage(now, workspace)
@@ -188,10 +204,11 @@
         }
     }
 
-    /// Whether a server's announcement and the operators' orders allow requests to it.
+    /// Whether a server's announcements and the operators' orders allow requests to it.
     fn is_in_service(&self, view: &View, server: &Server) -> bool {
         server.is_announced
             && !server.entry.draining
+            && !server.is_leaving
             && !view.evacuated_zones.contains(&server.entry.zone)
     }
 }
--- a/crates/core/src/steer/steering/peers.rs
+++ b/crates/core/src/steer/steering/peers.rs
@@ -1,34 +1,77 @@
 //! Exchange of measurements with the other hosts.
 
-use std::{sync::Arc, time::Duration};
-
-use super::Steering;
+use super::{
+    Steering,
+    received::{self, ReceivedState, Source},
+};
 use crate::{
     host::Incarnation,
     steer::{
         crash::ServerCrash,
-        digest::{CanaryStats, Digest, NameHash, RegionSummary, TrafficStats, name_hash},
+        digest::{
+            AggregateScope, CanaryStats, Digest, NameHash, RegionSummary, StateSum, TrafficStats,
+            name_hash,
+        },
         quota::RemoteUsage,
-        rollout,
+        rollout::{self, Verdict},
     },
     time::Instant,
 };
 
-/// Time for which the last digest of a host counts towards the load of servers and the region's summary.
-const DIGEST_LIFETIME: Duration = Duration::from_millis(1500);
-
 impl Steering {
-    /// Applies the digest of another host of the region.
+    /// Applies the digest of another host of the region. Its aggregate must cover hosts that this
+    /// host does not count otherwise.
     pub fn receive_digest(&mut self, now: Instant, digest: Digest) {
-        self.receive_crashes(now, &digest.stats);
-        for summary in &digest.region_summaries {
+        let Digest { sender, in_flight, stats, aggregate, region_summaries, .. } = digest;
+        self.receive_crashes(now, &stats);
+        self.receive_leaving(now, &stats);
+        for summary in &region_summaries {
             self.receive_region_summary(now, summary);
         }
-        self.adjust_remote_in_flight(&digest.in_flight, u32::saturating_add);
-        let previous = self.digests.insert(digest.sender.incarnation, (now, digest));
-        if let Some((_, previous)) = previous {
-            self.adjust_remote_in_flight(&previous.in_flight, u32::saturating_sub);
-        }
+        let received = |sum| ReceivedState::new(now, sender.incarnation, sum);
+        let host_state = received(StateSum { host_count: 1, in_flight, stats });
+        let Some(aggregate) = aggregate else {
+            return self.receive_state(Source::Host(sender.incarnation), host_state);
+        };
+        self.receive_crashes(now, &aggregate.sum.stats);
+        self.receive_leaving(now, &aggregate.sum.stats);
+        let source = match aggregate.scope {
+            AggregateScope::Followers => {
+                self.receive_state(Source::Host(sender.incarnation), host_state);
+                Source::Followers(sender.zone)
+            }
+            AggregateScope::Region => Source::Region,
+        };
+        self.receive_state(source, received(aggregate.sum));
+    }
+
+    fn receive_state(&mut self, source: Source, state: ReceivedState) {
+        self.adjust_remote_in_flight(&state.sum.in_flight, u32::saturating_add);
+        let ended = self.received.insert(source, state);
+        self.adjust_remote_in_flight(&ended, u32::saturating_sub);
+    }
+
+    /// Returns the sum of the states of these hosts.
+    pub fn sum_of_hosts(&self, now: Instant, hosts: &[Incarnation]) -> StateSum {
+        let is_included = |source: &Source| matches!(source, Source::Host(h) if hosts.contains(h));
+        let states = self.received.fresh(now).filter(|(source, _)| is_included(source));
+        received::add_up(states.map(|(_, state)| &state.sum))
+    }
+
+    /// Returns the sum of the states of all hosts of the region, this one included, without that of
+    /// `receiver`.
+    pub fn sum_of_region(&self, now: Instant, receiver: Option<Incarnation>) -> StateSum {
+        let is_receiver = |source: &Source| receiver.is_some_and(|r| *source == Source::Host(r));
+        let others = self.received.without_region_sum(now);
+        let others = others.filter(|(source, _)| !is_receiver(source));
+        let (in_flight, stats) = (self.in_flight(), self.local_traffic_stats());
+        let local = StateSum { host_count: 1, in_flight, stats };
+        received::add_up(others.map(|(_, state)| &state.sum).chain([&local]))
+    }
+
+    /// Whether another host has had requests recently, according to its digests.
+    pub fn has_traffic(&self, now: Instant, host: Incarnation) -> bool {
+        self.received.has_traffic(now, host)
     }
 
     /// Adds or subtracts another host's requests in flight at each server.
@@ -45,30 +88,28 @@
         }
     }
 
-    /// Removes the digests of hosts that are no longer in the view, and the requests in flight of hosts
-    /// that have stopped sending digests.
-    pub(super) fn expire_digests(&mut self, now: Instant) {
-        let peers = Arc::clone(&self.view.peers);
-        let is_known = |host: &Incarnation| peers.iter().any(|p| p.host.incarnation == *host);
-        let is_fresh = |at: Instant| now.saturating_since(at) <= DIGEST_LIFETIME;
-        let mut digests = std::mem::take(&mut self.digests);
-        digests.retain(|host, (at, digest)| {
-            let is_known = is_known(host);
-            if !is_known || !is_fresh(*at) {
-                let in_flight = std::mem::take(&mut digest.in_flight);
-                self.adjust_remote_in_flight(&in_flight, u32::saturating_sub);
-            }
-            is_known
-        });
-        self.digests = digests;
+    /// Removes the states of hosts that have stopped sending digests.
+    pub(super) fn expire_received_states(&mut self, now: Instant) {
+        let ended = self.received.expire(now);
+        self.adjust_remote_in_flight(&ended, u32::saturating_sub);
     }
 
     /// Applies the summary of another region.
     pub fn receive_region_summary(&mut self, now: Instant, summary: &RegionSummary) {
         self.receive_crashes(now, &summary.stats);
+        self.receive_leaving(now, &summary.stats);
         self.remote_regions.insert(now, summary);
     }
 
+    fn receive_leaving(&mut self, now: Instant, stats: &TrafficStats) {
+        for incarnation in &stats.leaving {
+            if self.leaving.insert(now, *incarnation) {
+                let servers = self.servers.values_mut();
+                servers.filter(|s| s.incarnation == *incarnation).for_each(|s| s.is_leaving = true);
+            }
+        }
+    }
+
     fn receive_crashes(&mut self, now: Instant, stats: &TrafficStats) {
         for (fingerprint, server) in &stats.crashes {
             self.crashes
@@ -100,37 +141,40 @@
                 .confirmed_crashes()
                 .map(|crash| (crash.fingerprint, crash.server))
                 .collect(),
+            leaving: self.leaving.to_report().collect(),
         }
     }
 
     /// Returns the sum of the traffic statistics of all hosts of this region.
     pub fn regional_traffic_stats(&self, now: Instant) -> TrafficStats {
         let mut sum = self.local_traffic_stats();
-        for (at, digest) in self.digests.values() {
-            if now.saturating_since(*at) <= DIGEST_LIFETIME {
-                sum.merge(&digest.stats);
-            }
+        for (_, state) in self.received.fresh(now) {
+            sum.merge(&state.sum.stats);
         }
         sum
     }
 
     fn canary_stats(&self, service: &str) -> Option<CanaryStats> {
         let mut canary = self.services.get(service)?.canary.clone();
-        canary.found_faulty = self.is_faulty(service);
+        canary.found_faulty = self.rollout_verdict(service) == Verdict::Faulty;
         Some(canary)
     }
 
-    /// Whether the version that is rolled out for a service is faulty.
-    pub fn is_faulty(&self, service: &str) -> bool {
-        let Some(own) = self.services.get(service).map(|s| &s.canary) else { return false };
-        let same_region = self.digests.values().flat_map(|(_, d)| &d.stats.canaries);
+    /// Judges the version that is rolled out for a service.
+    pub fn rollout_verdict(&self, service: &str) -> Verdict {
+        let Some(own) = self.services.get(service).map(|s| &s.canary) else {
+            return Verdict::Sound;
+        };
+        let states = self.received.for_rollouts(self.last_tick_at);
+        let same_region = states.flat_map(|(_, state)| &state.sum.stats.canaries);
         let summaries = self.remote_regions.all(self.last_tick_at);
         let others = same_region.chain(summaries.iter().flat_map(|s| &s.stats.canaries));
-        let same_version = others.filter(|t| t.service == own.service && t.version == own.version);
-        rollout::is_faulty(std::iter::once(own).chain(same_version))
+        let same_rollout = others.filter(|canary| canary.is_same_rollout(own));
+        rollout::verdict(std::iter::once(own).chain(same_rollout))
     }
 
-    /// Returns the use of a workspace's quota by the other hosts.
+    /// Returns the use of a workspace's quota by the other hosts. A host whose state is in no sum
+    /// counts as unreachable, also if a relay reports it as running.
     pub(super) fn remote_usage(&self, now: Instant, workspace: &str) -> RemoteUsage {
         let key = name_hash(workspace);
         let summaries = self.remote_regions.all(now);
@@ -140,18 +184,20 @@
         let listed = || self.view.peers.iter().filter(|p| !has_summary(&p.region));
         let summarized: usize =
             summaries.iter().map(|s| s.hosts.len() + s.unreachable_hosts as usize).sum();
-        let unreachable_listed = listed().filter(|p| !p.is_reachable).count();
-        let unreachable_hosts = unreachable_listed
+        let (in_region, elsewhere): (Vec<_>, Vec<_>) =
+            listed().partition(|p| p.region == self.view.region);
+        let counted: usize = self.received.fresh(now).map(|(_, state)| state.sum.host_count).sum();
+        let unreachable_hosts = in_region.len().saturating_sub(counted)
+            + elsewhere.iter().filter(|p| !p.is_reachable).count()
             + summaries.iter().map(|s| s.unreachable_hosts as usize).sum::<usize>();
-        let same_region =
-            self.view.peers.iter().filter(|p| p.is_reachable && p.region == self.view.region);
-        let digests = same_region.filter_map(|p| self.digests.get(&p.host.incarnation));
-        let stats = digests.map(|(_, d)| &d.stats).chain(summaries.iter().map(|s| &s.stats));
+        let same_region = self.received.fresh(now).map(|(_, state)| &state.sum.stats);
+        let stats = same_region.chain(summaries.iter().map(|s| &s.stats));
         let admitted = stats.filter_map(|s| s.admitted.get(&key)).sum::<u32>();
         RemoteUsage {
             admitted: f64::from(admitted),
-            host_count: 1 + listed().count() + summarized,
+            host_count: 1 + in_region.len() + elsewhere.len() + summarized,
             unreachable_hosts,
+            is_delayed: self.received.has_region_sum(now),
         }
     }
 }
--- a/crates/core/src/steer/steering/plan.rs
+++ b/crates/core/src/steer/steering/plan.rs
@@ -57,8 +57,8 @@
             if is_measured {
                 region_loads[home_region].demand += state.request_rate * slot_time_s;
                 let key = name_hash(&name);
-                for (_, digest) in self.digests.values() {
-                    let rate = digest.stats.request_rates.get(&key).copied().unwrap_or(0.0);
+                for (_, received) in self.received.fresh(now) {
+                    let rate = received.sum.stats.request_rates.get(&key).copied().unwrap_or(0.0);
                     region_loads[home_region].demand += f64::from(rate) * slot_time_s;
                 }
                 for summary in self.remote_regions.all(now) {
--- a/crates/core/tests/steer/common.rs
+++ b/crates/core/tests/steer/common.rs
@@ -53,11 +53,13 @@
     Digest {
         sender: announcement(incarnation, zone),
         ready: true,
+        is_relay: true,
         reaches_store: true,
         store_read_age_ms: None,
         progress: StoreProgress::default(),
         in_flight: Vec::new(),
         stats: TrafficStats::default(),
+        aggregate: None,
         region_summaries: Vec::new(),
         known_hosts: Vec::new(),
     }
--- a/crates/core/tests/steer/main.rs
+++ b/crates/core/tests/steer/main.rs
@@ -5,6 +5,8 @@
 mod crash;
 mod deferred_removals;
 mod directory;
+mod exchange;
+mod leaving;
 mod mirror;
 mod pick;
 mod quota;
--- a/crates/core/tests/steer/quota.rs
+++ b/crates/core/tests/steer/quota.rs
@@ -20,6 +20,8 @@
     cut_off: usize,
     /// Number of 10 ms steps between two exchanges of counts.
     exchange_steps: u64,
+    /// Whether the hosts know that the counts arrive late, through relays.
+    is_delayed: bool,
     /// Smallest share of the offered requests that must be admitted.
     min_admitted_share: f64,
 }
@@ -30,6 +32,7 @@
     rate: 80.0,
     cut_off: 0,
     exchange_steps: 20,
+    is_delayed: false,
     min_admitted_share: 0.99,
 };
 const SKEWED: Case = Case {
@@ -38,6 +41,7 @@
     rate: 80.0,
     cut_off: 0,
     exchange_steps: 20,
+    is_delayed: false,
     min_admitted_share: 0.97,
 };
 const SMALL: Case = Case {
@@ -46,6 +50,7 @@
     rate: 12.8,
     cut_off: 0,
     exchange_steps: 20,
+    is_delayed: false,
     min_admitted_share: 0.99,
 };
 const FLOOD: Case = Case {
@@ -54,6 +59,7 @@
     rate: 80.0,
     cut_off: 0,
     exchange_steps: 20,
+    is_delayed: false,
     min_admitted_share: 0.1,
 };
 const FLOOD_CUT_OFF: Case = Case {
@@ -62,6 +68,7 @@
     rate: 80.0,
     cut_off: 4,
     exchange_steps: 20,
+    is_delayed: false,
     min_admitted_share: 0.05,
 };
 const FLOOD_SMALL_CUT_OFF: Case = Case {
@@ -70,6 +77,7 @@
     rate: 12.8,
     cut_off: 3,
     exchange_steps: 20,
+    is_delayed: false,
     min_admitted_share: 0.05,
 };
 
@@ -79,6 +87,7 @@
     rate: 20.0,
     cut_off: 0,
     exchange_steps: 35,
+    is_delayed: false,
     min_admitted_share: 0.96,
 };
 const LARGE_FLEET_FLOOD: Case = Case {
@@ -87,6 +96,7 @@
     rate: 20.0,
     cut_off: 0,
     exchange_steps: 35,
+    is_delayed: false,
     min_admitted_share: 0.1,
 };
 const LARGE_FLEET_FLOOD_LARGE_WORKSPACE: Case = Case {
@@ -95,6 +105,7 @@
     rate: 100.0,
     cut_off: 0,
     exchange_steps: 35,
+    is_delayed: false,
     min_admitted_share: 0.1,
 };
 const LARGE_FLEET_FLOOD_CUT_OFF: Case = Case {
@@ -103,9 +114,18 @@
     rate: 20.0,
     cut_off: 30,
     exchange_steps: 35,
+    is_delayed: false,
     min_admitted_share: 0.05,
 };
 
+/// All hosts are followers, whose counts reach each other through relays after 0.7 to 1.4 s.
+const FOLLOWERS_FLOOD: Case =
+    Case { exchange_steps: 70, is_delayed: true, ..LARGE_FLEET_FLOOD_LARGE_WORKSPACE };
+const FEW_FOLLOWERS_FLOOD: Case =
+    Case { exchange_steps: 70, is_delayed: true, min_admitted_share: 0.05, ..FLOOD };
+const FOLLOWERS: Case =
+    Case { exchange_steps: 70, is_delayed: true, min_admitted_share: 0.5, ..LARGE_FLEET };
+
 /// Seeds of the random arrivals.
 const SEEDS: std::ops::Range<u64> = 0..8;
 
@@ -121,6 +141,9 @@
 #[test_case(&LARGE_FLEET_FLOOD; "a small workspace floods a large fleet")]
 #[test_case(&LARGE_FLEET_FLOOD_LARGE_WORKSPACE; "a large workspace floods a large fleet")]
 #[test_case(&LARGE_FLEET_FLOOD_CUT_OFF; "a flood while a third of a large fleet is cut off")]
+#[test_case(&FOLLOWERS; "a small workspace on followers")]
+#[test_case(&FOLLOWERS_FLOOD; "a large workspace floods many followers")]
+#[test_case(&FEW_FOLLOWERS_FLOOD; "a workspace floods few followers")]
 fn the_bound_holds_in_every_window(case: &Case) {
     let (mut offered, mut admitted) = (0, 0);
     for seed in SEEDS {
@@ -142,7 +165,12 @@
         let reaches = |m: usize| n >= case.cut_off && m >= case.cut_off && m != n;
         let admitted = (0..case.hosts).filter(|m| reaches(*m)).map(|m| counts[m]).sum();
         let unreachable_hosts = (0..case.hosts).filter(|m| *m != n && !reaches(*m)).count();
-        RemoteUsage { admitted, host_count: case.hosts, unreachable_hosts }
+        RemoteUsage {
+            admitted,
+            host_count: case.hosts,
+            unreachable_hosts,
+            is_delayed: case.is_delayed,
+        }
     };
     for step in 0..2000u64 {
         let now = at(1000 + step * 10);
--- a/crates/core/tests/steer/region_summaries.rs
+++ b/crates/core/tests/steer/region_summaries.rs
@@ -7,9 +7,10 @@
     host::Incarnation,
     steer::{
         catalog::{Catalog, Limits},
-        control::{Change, ControlState, StoreStatus},
+        control::{Change, ControlState, DigestParts, StoreStatus},
         digest::{CanaryStats, StoreProgress, TrafficStats, name_hash},
         region_summaries::RegionSummaries,
+        rollout::Verdict,
         steering::{RequestHead, Steering},
         view::{Peer, View},
     },
@@ -21,7 +22,15 @@
     zone_regions,
 };
 
-const STORE_STATUS: StoreStatus = StoreStatus { is_reachable: true, read_age_ms: None };
+fn parts() -> DigestParts {
+    DigestParts {
+        progress: StoreProgress::default(),
+        store: StoreStatus { is_reachable: true, read_age_ms: None },
+        in_flight: Vec::new(),
+        stats: TrafficStats::default(),
+        aggregate: None,
+    }
+}
 
 #[test]
 fn a_duplicate_does_not_extend_the_lifetime_of_a_summary() {
@@ -114,12 +123,7 @@
         .collect();
     assert_eq!(reachable, [Incarnation(20)]);
     // A forwarded summary is not forwarded again.
-    let digest = control.build_digest(
-        StoreProgress::default(),
-        STORE_STATUS,
-        vec![],
-        TrafficStats::default(),
-    );
+    let digest = control.build_digest(at(20), parts());
     assert!(digest.region_summaries.is_empty());
 }
 
@@ -142,6 +146,7 @@
     let canary = CanaryStats {
         service: "lookup".to_owned(),
         version: "v2".to_owned(),
+        order_revision: 3,
         responses: 20,
         failures: 10,
         ..CanaryStats::default()
@@ -149,10 +154,10 @@
     let mut summary = region_summary("b", 20, 1);
     summary.stats.canaries = vec![canary];
     summary.stats.admitted = [(name_hash("w"), 3)].into();
-    assert!(!steering.is_faulty("lookup"));
+    assert_eq!(steering.rollout_verdict("lookup"), Verdict::Sound);
     steering.receive_region_summary(at(10), &summary);
     steering.tick(at(20));
-    assert!(steering.is_faulty("lookup"));
+    assert_eq!(steering.rollout_verdict("lookup"), Verdict::Faulty);
 }
 
 #[test]
@@ -214,12 +219,7 @@
     let mut control = control(&[2]);
     control.receive_region_summary(at(10), region_summary("b", 20, 1));
     control.receive_region_summary(at(20), region_summary("b", 21, 1));
-    let digest = control.build_digest(
-        StoreProgress::default(),
-        STORE_STATUS,
-        vec![],
-        TrafficStats::default(),
-    );
+    let digest = control.build_digest(at(20), parts());
     let senders: Vec<Incarnation> = digest.region_summaries.iter().map(|s| s.sender).collect();
     assert_eq!(senders, [Incarnation(21)]);
 }
@@ -237,3 +237,36 @@
         control.build_region_summary(at(20), StoreProgress::default(), TrafficStats::default());
     assert_eq!(targets, [sender_address]);
 }
+
+struct CopyCase {
+    /// Larger hosts of the region that send digests: incarnation, failure domain and revision of the
+    /// operators' data.
+    hosts: &'static [(u64, &'static str, u64)],
+    /// Revision in the summary of the other region.
+    elsewhere: u64,
+    /// Incarnation of the host that this one, which has revision 5, copies from.
+    copies_from: Option<u64>,
+}
+
+/// When every host copied a change from the first region that has it, the links between regions
+/// would carry it once for each host.
+#[test_case(&CopyCase { hosts: &[(2, "a2", 5)], elsewhere: 5, copies_from: None }; "nothing is newer")]
+#[test_case(&CopyCase { hosts: &[(2, "a1", 7), (3, "a2", 8)], elsewhere: 9, copies_from: Some(2) }; "a newer host in its own failure domain")]
+#[test_case(&CopyCase { hosts: &[(2, "a1", 5), (3, "a2", 8)], elsewhere: 9, copies_from: Some(3) }; "a newer host in its region")]
+#[test_case(&CopyCase { hosts: &[(2, "a2", 5), (3, "a2", 5)], elsewhere: 9, copies_from: None }; "a newer region and two larger gateways")]
+#[test_case(&CopyCase { hosts: &[(2, "a2", 5)], elsewhere: 9, copies_from: Some(20) }; "a newer region for a gateway")]
+fn changes_are_copied_from_the_nearest_host(case: &CopyCase) {
+    let mut control = control(&[]);
+    for (incarnation, zone, revision) in case.hosts {
+        let mut digest = digest(*incarnation, zone);
+        digest.sender.millicores = 500;
+        digest.progress.operator_revision = *revision;
+        control.receive_digest(at(0), &digest);
+    }
+    let mut summary = region_summary("b", 20, 1);
+    summary.progress.operator_revision = case.elsewhere;
+    control.receive_region_summary(at(10), summary);
+    control.tick(at(20));
+    let expected = case.copies_from.map(|n| announcement(n, "a1").peer_address);
+    assert_eq!(control.host_with_newer_operator_data(at(20), 5), expected);
+}
--- a/crates/edge/src/control/context.rs
+++ b/crates/edge/src/control/context.rs
@@ -12,14 +12,15 @@
         bounds::Bounds,
         control::{Change, ControlState, DueRecord, StoreStatus},
         deferred_removals::{DeferredRemovals, KeyedChange},
-        digest::{Digest, RegionSummary, StoreProgress},
+        digest::{Digest, Message, RegionSummary, StoreProgress},
+        exchange::{self, OutgoingMessage, StoreState},
         mirror::{ItemChange, Mirror, Snapshot},
         server_changes::{ServerChangeLog, ServerUpdate},
     },
     time::Instant,
 };
 use jasminestage_net::clock;
-use jasminestage_platform::store_items;
+use jasminestage_platform::{store::LeaseId, store_items};
 
 use crate::shared::Shared;
 
@@ -46,6 +47,8 @@
 pub struct ControlContext {
     /// State shared with the traffic thread.
     pub shared: Arc<Shared>,
+    /// Lease of this host's announcement; `None` while this host is not announced.
+    pub lease: Cell<Option<LeaseId>>,
     control: RefCell<ControlState>,
     operator_data: RefCell<Mirror>,
     servers: RefCell<Mirror>,
@@ -67,6 +70,7 @@
         let control =
             ControlState::new(cfg.bounds.clone(), shared.announcement.clone(), cfg.domains.clone());
         ControlContext {
+            lease: Cell::new(None),
             control: RefCell::new(control),
             operator_data: RefCell::default(),
             servers: RefCell::default(),
@@ -280,8 +284,9 @@
 
     /// Applies the digest of another host of the region.
     pub fn receive_digest(&self, digest: Digest) {
-        self.control.borrow_mut().receive_digest(clock::now(), &digest);
-        self.shared.with_steering(|steering, now| steering.receive_digest(now, digest));
+        self.shared.with_steering(|steering, now| {
+            exchange::receive_digest(now, &mut self.control.borrow_mut(), steering, digest);
+        });
         self.publish();
     }
 
@@ -309,30 +314,28 @@
         }
     }
 
-    /// Builds the digest for the other hosts of the region.
-    pub fn digest(&self) -> Digest {
-        let (in_flight, traffic) = self
-            .shared
-            .with_steering(|steering, _| (steering.in_flight(), steering.local_traffic_stats()));
-        let read_age_ms = self.store_read_at.get().map(|read_at| {
-            clock::now().saturating_since(read_at).as_millis().min(u128::from(u32::MAX)) as u32
-        });
-        let store = StoreStatus { is_reachable: self.reaches_store.get(), read_age_ms };
-        let progress = self.progress();
-        self.control.borrow_mut().build_digest(progress, store, in_flight, traffic)
+    /// Builds the messages to other hosts that are due in a turn.
+    pub fn due_messages(&self, turn: u64) -> Vec<OutgoingMessage> {
+        let store = self.store_state();
+        self.shared.with_steering(|steering, now| {
+            exchange::due_messages(now, turn, &mut self.control.borrow_mut(), steering, &store)
+        })
     }
 
-    /// Builds the summary for the other regions, with the addresses of the hosts that receive it.
-    pub fn region_summary(&self) -> (RegionSummary, Vec<SocketAddr>) {
-        let traffic =
-            self.shared.with_steering(|steering, now| steering.regional_traffic_stats(now));
-        let progress = self.progress();
-        self.control.borrow_mut().build_region_summary(clock::now(), progress, traffic)
+    /// Builds this host's own digest, for a host that has just contacted it.
+    pub fn own_digest(&self) -> Message {
+        let store = self.store_state();
+        self.shared.with_steering(|steering, now| {
+            exchange::own_digest(now, &mut self.control.borrow_mut(), steering, &store)
+        })
     }
 
-    /// Returns the peer addresses of the other hosts of the region.
-    pub fn same_region_addresses(&self) -> Vec<SocketAddr> {
-        self.control.borrow().same_region_addresses()
+    fn store_state(&self) -> StoreState {
+        let read_age_ms = self.store_read_at.get().map(|read_at| {
+            clock::now().saturating_since(read_at).as_millis().min(u128::from(u32::MAX)) as u32
+        });
+        let status = StoreStatus { is_reachable: self.reaches_store.get(), read_age_ms };
+        StoreState { progress: self.progress(), status }
     }
 
     /// Whether there is another host with this peer address.
@@ -355,7 +358,7 @@
     pub fn due_records(&self) -> Vec<DueRecord> {
         let shared = &self.shared;
         self.control.borrow_mut().due_records(clock::now(), clock::unix_millis(), |service| {
-            shared.with_steering(|steering, _| steering.is_faulty(service))
+            shared.with_steering(|steering, _| steering.rollout_verdict(service))
         })
     }
 
--- a/crates/edge/src/control/gossip.rs
+++ b/crates/edge/src/control/gossip.rs
@@ -8,12 +8,8 @@
 use super::context::ControlContext;
 use crate::error::EdgeError;
 
-/// Period of digests in a region with fewer than `LARGE_REGION_HOSTS` other hosts.
-const DIGEST_PERIOD: Duration = Duration::from_millis(200);
-/// Number of other hosts in a region from which on digests are sent less often.
-const LARGE_REGION_HOSTS: usize = 16;
-/// Period of digests in a large region.
-const LARGE_REGION_DIGEST_PERIOD: Duration = Duration::from_millis(350);
+/// Time between two turns; in each one some of the messages are due.
+const TURN: Duration = Duration::from_millis(200);
 /// Maximum size of a message.
 const MAX_MESSAGE_BYTES: usize = 60_000;
 /// Number of received messages after which unknown hosts that digests list are contacted again.
@@ -69,17 +65,20 @@
         match message {
             Message::Host(digest) => {
                 let own_address = context.shared.announcement.peer_address;
+                let is_known = context.has_peer_at(digest.sender.peer_address);
+                let new_sender = (!is_known).then_some(digest.sender.peer_address);
                 let unknown: Vec<SocketAddr> = digest
                     .known_hosts
                     .iter()
                     .copied()
+                    .chain(new_sender)
                     .filter(|a| {
                         *a != own_address && !context.has_peer_at(*a) && contacted.insert(*a)
                     })
                     .collect();
                 context.receive_digest(*digest);
                 if !unknown.is_empty() {
-                    send(&udp, &Message::Host(Box::new(context.digest())), &unknown);
+                    send(&udp, &context.own_digest(), &unknown);
                 }
             }
             Message::Region(summary) => context.receive_region_summary(*summary),
@@ -87,26 +86,24 @@
     }
 }
 
-/// In each period, applies due removals and timeouts and sends a digest and a region summary, until
-/// the process ends.
+/// In each turn, applies due removals and timeouts and sends the messages that are due, until the
+/// process ends.
 pub async fn broadcast(context: Rc<ControlContext>, udp: Rc<UdpSocket>) {
-    loop {
-        let is_large = context.same_region_addresses().len() >= LARGE_REGION_HOSTS;
-        tokio::time::sleep(if is_large { LARGE_REGION_DIGEST_PERIOD } else { DIGEST_PERIOD }).await;
+    for turn in 1.. {
+        tokio::time::sleep(TURN).await;
         context.tick();
-        broadcast_once(&context, &udp);
+        send_due(&context, &udp, turn);
     }
 }
 
-/// Sends a digest to the hosts of the region and a region summary to the other regions.
-pub fn broadcast_once(context: &ControlContext, udp: &UdpSocket) {
-    let region_addresses = context.same_region_addresses();
-    if !region_addresses.is_empty() {
-        send(udp, &Message::Host(Box::new(context.digest())), &region_addresses);
-    }
-    let (summary, remote_addresses) = context.region_summary();
-    if !remote_addresses.is_empty() {
-        send(udp, &Message::Region(Box::new(summary)), &remote_addresses);
+/// Sends all messages at once, before a planned stop.
+pub fn send_all(context: &ControlContext, udp: &UdpSocket) {
+    send_due(context, udp, 0);
+}
+
+fn send_due(context: &ControlContext, udp: &UdpSocket, turn: u64) {
+    for (message, addresses) in context.due_messages(turn) {
+        send(udp, &message, &addresses);
     }
 }
 
--- a/crates/edge/src/control/mod.rs
+++ b/crates/edge/src/control/mod.rs
@@ -65,7 +65,7 @@
         while *phase.borrow_and_update() < Phase::Ended {
             if *phase.borrow() >= Phase::Draining {
                 context.begin_stop();
-                gossip::broadcast_once(&context, &sockets.udp);
+                gossip::send_all(&context, &sockets.udp);
             }
             if phase.changed().await.is_err() {
                 break;
--- a/crates/edge/src/control/registry.rs
+++ b/crates/edge/src/control/registry.rs
@@ -1,6 +1,6 @@
 //! Announces this host in the store and reads the announcements of the other hosts.
 
-use std::{cell::Cell, rc::Rc, time::Duration};
+use std::{rc::Rc, time::Duration};
 
 use jasminestage_platform::{
     keys,
@@ -21,11 +21,6 @@
 /// region.
 const RENEWALS_PER_READ: u32 = 4;
 
-thread_local! {
-    /// Lease of this host's announcement; `None` while this host is not announced.
-    static LEASE: Cell<Option<LeaseId>> = const { Cell::new(None) };
-}
-
 /// Announces this host, renews the announcement and reads those of the other hosts until the
 /// process ends.
 pub async fn maintain_announcement(context: Rc<ControlContext>) {
@@ -44,7 +39,7 @@
                 dependency.report_recovery();
                 tokio::time::sleep(RENEWAL_PERIOD).await;
             }
-            Err(StoreError::LeaseNotFound) => LEASE.set(None),
+            Err(StoreError::LeaseNotFound) => context.lease.set(None),
             Err(e) => {
                 dependency.report_failure(&e);
                 backoff.pause().await;
@@ -59,7 +54,7 @@
     read: Option<Freshness>,
 ) -> Result<(), StoreError> {
     let metrics = &context.shared.metrics;
-    match LEASE.get() {
+    match context.lease.get() {
         Some(lease) => {
             let result = store.renew_lease(lease).await;
             metrics.count_store_call("renew lease", result.is_ok());
@@ -68,7 +63,7 @@
         None => {
             let result = announce(context, store).await;
             metrics.count_store_call("announce", result.is_ok());
-            LEASE.set(Some(result?));
+            context.lease.set(Some(result?));
         }
     }
     let Some(freshness) = read else { return Ok(()) };
@@ -95,7 +90,7 @@
 
 /// Removes the announcement at a planned stop.
 pub async fn withdraw_announcement(context: &ControlContext) {
-    let Some(lease) = LEASE.get() else { return };
+    let Some(lease) = context.lease.get() else { return };
     let mut store = StoreClient::new(context.shared.cfg.store, STORE_TIMEOUT / 5);
     if let Err(e) = store.revoke_lease(lease).await {
         // The announcement expires with its lease.
--- a/crates/edge/tests/processes/main.rs
+++ b/crates/edge/tests/processes/main.rs
@@ -1,6 +1,9 @@
 //! Tests of real host processes with stand-ins for the platform's store and servers.
 
 mod path;
+mod pipeline;
+mod raw;
+mod reports;
 mod settings;
 mod stop;
 mod store;
