Run requests that are sent one behind another at the same time

Cause: the HTTP library starts a request when the one before has been answered, so callers that send several wait for the sum. Connections that were accepted when the host closes its port were closed before their first request was read. Change: requests without a body are read ahead with httparse and run as tasks, at most max_pipelined_requests of a connection; responses are written in order; everything else goes to the library with the bytes read. A request that must run at most once starts only after all before it. At a planned stop the queue of new connections is served.

--- a/crates/edge/src/front/endpoints.rs
+++ b/crates/edge/src/front/endpoints.rs
@@ -3,18 +3,20 @@
 use std::sync::Arc;
 
 use http::{HeaderValue, Request, StatusCode, header};
-use hyper::body::Incoming;
 use jasminestage_core::steer::directory::resolve;
 use jasminestage_platform::directory;
 
-use super::responses::{FullResponse, text};
+use super::{
+    listener::CallerBody,
+    responses::{FullResponse, text},
+};
 use crate::shared::Shared;
 
 /// Answers one request without waiting.
-pub type Handler = fn(&Arc<Shared>, &Request<Incoming>) -> FullResponse;
+pub type Handler = fn(&Arc<Shared>, &Request<CallerBody>) -> FullResponse;
 
 /// Returns the addresses of the hosts to which a caller should connect.
-pub fn directory(shared: &Arc<Shared>, req: &Request<Incoming>) -> FullResponse {
+pub fn directory(shared: &Arc<Shared>, req: &Request<CallerBody>) -> FullResponse {
     if req.uri().path() != directory::RESOLVE_PATH {
         return text(StatusCode::NOT_FOUND, "There is no such page.");
     }
@@ -38,7 +40,7 @@
 }
 
 /// Returns whether this host accepts callers.
-pub fn readiness(shared: &Arc<Shared>, req: &Request<Incoming>) -> FullResponse {
+pub fn readiness(shared: &Arc<Shared>, req: &Request<CallerBody>) -> FullResponse {
     if req.uri().path() != directory::READINESS_PATH {
         return text(StatusCode::NOT_FOUND, "There is no such page.");
     }
@@ -49,7 +51,7 @@
 }
 
 /// Returns all metrics in the text format of Prometheus.
-pub fn metrics(shared: &Arc<Shared>, _: &Request<Incoming>) -> FullResponse {
+pub fn metrics(shared: &Arc<Shared>, _: &Request<CallerBody>) -> FullResponse {
     match shared.metrics.encode() {
         Ok(page) => text(StatusCode::OK, page),
         Err(e) => {
--- a/crates/edge/src/front/listener.rs
+++ b/crates/edge/src/front/listener.rs
@@ -2,16 +2,23 @@
 
 use std::{convert::Infallible, future::Future, io, net::SocketAddr, sync::Arc, time::Duration};
 
+use bytes::Bytes;
+use futures_util::FutureExt;
 use http::Request;
+use http_body_util::{BodyExt, combinators::UnsyncBoxBody};
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::{
+    io::AsyncReadExt,
     net::{TcpListener, TcpSocket, TcpStream},
     sync::watch,
     task::JoinSet,
 };
 
-use super::responses::FullResponse;
+use super::{
+    pipeline::{self, Remainder},
+    responses::FullResponse,
+};
 use crate::{
     error::EdgeError,
     shared::{Phase, Shared},
@@ -24,6 +31,9 @@
 /// Pause after a connection could not be accepted.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
+/// Body of a caller's request.
+pub type CallerBody = UnsyncBoxBody<Bytes, hyper::Error>;
+
 /// A listening socket.
 pub struct Listener {
     listener: TcpListener,
@@ -47,10 +57,11 @@
         Ok(Listener { listener })
     }
 
-    /// Accepts connections until [`Phase::Closing`], then waits for the requests in flight.
+    /// Accepts connections until [`Phase::Closing`], then those that already wait to be accepted, and
+    /// waits for the requests in flight.
     pub async fn run<F, Fut>(self, shared: Arc<Shared>, handle: F) -> Result<(), Infallible>
     where
-        F: Fn(Request<Incoming>) -> Fut + Clone + Send + Sync + 'static,
+        F: Fn(Request<CallerBody>) -> Fut + Clone + Send + Sync + 'static,
         Fut: Future<Output = Option<FullResponse>> + Send + 'static,
     {
         let mut connections = JoinSet::new();
@@ -74,6 +85,9 @@
                 () = wait_for_phase(&mut phase, Phase::Closing) => break,
             }
         }
+        while let Some(Ok((stream, _))) = self.listener.accept().now_or_never() {
+            connections.spawn(serve_connection(Arc::clone(&shared), stream, handle.clone()));
+        }
         drop(self.listener);
         while connections.join_next().await.is_some() {}
         Ok(())
@@ -81,24 +95,39 @@
 }
 
 /// Waits until the process has reached a phase.
-async fn wait_for_phase(phases: &mut watch::Receiver<Phase>, phase: Phase) {
+pub async fn wait_for_phase(phases: &mut watch::Receiver<Phase>, phase: Phase) {
     // The sender exists until the process ends, so the wait cannot fail.
     let _ = phases.wait_for(|p| *p >= phase).await.map(|_| ());
 }
 
 async fn serve_connection<F, Fut>(shared: Arc<Shared>, stream: TcpStream, handle: F)
 where
-    F: Fn(Request<Incoming>) -> Fut,
-    Fut: Future<Output = Option<FullResponse>>,
+    F: Fn(Request<CallerBody>) -> Fut,
+    Fut: Future<Output = Option<FullResponse>> + Send + 'static,
 {
     if let Err(e) = stream.set_nodelay(true) {
         tracing::debug!(error = %e, "Setting TCP_NODELAY on a connection failed.");
     }
+    match pipeline::serve(&shared, stream, &handle).await {
+        Ok(Some(remainder)) => serve_remainder(&shared, remainder, &handle).await,
+        Ok(None) => {}
+        Err(e) => tracing::debug!(error = %e, "A connection to a caller failed."),
+    }
+}
+
+/// Serves a connection by the HTTP library, one request after the other.
+async fn serve_remainder<F, Fut>(shared: &Shared, remainder: Remainder, handle: &F)
+where
+    F: Fn(Request<CallerBody>) -> Fut,
+    Fut: Future<Output = Option<FullResponse>>,
+{
     let limits = shared.view.load().catalog.limits.clone();
-    let service = service_fn(|req| {
-        let response = handle(req);
+    let service = service_fn(|req: Request<Incoming>| {
+        let response = handle(req.map(BodyExt::boxed_unsync));
         async move { response.await.ok_or(NoResponse) }
     });
+    let (read_half, write_half) = remainder.stream.into_split();
+    let stream = tokio::io::join(io::Cursor::new(remainder.unread).chain(read_half), write_half);
     // The library measures the time for reading a head from the end of the previous response, which
     // includes the idle time. A single timer therefore limits both, with the idle timeout.
     let connection = http1::Builder::new()
--- a/crates/edge/src/front/mod.rs
+++ b/crates/edge/src/front/mod.rs
@@ -2,6 +2,7 @@
 
 mod endpoints;
 mod listener;
+mod pipeline;
 mod request;
 mod responses;
 mod trace;
@@ -15,7 +16,7 @@
     error::EdgeError,
     shared::{Phase, Shared},
     stop,
-    upstream::Pool,
+    upstream::{BodyMemory, Pool, Upstream},
 };
 
 /// Period in which idle connections to servers are checked.
@@ -29,12 +30,13 @@
 }
 
 async fn serve(shared: Arc<Shared>) -> Result<(), EdgeError> {
-    let pool = Arc::new(Pool::default());
+    let memory = BodyMemory::new(shared.cfg.max_response_bytes, shared.cfg.response_memory());
+    let upstream = Arc::new(Upstream { pool: Pool::default(), body_memory: Arc::new(memory) });
     let callers = Listener::bind(shared.cfg.callers)?;
     let directory = Listener::bind(shared.cfg.directory)?;
     let readiness = Listener::bind(shared.cfg.readiness)?;
     tokio::spawn(stop::reload_on_hangup(Arc::clone(&shared)));
-    tokio::spawn(expire_idle_connections(Arc::clone(&shared), Arc::clone(&pool)));
+    tokio::spawn(expire_idle_connections(Arc::clone(&shared), Arc::clone(&upstream)));
     spawn_endpoint(&shared, directory, endpoints::directory);
     spawn_endpoint(&shared, readiness, endpoints::readiness);
     match Listener::bind(shared.cfg.metrics) {
@@ -44,7 +46,7 @@
     }
     let state = Arc::clone(&shared);
     let caller_task = tokio::spawn(callers.run(Arc::clone(&shared), move |req| {
-        request::handle(Arc::clone(&state), Arc::clone(&pool), req)
+        request::handle(Arc::clone(&state), Arc::clone(&upstream), req)
     }));
     stop::wait_for_stop(Arc::clone(&shared)).await?;
     if tokio::time::timeout(stop::closing_limit(&shared), caller_task).await.is_err() {
@@ -62,10 +64,11 @@
     }));
 }
 
-async fn expire_idle_connections(shared: Arc<Shared>, pool: Arc<Pool>) {
+async fn expire_idle_connections(shared: Arc<Shared>, upstream: Arc<Upstream>) {
     loop {
         tokio::time::sleep(EXPIRE_PERIOD).await;
         let view = shared.view.load();
-        pool.expire(|server| view.servers.contains_key(server));
+        shared.metrics.record_response_memory(upstream.body_memory.used_bytes());
+        upstream.pool.expire(|server| view.servers.contains_key(server));
     }
 }
--- /dev/null
+++ b/crates/edge/src/front/pipeline.rs
@@ -0,0 +1,204 @@
+//! Connections of callers that send requests before earlier ones have been answered.
+//!
+//! The HTTP library starts a request only after the response to the previous one has been written.
+//! Requests without a body are therefore read ahead here and run at the same time; the responses are
+//! written in the order of the requests. From the first request of another form on, the connection is
+//! left to the library.
+
+use std::{io, sync::Arc, time::Duration};
+
+use bytes::{Buf, Bytes, BytesMut};
+use futures_util::{StreamExt, stream::FuturesOrdered};
+use http::{HeaderName, HeaderValue, Method, Request, Uri, Version, header};
+use http_body_util::{BodyExt, Empty};
+use jasminestage_core::declaration::Repeat;
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpStream,
+    time::{Instant, sleep_until},
+};
+use tokio_util::task::AbortOnDropHandle;
+
+use super::{
+    listener::{CallerBody, wait_for_phase},
+    responses::FullResponse,
+};
+use crate::shared::{Phase, Shared};
+
+/// Maximum number of headers of a request that is read ahead.
+const MAX_HEADERS: usize = 64;
+/// Size up to which a body is written together with the head of its response.
+const MAX_JOINED_BODY_BYTES: usize = 16 * 1024;
+/// Time for which a connection without any request is kept at a planned stop, because its first
+/// request may already be on the way.
+const FIRST_REQUEST_WAIT: Duration = Duration::from_millis(300);
+/// Headers that change how a message or its connection is read.
+const FRAMING_HEADERS: [HeaderName; 6] = [
+    header::CONNECTION,
+    header::CONTENT_LENGTH,
+    header::TRANSFER_ENCODING,
+    header::EXPECT,
+    header::UPGRADE,
+    header::TE,
+];
+
+/// A connection that the HTTP library serves from now on.
+pub struct Remainder {
+    /// Bytes that have been read and belong to no request yet.
+    pub unread: Bytes,
+    /// The connection.
+    pub stream: TcpStream,
+}
+
+/// What the buffer holds at its start.
+enum Next {
+    /// A request without a body, and the length of its head.
+    Request(Box<Request<CallerBody>>, usize),
+    /// Part of a head, or nothing.
+    Incomplete,
+    /// A request of another form, or bytes that are no request.
+    Other,
+}
+
+/// Serves the requests that can be read ahead. Returns the connection if another request follows;
+/// `None` if the connection has ended.
+pub async fn serve<F, Fut>(
+    shared: &Arc<Shared>,
+    mut stream: TcpStream,
+    handle: &F,
+) -> io::Result<Option<Remainder>>
+where
+    F: Fn(Request<CallerBody>) -> Fut,
+    Fut: Future<Output = Option<FullResponse>> + Send + 'static,
+{
+    let limits = shared.view.load().catalog.limits.clone();
+    let max_buffered = limits.max_header_bytes;
+    let max_ahead = shared.cfg.max_pipelined_requests;
+    let mut phase = shared.phase();
+    let mut buf = BytesMut::new();
+    let mut responses: FuturesOrdered<AbortOnDropHandle<Option<FullResponse>>> =
+        FuturesOrdered::new();
+    let (mut has_served, mut idle_since) = (false, Instant::now());
+    loop {
+        let is_draining = *phase.borrow() >= Phase::Draining;
+        // While the host stops, the next response ends the connection.
+        let max_in_flight = if is_draining { 1 } else { max_ahead };
+        while responses.len() < max_in_flight {
+            match parse_next(&buf) {
+                Next::Request(req, head_len)
+                    if responses.is_empty() || may_repeat(shared, &req) =>
+                {
+                    buf.advance(head_len);
+                    responses.push_back(AbortOnDropHandle::new(tokio::spawn(handle(*req))));
+                }
+                Next::Other if responses.is_empty() => {
+                    return Ok(Some(Remainder { unread: buf.freeze(), stream }));
+                }
+                // The library rejects a head that is too large.
+                Next::Incomplete if responses.is_empty() && buf.len() >= max_buffered => {
+                    return Ok(Some(Remainder { unread: buf.freeze(), stream }));
+                }
+                Next::Request(..) | Next::Other | Next::Incomplete => break,
+            }
+        }
+        let is_idle = responses.is_empty();
+        let may_read = buf.len() < max_buffered;
+        tokio::select! {
+            Some(response) = responses.next(), if !is_idle => {
+                // A handler that panicked has no response, like a caller that disconnected.
+                let Some(response) = response.ok().flatten() else { return Ok(None) };
+                let closes = response.headers().contains_key(header::CONNECTION);
+                write_response(&mut stream, response).await?;
+                if closes {
+                    stream.shutdown().await?;
+                    return Ok(None);
+                }
+                (has_served, idle_since) = (true, Instant::now());
+            }
+            len = stream.read_buf(&mut buf), if may_read => {
+                if len? == 0 {
+                    return Ok(None);
+                }
+            }
+            () = sleep_until(idle_since + limits.idle_timeout), if is_idle => return Ok(None),
+            () = wait_for_phase(&mut phase, Phase::Closing), if is_idle && has_served => {
+                return Ok(None);
+            }
+            () = wait_for_first_request(shared), if is_idle && !has_served => return Ok(None),
+        }
+    }
+}
+
+/// Waits until the host closes its connections and a first request would have arrived.
+async fn wait_for_first_request(shared: &Shared) {
+    wait_for_phase(&mut shared.phase(), Phase::Closing).await;
+    tokio::time::sleep(FIRST_REQUEST_WAIT).await;
+}
+
+/// Whether a request may be started before earlier ones on its connection have been answered. If one
+/// of those closes the connection, the caller sends this one again.
+fn may_repeat(shared: &Shared, req: &Request<CallerBody>) -> bool {
+    let view = shared.view.load();
+    let host = req.headers().get(header::HOST).and_then(|h| h.to_str().ok()).unwrap_or_default();
+    let host_name = host.split(':').next().unwrap_or_default();
+    let route = view.catalog.find_route(host_name, req.uri().path());
+    route.is_none_or(|r| r.repeat == Repeat::Idempotent)
+}
+
+/// Parses the head at the start of the buffer.
+fn parse_next(buf: &[u8]) -> Next {
+    let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
+    let mut head = httparse::Request::new(&mut headers);
+    let head_len = match head.parse(buf) {
+        Ok(httparse::Status::Complete(len)) => len,
+        Ok(httparse::Status::Partial) => return Next::Incomplete,
+        Err(_) => return Next::Other,
+    };
+    to_request(&head).map_or(Next::Other, |req| Next::Request(Box::new(req), head_len))
+}
+
+/// Converts a head to a request; `None` if the library has to read the request.
+fn to_request(head: &httparse::Request<'_, '_>) -> Option<Request<CallerBody>> {
+    if head.version != Some(1) || head.method != Some(Method::GET.as_str()) {
+        return None;
+    }
+    let body = Empty::<Bytes>::new().map_err(|never| match never {}).boxed_unsync();
+    let mut req = Request::new(body);
+    *req.uri_mut() = head.path?.parse::<Uri>().ok()?;
+    *req.version_mut() = Version::HTTP_11;
+    for field in head.headers.iter() {
+        let name = HeaderName::from_bytes(field.name.as_bytes()).ok()?;
+        if FRAMING_HEADERS.contains(&name) {
+            return None;
+        }
+        req.headers_mut().append(name, HeaderValue::from_bytes(field.value).ok()?);
+    }
+    Some(req)
+}
+
+async fn write_response(stream: &mut TcpStream, response: FullResponse) -> io::Result<()> {
+    let (parts, body) = response.into_parts();
+    // The body is complete and in memory, so it is there at once.
+    let body = body.collect().await.map_or_else(|never| match never {}, |b| b.to_bytes());
+    let reason = parts.status.canonical_reason().unwrap_or_default();
+    let mut head = format!("HTTP/1.1 {} {reason}\r\n", parts.status.as_u16()).into_bytes();
+    for (name, value) in parts.headers.iter().filter(|(name, _)| **name != header::CONTENT_LENGTH) {
+        head.extend_from_slice(
+            &[name.as_str().as_bytes(), b": ", value.as_bytes(), b"\r\n"].concat(),
+        );
+    }
+    let has_body = !matches!(parts.status.as_u16(), 204 | 304);
+    if has_body {
+        head.extend_from_slice(format!("content-length: {}\r\n", body.len()).as_bytes());
+    }
+    head.extend_from_slice(b"\r\n");
+    if !has_body {
+        return stream.write_all(&head).await;
+    }
+    if body.len() <= MAX_JOINED_BODY_BYTES {
+        head.extend_from_slice(&body);
+        return stream.write_all(&head).await;
+    }
+    stream.write_all(&head).await?;
+    stream.write_all(&body).await
+}
--- a/crates/edge/src/front/request.rs
+++ b/crates/edge/src/front/request.rs
@@ -5,7 +5,6 @@
 use bytes::Bytes;
 use http::{HeaderMap, HeaderValue, Request, Response, header};
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
-use hyper::body::Incoming;
 use jasminestage_core::{
     declaration::Repeat,
     steer::{
@@ -20,12 +19,13 @@
 use xxhash_rust::xxh3::Xxh3;
 
 use super::{
+    listener::CallerBody,
     responses::{self, FullResponse},
     trace::Trace,
 };
 use crate::{
     shared::{Phase, Shared},
-    upstream::{AttemptResult, OutgoingRequest, Pool, ServerResponse, send},
+    upstream::{AttemptResult, OutgoingRequest, ServerResponse, Upstream, send},
 };
 
 /// Time added to the timeout of an attempt, so that the server's own response to an exceeded
@@ -35,14 +35,14 @@
 /// Answers a request; `None` closes the connection without a response.
 pub async fn handle(
     shared: Arc<Shared>,
-    pool: Arc<Pool>,
-    req: Request<Incoming>,
+    upstream: Arc<Upstream>,
+    req: Request<CallerBody>,
 ) -> Option<FullResponse> {
     let arrived_at = clock::now();
     let (parts, body) = req.into_parts();
     let id = headers::text(&parts.headers, &headers::REQUEST_ID).unwrap_or_default().to_owned();
     let mut trace = Trace::new(&shared, &id, arrived_at);
-    let mut response = match serve(&shared, &pool, &parts, body, &id, &mut trace).await {
+    let mut response = match serve(&shared, &upstream, &parts, body, &id, &mut trace).await {
         Ok(server_response) => deliver(server_response),
         Err(Failure::Refused(refusal)) => {
             trace.record_refusal(&refusal);
@@ -70,9 +70,9 @@
 
 async fn serve(
     shared: &Arc<Shared>,
-    pool: &Pool,
+    upstream: &Upstream,
     parts: &http::request::Parts,
-    body: Incoming,
+    body: CallerBody,
     id: &str,
     trace: &mut Trace<'_>,
 ) -> Result<ServerResponse, Failure> {
@@ -114,7 +114,7 @@
             deadline: guard.pending.deadline,
         };
         dispatch.timeout += LATE_RESPONSE_MARGIN;
-        let mut attempt = pin!(send(pool, &shared.metrics, &dispatch, &outgoing));
+        let mut attempt = pin!(send(upstream, shared, &dispatch, &outgoing));
         let result = match timeout(dispatch.failover_after, attempt.as_mut()).await {
             Ok(result) => result,
             Err(_)
@@ -157,7 +157,7 @@
     }
 }
 
-async fn read_body(shared: &Shared, body: Incoming) -> Result<Bytes, Failure> {
+async fn read_body(shared: &Shared, body: CallerBody) -> Result<Bytes, Failure> {
     let limit = shared.view.load().catalog.limits.max_body_bytes;
     match Limited::new(body, limit).collect().await {
         Ok(body) => Ok(body.to_bytes()),
