Recognize the states of moves by their names in the record

Cause: the tool compared the state with "Done" and "TakenBack", while the record has "done" and "taken-back", so no state had a colour. Change: the state is decoded as RolloutPhase.

--- a/crates/cli/src/commands/mod.rs
+++ b/crates/cli/src/commands/mod.rs
@@ -9,7 +9,7 @@
 mod get;
 mod hosts;
 mod keys;
-mod moves;
+pub mod moves;
 mod report;
 mod routes;
 mod status;
--- a/crates/cli/src/commands/moves.rs
+++ b/crates/cli/src/commands/moves.rs
@@ -1,6 +1,6 @@
 //! `moves`: lists the moves of traffic between versions with their steps, deadlines and results.
 
-use jasminestage_core::declaration::RolloutSpec;
+use jasminestage_core::{declaration::RolloutSpec, rollout::record::RolloutPhase};
 use jasminestage_store::Client;
 use jiff::Timestamp;
 use serde::{Deserialize, Serialize};
@@ -29,7 +29,8 @@
 struct MoveRecord {
     step: u32,
     share: u32,
-    state: String,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    state: Option<RolloutPhase>,
     since: u64,
     evidence: String,
 }
@@ -73,18 +74,22 @@
             format_time(row.finish_by_unix_ms),
             record.evidence.clone(),
         ];
-        let (state, severity) = match record.state.as_str() {
-            "" => ("not begun", Severity::Neutral),
-            "Done" => ("done", Severity::Good),
-            "TakenBack" => ("taken back", Severity::Critical),
-            "Running" => ("running", Severity::Neutral),
-            other => (other, Severity::Neutral),
-        };
+        let (state, severity) = describe_state(record.state);
         table.push_with_severity(cells, state, severity);
     }
     table.to_string()
 }
 
+/// Returns the text and the severity of a move's state; `None` if it has not begun.
+pub fn describe_state(state: Option<RolloutPhase>) -> (&'static str, Severity) {
+    match state {
+        None => ("not begun", Severity::Neutral),
+        Some(RolloutPhase::Running) => ("running", Severity::Neutral),
+        Some(RolloutPhase::Done) => ("done", Severity::Good),
+        Some(RolloutPhase::RolledBack) => ("taken back", Severity::Critical),
+    }
+}
+
 /// Formats a time as date, hour and minute in UTC.
 fn format_time(unix_ms: u64) -> String {
     let timestamp = i64::try_from(unix_ms).ok().and_then(|ms| Timestamp::from_millisecond(ms).ok());
