--- a/crates/edge/src/control/registry.rs
+++ b/crates/edge/src/control/registry.rs
@@ -14,12 +14,12 @@
 };
 
 /// Time after which an announcement expires unless it is renewed.
-const LEASE_TTL: Duration = Duration::from_secs(6);
+const LEASE_TTL: Duration = Duration::from_secs(12);
 /// Period in which the announcement is renewed.
-const RENEWAL_PERIOD: Duration = Duration::from_secs(2);
+const RENEWAL_PERIOD: Duration = Duration::from_secs(4);
 /// Number of renewals per read of the announcements on hosts that do not read the store for their
 /// region.
-const RENEWALS_PER_READ: u32 = 4;
+const RENEWALS_PER_READ: u32 = 2;
 
 /// Announces this host, renews the announcement and reads those of the other hosts until the
 /// process ends.
