--- a/crates/core/tests/steer/control.rs
+++ b/crates/core/tests/steer/control.rs
@@ -6,6 +6,7 @@
     catalog::{Catalog, Limits},
     control::{Change, ControlState, RolloutRecord, RolloutStart},
     rollout::{RolloutOrder, RolloutState, Verdict},
+    server::ServerEntry,
 };
 use test_case::test_case;
 
@@ -170,3 +171,19 @@
         control.view().peers.iter().map(|p| p.host.incarnation.0).collect();
     assert_eq!(incarnations, [9]);
 }
+
+/// A version without a rollout order gets requests after a delay. Nothing else may change at that
+/// moment, so the new state must be published for it alone.
+#[test]
+fn a_version_that_becomes_regular_changes_the_view() {
+    let mut control = control();
+    let old = entry("s1", "lookup", "a1");
+    let new = ServerEntry { version: "v2".to_owned(), ..entry("s2", "lookup", "a1") };
+    control.apply(at(0), 0, vec![Change::ServerAnnounced(old)]);
+    control.apply(at(1000), 1000, vec![Change::ServerAnnounced(new)]);
+    let before = control.take_view().expect("the servers changed the view");
+    assert!(!before.regular_versions["lookup"].contains("v2"));
+    control.tick(at(5500));
+    let after = control.take_view().expect("the version changed the view");
+    assert!(after.regular_versions["lookup"].contains("v2"));
+}
