Do not let a host's first copy from the store hide removals

A host that restarts reads the entries from the store and logged them as changes; the removals before that are not in its log. Its newest renewal gave it the highest revision, so a host of its failure domain copied "all changes since 470" from it (13 of 17), and counted as complete without four removals; it used the removed server until the next change. Change: after the first copy from the store the log is complete only from that revision on, and the host advertises none until it has copied from another host or recorded a change, except at the first start of the fleet.

--- a/crates/core/src/steer/server_changes.rs
+++ b/crates/core/src/steer/server_changes.rs
@@ -59,6 +59,18 @@
         }
     }
 
+    /// Starts the log after the first snapshot that was read from the store at `revision`. The snapshot
+    /// does not show which servers were removed before, so a host with an older copy must not get
+    /// changes from this log. Unless the whole fleet starts for the first time, no host copies from
+    /// this one until it has copied from another one or recorded a change itself.
+    pub fn start(&mut self, revision: u64, is_first_start: bool) {
+        self.changes.clear();
+        self.complete_after = self.complete_after.max(revision);
+        if !is_first_start {
+            self.last_revision = 0;
+        }
+    }
+
     /// Clears the log after a whole snapshot was loaded that includes all changes up to `revision`.
     pub fn reset(&mut self, revision: u64) {
         self.changes.clear();
--- a/crates/core/tests/steer/server_changes.rs
+++ b/crates/core/tests/steer/server_changes.rs
@@ -62,3 +62,31 @@
     log.reset(30);
     assert_eq!(log.update_since(9, &items), ServerUpdate::SnapshotRequired);
 }
+
+struct FirstCopyCase {
+    is_first_start: bool,
+    /// Revision that other hosts compare with theirs.
+    advertised: u64,
+}
+
+/// A host reads the entries from the store after a server was removed at revision 15, so it knows of
+/// no removal. A host with the state of revision 10 must not get changes from it without that one.
+#[test_case(&FirstCopyCase { is_first_start: false, advertised: 0 }; "one host restarts")]
+#[test_case(&FirstCopyCase { is_first_start: true, advertised: 19 }; "the whole fleet starts")]
+fn a_first_copy_from_the_store_does_not_hide_removals(case: &FirstCopyCase) {
+    let mut items = Mirror::default();
+    let item = Item { key: "servers/a".to_owned(), value: vec![1], revision: 19 };
+    items.apply(vec![ItemChange::Written(item)], 20);
+    let mut log = ServerChangeLog::default();
+    let announced = Change::ServerAnnounced(entry("a", "lookup", "a1"));
+    log.record(&servers(&[]), &[(19, "servers/a".to_owned(), announced)]);
+    log.start(20, case.is_first_start);
+    assert_eq!(log.last_revision(), case.advertised);
+    assert_eq!(log.update_since(10, &items), ServerUpdate::SnapshotRequired);
+    let removed = Change::ServerRemoved("a".to_owned());
+    log.record(&servers(&[entry("a", "lookup", "a1")]), &[(22, "servers/a".to_owned(), removed)]);
+    items.apply(vec![ItemChange::Removed { key: "servers/a".to_owned(), revision: 22 }], 22);
+    assert_eq!(log.last_revision(), 22);
+    assert!(matches!(log.update_since(20, &items), ServerUpdate::Changes(c) if c.len() == 1));
+    assert_eq!(log.update_since(10, &items), ServerUpdate::SnapshotRequired);
+}
--- a/crates/edge/src/control/context.rs
+++ b/crates/edge/src/control/context.rs
@@ -190,6 +190,17 @@
         self.control.borrow().is_store_reader(clock::now(), self.reaches_store.get())
     }
 
+    /// Replaces the copy of the servers by a snapshot read from the store.
+    pub fn load_servers(&self, snapshot: Snapshot) {
+        let is_first = self.revision(ItemKind::Servers) == 0;
+        let revision = snapshot.revision;
+        self.replace(ItemKind::Servers, snapshot);
+        if is_first {
+            let is_first_start = self.shared.cfg.first_start;
+            self.server_changes.borrow_mut().start(revision, is_first_start);
+        }
+    }
+
     /// Returns what another host lacks of the servers, with the revision of the newest relevant
     /// change of a server.
     pub fn server_update(&self, after: u64) -> (ServerUpdate, u64) {
--- a/crates/edge/src/control/servers.rs
+++ b/crates/edge/src/control/servers.rs
@@ -62,8 +62,7 @@
 async fn read_all(context: &ControlContext, store: &mut StoreClient) -> Result<(), StoreError> {
     let result = store.range(keys::SERVER_PREFIX, Freshness::Latest).await;
     context.shared.metrics.count_store_call("range servers", result.is_ok());
-    let snapshot = result?;
-    context.replace(ItemKind::Servers, snapshot);
+    context.load_servers(result?);
     Ok(())
 }
 
