--- a/crates/core/src/steer/server_changes.rs
+++ b/crates/core/src/steer/server_changes.rs
@@ -13,6 +13,10 @@
 /// Maximum number of changes in the log; a host that is further behind needs a whole snapshot.
 const MAX_LOGGED_CHANGES: usize = 4096;
 
+/// Revision that a host advertises after its first copy from the store: above that of a host without
+/// any copy and below each real one.
+const FIRST_COPY_REVISION: u64 = 1;
+
 /// Bounded log of the revisions and keys of changed server entries, oldest first.
 #[derive(Clone, Debug, Default)]
 pub struct ServerChangeLog {
@@ -61,20 +65,25 @@
 
     /// Starts the log after the first snapshot that was read from the store at `revision`. The snapshot
     /// does not show which servers were removed before, so a host with an older copy must not get
-    /// changes from this log. Unless the whole fleet starts for the first time, no host copies from
-    /// this one until it has copied from another one or recorded a change itself.
+    /// changes from this log. Unless the whole fleet starts for the first time, only hosts without any
+    /// copy take this one for newer, until it has copied from another one or recorded a change.
     pub fn start(&mut self, revision: u64, is_first_start: bool) {
         self.changes.clear();
         self.complete_after = self.complete_after.max(revision);
         if !is_first_start {
-            self.last_revision = 0;
+            self.last_revision = FIRST_COPY_REVISION;
         }
     }
 
     /// Clears the log after a whole snapshot was loaded that includes all changes up to `revision`.
-    pub fn reset(&mut self, revision: u64) {
+    ///
+    /// `snapshot_revision` is the revision of the snapshot itself, from which the log is complete if
+    /// the sender had only its first copy.
+    pub fn reset(&mut self, revision: u64, snapshot_revision: u64) {
+        let complete_after =
+            if revision <= FIRST_COPY_REVISION { snapshot_revision } else { revision };
         self.changes.clear();
-        self.complete_after = self.complete_after.max(revision);
+        self.complete_after = self.complete_after.max(complete_after);
         self.last_revision = self.last_revision.max(revision);
     }
 
--- a/crates/edge/src/control/context.rs
+++ b/crates/edge/src/control/context.rs
@@ -211,8 +211,9 @@
     /// Replaces the copy of the servers by a snapshot of another host that includes all relevant
     /// changes up to `server_revision`.
     pub fn replace_servers(&self, snapshot: Snapshot, server_revision: u64) {
+        let snapshot_revision = snapshot.revision;
         self.replace(ItemKind::Servers, snapshot);
-        self.server_changes.borrow_mut().reset(server_revision);
+        self.server_changes.borrow_mut().reset(server_revision, snapshot_revision);
     }
 
     /// Marks all relevant changes of servers up to `revision` as received from another host.
