--- a/crates/core/src/steer/control/relays.rs
+++ b/crates/core/src/steer/control/relays.rs
@@ -1,4 +1,7 @@
 //! Relays: the hosts of a failure domain that exchange digests with the rest of the region.
+//!
+//! The other hosts of the failure domain, the followers, send their digests to its relays. The
+//! aggregators, the highest-ranked of the relays, add up the digests of the followers.
 
 use std::{net::SocketAddr, time::Duration};
 
@@ -24,7 +27,6 @@
 const FOLLOWER_TURNS: u64 = 2;
 /// Turns between two digests from one aggregator to its followers. Aggregators take turns.
 const REGION_SUM_TURNS: u64 = 4;
-
 /// Time for which the announcement of a new host is passed on. After that, all hosts have read it
 /// from the store.
 const NEW_HOST_PERIOD: Duration = Duration::from_secs(10);
--- a/crates/core/src/steer/steering/received.rs
+++ b/crates/core/src/steer/steering/received.rs
@@ -16,7 +16,6 @@
 /// Time for which a received state counts towards the verdict on a rollout. It is longer than
 /// [`LIFETIME`], so that a short loss of messages does not take back a verdict.
 const ROLLOUT_LIFETIME: Duration = Duration::from_secs(6);
-
 /// Time for which a sum is kept against a smaller one of another relay.
 const SUM_PRECEDENCE: Duration = Duration::from_millis(1000);
 
