Log the share of a new version, the verdict on it and the counts behind it

Cause: the logs did not show why a host used a new version, so that a clock that is ahead, a last step that is too large and a verdict that got lost could not be told apart. Change: event 341, one line for each change of share or verdict, with elapsed time and counts. The sum of the counts and the verdict on it are separate functions now.

--- a/crates/core/src/steer/digest.rs
+++ b/crates/core/src/steer/digest.rs
@@ -53,6 +53,15 @@
             && self.version == other.version
             && self.order_revision == other.order_revision
     }
+
+    /// Adds the responses that another host counted.
+    pub fn add(&mut self, other: &CanaryStats) {
+        self.responses += other.responses;
+        self.failures += other.failures;
+        self.baseline_responses += other.baseline_responses;
+        self.baseline_failures += other.baseline_failures;
+        self.found_faulty |= other.found_faulty;
+    }
 }
 
 /// Identity and addresses of a host, as it publishes them in the store and in digests.
@@ -98,13 +107,7 @@
         }
         for canary in &other.canaries {
             match self.canaries.iter_mut().find(|c| c.is_same_rollout(canary)) {
-                Some(sum) => {
-                    sum.responses += canary.responses;
-                    sum.failures += canary.failures;
-                    sum.baseline_responses += canary.baseline_responses;
-                    sum.baseline_failures += canary.baseline_failures;
-                    sum.found_faulty |= canary.found_faulty;
-                }
+                Some(sum) => sum.add(canary),
                 None => self.canaries.push(canary.clone()),
             }
         }
--- a/crates/core/src/steer/rollout.rs
+++ b/crates/core/src/steer/rollout.rs
@@ -131,23 +131,20 @@
         advances
     }
 
+    /// Time since the start of the rollout.
+    pub fn elapsed(&self, now: Instant) -> Duration {
+        now.saturating_since(self.started)
+    }
+
     fn elapsed_fraction(&self, now: Instant) -> f64 {
-        let elapsed_s = now.saturating_since(self.started).as_secs_f64();
-        elapsed_s / self.order.duration.as_secs_f64().max(0.001)
+        self.elapsed(now).as_secs_f64() / self.order.duration.as_secs_f64().max(0.001)
     }
 }
 
-/// Judges a version by the results of all hosts.
-pub fn verdict<'a>(canaries: impl Iterator<Item = &'a CanaryStats>) -> Verdict {
-    let mut total = CanaryStats::default();
-    for canary in canaries {
-        if canary.found_faulty {
-            return Verdict::Faulty;
-        }
-        total.responses += canary.responses;
-        total.failures += canary.failures;
-        total.baseline_responses += canary.baseline_responses;
-        total.baseline_failures += canary.baseline_failures;
+/// Judges a version by the sum of the results of all hosts.
+pub fn verdict(total: &CanaryStats) -> Verdict {
+    if total.found_faulty {
+        return Verdict::Faulty;
     }
     let rate = f64::from(total.failures) / f64::from(total.responses.max(1));
     let baseline_rate = if total.baseline_responses < MIN_BASELINE_RESPONSES {
--- a/crates/core/src/steer/steering/mod.rs
+++ b/crates/core/src/steer/steering/mod.rs
@@ -6,6 +6,7 @@
 mod plan;
 mod received;
 mod request;
+mod rollouts;
 mod version_filter;
 
 use std::{
@@ -17,7 +18,10 @@
 use slotmap::SlotMap;
 
 use self::received::ReceivedStates;
-pub use self::request::{Dispatch, NextAction, PendingRequest, RequestHead};
+pub use self::{
+    request::{Dispatch, NextAction, PendingRequest, RequestHead},
+    rollouts::RolloutStatus,
+};
 use super::{
     cold::ColdServerPacer,
     crash::CrashTracker,
--- a/crates/core/src/steer/steering/peers.rs
+++ b/crates/core/src/steer/steering/peers.rs
@@ -9,11 +9,9 @@
     steer::{
         crash::ServerCrash,
         digest::{
-            AggregateScope, CanaryStats, Digest, NameHash, RegionSummary, StateSum, TrafficStats,
-            name_hash,
+            AggregateScope, Digest, NameHash, RegionSummary, StateSum, TrafficStats, name_hash,
         },
         quota::RemoteUsage,
-        rollout::{self, Verdict},
     },
     time::Instant,
 };
@@ -135,7 +133,7 @@
                 .admitted_in_window()
                 .map(|(name, admitted)| (name_hash(name), admitted as u32))
                 .collect(),
-            canaries: self.view.rollouts.keys().filter_map(|s| self.canary_stats(s)).collect(),
+            canaries: self.view.rollouts.keys().filter_map(|s| self.local_canary(s)).collect(),
             crashes: self
                 .crashes
                 .confirmed_crashes()
@@ -154,25 +152,6 @@
         sum
     }
 
-    fn canary_stats(&self, service: &str) -> Option<CanaryStats> {
-        let mut canary = self.services.get(service)?.canary.clone();
-        canary.found_faulty = self.rollout_verdict(service) == Verdict::Faulty;
-        Some(canary)
-    }
-
-    /// Judges the version that is rolled out for a service.
-    pub fn rollout_verdict(&self, service: &str) -> Verdict {
-        let Some(own) = self.services.get(service).map(|s| &s.canary) else {
-            return Verdict::Sound;
-        };
-        let states = self.received.for_rollouts(self.last_tick_at);
-        let same_region = states.flat_map(|(_, state)| &state.sum.stats.canaries);
-        let summaries = self.remote_regions.all(self.last_tick_at);
-        let others = same_region.chain(summaries.iter().flat_map(|s| &s.stats.canaries));
-        let same_rollout = others.filter(|canary| canary.is_same_rollout(own));
-        rollout::verdict(std::iter::once(own).chain(same_rollout))
-    }
-
     /// Returns the use of a workspace's quota by the other hosts. A host whose state is in no sum
     /// counts as unreachable, also if a relay reports it as running.
     pub(super) fn remote_usage(&self, now: Instant, workspace: &str) -> RemoteUsage {
--- a/crates/core/tests/steer/rollout.rs
+++ b/crates/core/tests/steer/rollout.rs
@@ -47,16 +47,18 @@
         baseline_failures: other_failures / 2,
         ..CanaryStats::default()
     };
-    let second_host =
+    let mut sum =
         CanaryStats { responses: answers / 2, failures: failures / 2, ..first_host.clone() };
-    assert_eq!(verdict([&first_host, &second_host].into_iter()), case.verdict);
+    sum.add(&first_host);
+    assert_eq!(verdict(&sum), case.verdict);
 }
 
 #[test]
 fn a_version_that_one_host_found_faulty_is_faulty_everywhere() {
     let found_faulty = CanaryStats { found_faulty: true, ..CanaryStats::default() };
-    let hosts = [&CanaryStats::default(), &found_faulty];
-    assert_eq!(verdict(hosts.into_iter()), Verdict::Faulty);
+    let mut sum = CanaryStats { responses: 100, ..CanaryStats::default() };
+    sum.add(&found_faulty);
+    assert_eq!(verdict(&sum), Verdict::Faulty);
 }
 
 /// A fault that appears only under full load is detected late. Until then the faulty version must not
--- a/crates/edge/src/control/context.rs
+++ b/crates/edge/src/control/context.rs
@@ -2,6 +2,7 @@
 
 use std::{
     cell::{Cell, RefCell},
+    collections::HashMap,
     net::SocketAddr,
     sync::Arc,
     time::Duration,
@@ -15,7 +16,9 @@
         digest::{Digest, Message, RegionSummary, StoreProgress},
         exchange::{self, OutgoingMessage, StoreState},
         mirror::{ItemChange, Mirror, Snapshot},
+        rollout::Verdict,
         server_changes::{ServerChangeLog, ServerUpdate},
+        steering::RolloutStatus,
     },
     time::Instant,
 };
@@ -61,6 +64,8 @@
     store_read_at: Cell<Option<Instant>>,
     /// When the last read before the current outage succeeded; `None` outside an outage.
     last_read_before_outage: Cell<Option<Instant>>,
+    /// Share and verdict of each rollout that were last logged, by service.
+    logged_rollouts: RefCell<HashMap<String, (f64, Verdict)>>,
 }
 
 impl ControlContext {
@@ -81,6 +86,7 @@
             reaches_store: Cell::new(true),
             store_read_at: Cell::new(None),
             last_read_before_outage: Cell::new(None),
+            logged_rollouts: RefCell::default(),
             shared,
         }
     }
@@ -315,7 +321,35 @@
         self.apply_due_removals(now);
         self.control.borrow_mut().tick(now);
         self.publish();
-        self.shared.with_steering(|steering, now| steering.tick(now));
+        let statuses = self.shared.with_steering(|steering, now| {
+            steering.tick(now);
+            steering.rollout_statuses(now)
+        });
+        self.log_rollouts(&statuses);
+    }
+
+    /// Logs each change of the share or the verdict of a rollout, with the counts behind it.
+    fn log_rollouts(&self, statuses: &[RolloutStatus]) {
+        let mut logged = self.logged_rollouts.borrow_mut();
+        for RolloutStatus { share, verdict, elapsed, counts } in statuses {
+            let current = (*share, *verdict);
+            if logged.insert(counts.service.clone(), current) == Some(current) {
+                continue;
+            }
+            tracing::info!(
+                event = 341,
+                service = counts.service,
+                version = counts.version,
+                share,
+                verdict = ?verdict,
+                elapsed_ms = elapsed.as_millis() as u64,
+                responses = counts.responses,
+                failures = counts.failures,
+                baseline_responses = counts.baseline_responses,
+                baseline_failures = counts.baseline_failures,
+                "The share of a new version or the verdict on it has changed."
+            );
+        }
     }
 
     fn progress(&self) -> StoreProgress {
