Take the age of a rollout from steady clocks instead of the time of day

Callers saw: with half the clocks 10 s ahead, a faulty version got 924 of 1,620 requests (212 allowed), and one 5.0 s after its 50th failed response. Cause: the start of a rollout was stored as a time of day, and each host subtracted it from its own. A host whose clock is ahead took the last step at once and recorded success. Evidence: event 341 shows an elapsed time of 12.1 s beside 2.1 s on the others. Change: a host measures the age on its steady clock from the moment it receives the order, and digests carry the age, so that a host that starts later takes it over. A fleet whose hosts all restart at the same moment begins the steps again, which is the safe direction.

--- a/crates/core/src/steer/control/mod.rs
+++ b/crates/core/src/steer/control/mod.rs
@@ -23,7 +23,7 @@
 };
 use crate::{
     host::Incarnation,
-    time::{Instant, UnixMillis},
+    time::Instant,
 };
 
 /// State of a rollout as recorded in the store.
@@ -40,17 +40,6 @@
     pub revision: u64,
 }
 
-/// Start time of a rollout as recorded in the store.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct RolloutStart {
-    /// Service that is rolled out.
-    pub service: String,
-    /// Revision of the rollout order.
-    pub order_revision: u64,
-    /// Time at which the rollout started.
-    pub started_unix_ms: UnixMillis,
-}
-
 /// A decoded change of an item in the store.
 #[derive(Clone, Debug)]
 pub enum Change {
@@ -62,8 +51,6 @@
     RolloutWithdrawn(String),
     /// A host recorded the state of a rollout.
     RolloutRecorded(RolloutRecord),
-    /// A host recorded the start time of a rollout.
-    RolloutStarted(RolloutStart),
     /// The servers of this failure domain must get no requests.
     Evacuated(String),
     /// The servers of this failure domain may get requests again.
@@ -84,7 +71,6 @@
     view: View,
     peers: HashMap<Incarnation, PeerState>,
     rollout_records: HashMap<String, RolloutRecord>,
-    rollout_starts: HashMap<String, RolloutStart>,
     /// Time at which a version of a service was first announced without a rollout order.
     versions_without_order: HashMap<(String, String), Instant>,
     /// Time since which a rollout state of a service is due to be recorded.
@@ -114,7 +100,6 @@
             view: View::empty(bounds, local_host, zone_regions),
             peers: HashMap::new(),
             rollout_records: HashMap::new(),
-            rollout_starts: HashMap::new(),
             versions_without_order: HashMap::new(),
             due_since: HashMap::new(),
             sequence: 0,
@@ -149,18 +134,18 @@
     }
 
     /// Applies changes in the given order.
-    pub fn apply(&mut self, now: Instant, unix_now: UnixMillis, changes: Vec<Change>) {
+    pub fn apply(&mut self, now: Instant, changes: Vec<Change>) {
         if changes.is_empty() {
             return;
         }
         self.is_view_changed = true;
         for change in changes {
-            self.apply_one(now, unix_now, change);
+            self.apply_one(now, change);
         }
         self.update_regular_versions(now);
     }
 
-    fn apply_one(&mut self, now: Instant, unix_now: UnixMillis, change: Change) {
+    fn apply_one(&mut self, now: Instant, change: Change) {
         match change {
             Change::Configured(catalog) => {
                 if catalog.version > self.view.catalog.version {
@@ -173,7 +158,7 @@
                 if known.is_none_or(|r| r.order.revision < order.revision) {
                     let rollout = Rollout { order, state: RolloutState::Running, started: now };
                     Arc::make_mut(&mut self.view.rollouts).insert(service.clone(), rollout);
-                    self.apply_rollout_record(now, unix_now, &service);
+                    self.apply_rollout_record(&service);
                 }
             }
             Change::RolloutWithdrawn(service) => {
@@ -182,12 +167,7 @@
             Change::RolloutRecorded(record) => {
                 let service = record.service.clone();
                 self.rollout_records.insert(service.clone(), record);
-                self.apply_rollout_record(now, unix_now, &service);
-            }
-            Change::RolloutStarted(start) => {
-                let service = start.service.clone();
-                self.rollout_starts.insert(service.clone(), start);
-                self.apply_rollout_record(now, unix_now, &service);
+                self.apply_rollout_record(&service);
             }
             Change::Evacuated(zone) => {
                 Arc::make_mut(&mut self.view.reopened_zones).remove(&zone);
--- a/crates/core/src/steer/control/peers.rs
+++ b/crates/core/src/steer/control/peers.rs
@@ -156,10 +156,10 @@
         peer.store_read_at = age.map(|age| now - age);
         peer.operator_revision = peer.operator_revision.max(digest.progress.operator_revision);
         peer.server_revision = peer.server_revision.max(digest.progress.server_revision);
-        self.merge_rollout_progress(&digest.progress);
+        self.merge_rollout_progress(now, &digest.progress);
         for summary in &digest.region_summaries {
             self.region_summaries.insert(now, summary);
-            self.merge_rollout_progress(&summary.progress);
+            self.merge_rollout_progress(now, &summary.progress);
         }
         let covered_changed =
             digest.aggregate.as_ref().is_some_and(|aggregate| self.cover_hosts(now, aggregate));
@@ -200,7 +200,7 @@
         if summary.region == self.view.region {
             return;
         }
-        self.merge_rollout_progress(&summary.progress);
+        self.merge_rollout_progress(now, &summary.progress);
         self.region_summaries.insert(now, &summary);
         self.received_summaries.insert((summary.region.clone(), summary.sender), (now, summary));
     }
--- a/crates/core/src/steer/control/rollouts.rs
+++ b/crates/core/src/steer/control/rollouts.rs
@@ -10,11 +10,11 @@
 use crate::{
     host::Incarnation,
     steer::{
-        digest::StoreProgress,
+        digest::{RolloutProgress, StoreProgress},
         rollout::{RolloutOrder, RolloutState, Verdict},
         stable_hash,
     },
-    time::{Instant, UnixMillis},
+    time::Instant,
 };
 
 /// Time for which a version must be announced without a rollout order before it counts as regular,
@@ -30,29 +30,15 @@
     pub order: RolloutOrder,
     /// The state to record.
     pub state: RolloutState,
-    /// Time at which the rollout started.
-    pub started_unix_ms: UnixMillis,
 }
 
 impl ControlState {
-    /// Applies the recorded start and state of a rollout if they belong to the current order.
-    pub(super) fn apply_rollout_record(
-        &mut self,
-        now: Instant,
-        unix_now: UnixMillis,
-        service: &str,
-    ) {
+    /// Applies the recorded state of a rollout if it belongs to the current order.
+    pub(super) fn apply_rollout_record(&mut self, service: &str) {
         let Some(rollout) = Arc::make_mut(&mut self.view.rollouts).get_mut(service) else {
             return;
         };
         let order = &rollout.order;
-        if let Some(start) =
-            self.rollout_starts.get(service).filter(|s| s.order_revision == order.revision)
-        {
-            let elapsed = Duration::from_millis(unix_now.saturating_sub(start.started_unix_ms));
-            rollout.started =
-                rollout.started.min(now - elapsed.min(order.duration.saturating_mul(2)));
-        }
         let record = self.rollout_records.get(service);
         let record = record.filter(|r| r.version == order.version && r.revision > order.revision);
         if let Some(record) = record {
@@ -96,22 +82,38 @@
         }
     }
 
-    /// Applies rollout states that another host reports.
-    pub(super) fn merge_rollout_progress(&mut self, progress: &StoreProgress) {
-        for (service, order_revision, state) in &progress.rollouts {
-            let Some(rollout) = self.view.rollouts.get(service) else { continue };
-            if rollout.order.revision == *order_revision && rollout.state != *state {
-                let rollouts = Arc::make_mut(&mut self.view.rollouts);
-                let changed = rollouts.get_mut(service).is_some_and(|r| r.advance(*state));
-                self.is_view_changed |= changed;
+    /// Applies state and age of the rollouts that another host reports. The age is the longest one
+    /// that any host has measured on its own steady clock, since the time of day may differ between
+    /// hosts and may change during a rollout.
+    pub(super) fn merge_rollout_progress(&mut self, now: Instant, progress: &StoreProgress) {
+        for reported in &progress.rollouts {
+            let Some(rollout) = self.view.rollouts.get(&reported.service) else { continue };
+            if rollout.order.revision != reported.order_revision {
+                continue;
             }
+            let started = now - reported.elapsed.min(rollout.order.duration.saturating_mul(2));
+            if rollout.state == reported.state && started >= rollout.started {
+                continue;
+            }
+            let rollouts = Arc::make_mut(&mut self.view.rollouts);
+            let Some(rollout) = rollouts.get_mut(&reported.service) else { continue };
+            rollout.started = rollout.started.min(started);
+            rollout.advance(reported.state);
+            self.is_view_changed = true;
         }
     }
 
-    /// Returns service, order revision and state of each rollout, for the digests to other hosts.
-    pub fn rollout_states(&self) -> Vec<(String, u64, RolloutState)> {
+    /// Returns the progress of each rollout, for the digests to other hosts.
+    pub fn rollout_progress(&self, now: Instant) -> Vec<RolloutProgress> {
         let rollouts = self.view.rollouts.iter();
-        rollouts.map(|(service, r)| (service.clone(), r.order.revision, r.state)).collect()
+        rollouts
+            .map(|(service, r)| RolloutProgress {
+                service: service.clone(),
+                order_revision: r.order.revision,
+                state: r.state,
+                elapsed: r.elapsed(now),
+            })
+            .collect()
     }
 
     /// Returns the rollout states that this host should record now.
@@ -122,7 +124,6 @@
     pub fn due_records(
         &mut self,
         now: Instant,
-        unix_now: UnixMillis,
         verdict: impl Fn(&str) -> Verdict,
     ) -> Vec<DueRecord> {
         let rank = self.writer_rank();
@@ -144,9 +145,7 @@
             if now.saturating_since(since) < WRITER_DELAY_PER_RANK * rank {
                 continue;
             }
-            let elapsed = now.saturating_since(rollout.started).as_millis() as u64;
-            let started_unix_ms = unix_now.saturating_sub(elapsed);
-            due.push(DueRecord { order: rollout.order.clone(), state: next, started_unix_ms });
+            due.push(DueRecord { order: rollout.order.clone(), state: next });
         }
         let rollouts = &self.view.rollouts;
         self.due_since.retain(|(service, _), _| {
--- a/crates/core/src/steer/digest.rs
+++ b/crates/core/src/steer/digest.rs
@@ -10,9 +10,11 @@
 use std::{
     collections::{BTreeMap, BTreeSet},
     net::SocketAddr,
+    time::Duration,
 };
 
 use serde::{Deserialize, Serialize};
+use serde_with::{DurationMilliSeconds, serde_as};
 
 use super::{leaving::IncarnationHash, rollout::RolloutState, stable_hash};
 use crate::host::Incarnation;
@@ -118,6 +120,21 @@
     }
 }
 
+/// Progress of a rollout as one host knows it.
+#[serde_as]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RolloutProgress {
+    /// Service whose version changes.
+    pub service: String,
+    /// Revision of the rollout order.
+    pub order_revision: u64,
+    /// State that the host knows.
+    pub state: RolloutState,
+    /// Time since the start of the rollout.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    pub elapsed: Duration,
+}
+
 /// Newest revisions of the store that a host has applied.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct StoreProgress {
@@ -125,8 +142,8 @@
     pub operator_revision: u64,
     /// Revision of the newest change that affects which servers can be selected.
     pub server_revision: u64,
-    /// Service, revision of the rollout order and state of each rollout.
-    pub rollouts: Vec<(String, u64, RolloutState)>,
+    /// Progress of each rollout.
+    pub rollouts: Vec<RolloutProgress>,
 }
 
 /// Hosts that an [`Aggregate`] covers.
--- a/crates/edge/src/control/context.rs
+++ b/crates/edge/src/control/context.rs
@@ -39,7 +39,7 @@
     Orders,
     /// Announcements of servers.
     Servers,
-    /// Items that only hosts use: their announcements and the start times of rollouts.
+    /// Announcements of hosts.
     Internal,
     /// States of rollouts.
     RolloutStates,
@@ -146,7 +146,7 @@
     fn apply_decoded(&self, changes: Vec<KeyedChange>) {
         let changes: Vec<Change> = changes.into_iter().map(|(_, _, change)| change).collect();
         self.log(&changes);
-        self.control.borrow_mut().apply(clock::now(), clock::unix_millis(), changes);
+        self.control.borrow_mut().apply(clock::now(), changes);
     }
 
     fn apply_due_removals(&self, now: Instant) {
@@ -295,7 +295,6 @@
                 Change::HostRemoved(host) => {
                     tracing::info!(event = 339, host, "The store no longer lists a host.");
                 }
-                Change::RolloutStarted(_) => {}
             }
         }
     }
@@ -356,7 +355,7 @@
         StoreProgress {
             operator_revision: self.last_change(ItemKind::Orders),
             server_revision: self.server_revision(),
-            rollouts: self.control.borrow().rollout_states(),
+            rollouts: self.control.borrow().rollout_progress(clock::now()),
         }
     }
 
@@ -403,7 +402,7 @@
     /// Returns the rollout states that this host should record in the store.
     pub fn due_records(&self) -> Vec<DueRecord> {
         let shared = &self.shared;
-        self.control.borrow_mut().due_records(clock::now(), clock::unix_millis(), |service| {
+        self.control.borrow_mut().due_records(clock::now(), |service| {
             shared.with_steering(|steering, _| steering.rollout_verdict(service))
         })
     }
--- a/crates/edge/src/control/rollouts.rs
+++ b/crates/edge/src/control/rollouts.rs
@@ -52,11 +52,7 @@
             return Ok(());
         }
     }
-    let (start_key, start) = store_items::encode_rollout_start(order, due.started_unix_ms);
-    let writes = [
-        Put { key: key.clone(), value: value.clone(), lease: 0 },
-        Put { key: start_key, value: start, lease: 0 },
-    ];
+    let writes = [Put { key: key.clone(), value: value.clone(), lease: 0 }];
     let conditions = [Condition { key: key.clone(), revision }];
     let result = store.write(&conditions, &writes, &[]).await;
     context.shared.metrics.count_store_call("write state", result.is_ok());
