Keep the verdict on a new version, and pass it on at once

Callers saw: a faulty version was used for 0.6 s longer on some hosts than on others, and could be used again when the counts behind its verdict expired or were diluted. Cause: each host worked the verdict out anew from the sums it had at that moment, and the flag of another host counted only as long as its digest; the verdict waited for up to four turns of 200 ms on its way through relays. Change: a version stays faulty until the next order. A verdict is urgent state: the host that gets it sends all its digests and summaries at once.

--- a/crates/core/src/steer/control/mod.rs
+++ b/crates/core/src/steer/control/mod.rs
@@ -9,7 +9,7 @@
 use self::peers::PeerState;
 pub use self::{
     peers::{DigestParts, StoreStatus},
-    relays::DueDigests,
+    relays::{DueDigests, UrgentState},
     rollouts::DueRecord,
 };
 use super::{
@@ -21,10 +21,7 @@
     server::ServerEntry,
     view::View,
 };
-use crate::{
-    host::Incarnation,
-    time::Instant,
-};
+use crate::{host::Incarnation, time::Instant};
 
 /// State of a rollout as recorded in the store.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -78,9 +75,8 @@
     /// Number of digests and summaries that this host has built.
     sequence: u64,
     region_summaries: RegionSummaries,
-    /// Hosts of the region with their readiness and revision of the operators' data, as last
-    /// compared for the sum that relays send.
-    last_sum: (Vec<(Incarnation, bool)>, u64),
+    /// State of the last turn that is sent out of turn when it changes.
+    last_urgent: UrgentState,
     /// Summaries that this host received directly from other regions, with the time of receipt.
     received_summaries: HashMap<(String, Incarnation), (Instant, RegionSummary)>,
     /// When this host last passed on the summaries of other regions that it received directly.
@@ -104,7 +100,7 @@
             due_since: HashMap::new(),
             sequence: 0,
             region_summaries: RegionSummaries::default(),
-            last_sum: Default::default(),
+            last_urgent: UrgentState::default(),
             received_summaries: HashMap::new(),
             summaries_passed_on_at: Instant::ZERO,
             is_view_changed: true,
--- a/crates/core/src/steer/control/relays.rs
+++ b/crates/core/src/steer/control/relays.rs
@@ -3,7 +3,7 @@
 //! The other hosts of the failure domain, the followers, send their digests to its relays. The
 //! aggregators, the highest-ranked of the relays, add up the digests of the followers.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{collections::BTreeSet, net::SocketAddr, time::Duration};
 
 use super::{
     ControlState,
@@ -42,19 +42,43 @@
     pub followers: Vec<Incarnation>,
     /// Followers that receive the sum of the region.
     pub region_sum: Vec<(Incarnation, SocketAddr)>,
+    /// Whether the summary for other regions is due, if this host sends one.
+    pub region_summary: bool,
+}
+
+/// State whose changes other hosts need at once.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct UrgentState {
+    /// Running hosts of the region, and whether they accept new callers.
+    pub readiness: Vec<(Incarnation, bool)>,
+    /// Revision of the operators' data.
+    pub operator_revision: u64,
+    /// Revisions of the rollout orders whose versions are faulty.
+    pub faulty_orders: BTreeSet<u64>,
 }
 
 impl ControlState {
     /// Returns the digests that this host has to send in a turn. Turns are counted from the start of
-    /// the process. Followers get a sum out of turn when a host has started, stopped or changed its
-    /// readiness, or when the operators' data has changed.
-    pub fn due_digests(&mut self, now: Instant, turn: u64, operator_revision: u64) -> DueDigests {
+    /// the process. All digests are due when urgent state has changed.
+    pub fn due_digests(
+        &mut self,
+        now: Instant,
+        turn: u64,
+        operator_revision: u64,
+        faulty_orders: BTreeSet<u64>,
+    ) -> DueDigests {
         let mut readiness = self.region_readiness(now);
         readiness.sort_unstable();
-        let content = (readiness, operator_revision);
-        let has_changed = content != self.last_sum;
-        self.last_sum = content;
-        self.digests_of_turn(now, turn, has_changed)
+        let urgent = UrgentState { readiness, operator_revision, faulty_orders };
+        let has_changed = urgent != self.last_urgent;
+        self.last_urgent = urgent;
+        let region_summary = has_changed || self.is_region_summary_due(turn);
+        DueDigests { region_summary, ..self.digests_of_turn(now, turn, has_changed) }
+    }
+
+    /// Whether this host has not sent this verdict yet.
+    pub fn is_unsent_verdict(&self, faulty_orders: &BTreeSet<u64>) -> bool {
+        !faulty_orders.is_subset(&self.last_urgent.faulty_orders)
     }
 
     fn digests_of_turn(&self, now: Instant, turn: u64, has_changed: bool) -> DueDigests {
@@ -63,7 +87,7 @@
         let own_rank = own_relays.iter().position(|h| **h == self.view.local_host);
         let Some(rank) = own_rank else {
             let own = own_relays.iter().map(|h| h.peer_address).collect();
-            let is_due = turn.is_multiple_of(FOLLOWER_TURNS);
+            let is_due = has_changed || turn.is_multiple_of(FOLLOWER_TURNS);
             return DueDigests { own: if is_due { own } else { Vec::new() }, ..Default::default() };
         };
         let mut own = Vec::new();
@@ -86,6 +110,7 @@
                 .filter(|_| is_sum_due)
                 .map(|p| (p.host.incarnation, p.host.peer_address))
                 .collect(),
+            ..Default::default()
         }
     }
 
@@ -97,7 +122,7 @@
 
     /// Whether summaries for other regions are due in a turn: in a region with followers less often,
     /// because its summaries are larger.
-    pub fn is_region_summary_due(&self, turn: u64) -> bool {
+    fn is_region_summary_due(&self, turn: u64) -> bool {
         let has_followers = self.zones_of_region().any(|zone| {
             let local_count = usize::from(self.view.local_host.zone == zone);
             self.hosts_of(zone).count() + local_count > RELAYS
--- a/crates/core/src/steer/exchange.rs
+++ b/crates/core/src/steer/exchange.rs
@@ -5,7 +5,7 @@
 
 use super::{
     control::{ControlState, DigestParts, StoreStatus},
-    digest::{Aggregate, AggregateScope, Digest, Message, StoreProgress},
+    digest::{Aggregate, AggregateScope, Digest, Message, RegionSummary, StoreProgress},
     steering::Steering,
 };
 use crate::{host::Incarnation, time::Instant};
@@ -30,7 +30,8 @@
     steering: &Steering,
     store: &StoreState,
 ) -> Vec<OutgoingMessage> {
-    let due = control.due_digests(now, turn, store.progress.operator_revision);
+    let faulty_orders = steering.faulty_orders();
+    let due = control.due_digests(now, turn, store.progress.operator_revision, faulty_orders);
     let mut messages = Vec::new();
     if !due.own.is_empty() {
         let followers = (!due.followers.is_empty())
@@ -49,7 +50,7 @@
         let sum = sum_of_region(now, control, steering, None);
         messages.push((build_digest(now, control, steering, store, Some(sum)), addresses));
     }
-    if control.is_region_summary_due(turn) {
+    if due.region_summary {
         let stats = steering.regional_traffic_stats(now);
         let (summary, addresses) = control.build_region_summary(now, store.progress.clone(), stats);
         if !addresses.is_empty() {
@@ -69,18 +70,33 @@
     build_digest(now, control, steering, store, None)
 }
 
-/// Applies the digest of another host of the region.
+/// Applies the digest of another host of the region; returns whether it led to a verdict on a
+/// rollout that should be passed on at once.
 pub fn receive_digest(
     now: Instant,
     control: &mut ControlState,
     steering: &mut Steering,
     mut digest: Digest,
-) {
+) -> bool {
     control.receive_digest(now, &digest);
     if !control.counts_aggregate(&digest) {
         digest.aggregate = None;
     }
     steering.receive_digest(now, digest);
+    control.is_unsent_verdict(&steering.faulty_orders())
+}
+
+/// Applies the summary of another region; returns whether it led to a verdict on a rollout that
+/// should be passed on at once.
+pub fn receive_region_summary(
+    now: Instant,
+    control: &mut ControlState,
+    steering: &mut Steering,
+    summary: RegionSummary,
+) -> bool {
+    steering.receive_region_summary(now, &summary);
+    control.receive_region_summary(now, summary);
+    control.is_unsent_verdict(&steering.faulty_orders())
 }
 
 fn build_digest(
--- a/crates/core/src/steer/steering/mod.rs
+++ b/crates/core/src/steer/steering/mod.rs
@@ -197,6 +197,7 @@
         let announced: HashSet<_> = self.servers.values().map(|s| s.incarnation).collect();
         self.leaving.expire(now, |server| announced.contains(&server));
         self.remote_regions.expire(now);
+        self.judge_rollouts();
         self.expire_received_states(now);
         let mut quotas = std::mem::take(&mut self.quotas);
         quotas.update_remote_usage(now, &self.view.bounds, |workspace| {
--- a/crates/core/src/steer/steering/outcome.rs
+++ b/crates/core/src/steer/steering/outcome.rs
@@ -189,5 +189,8 @@
             canary.baseline_responses += 1;
             canary.baseline_failures += u32::from(failed);
         }
+        if failed && view.rollouts.contains_key(&request.service) {
+            self.judge_rollout(&request.service);
+        }
     }
 }
--- a/crates/core/src/steer/steering/peers.rs
+++ b/crates/core/src/steer/steering/peers.rs
@@ -28,19 +28,21 @@
         }
         let received = |sum| ReceivedState::new(now, sender.incarnation, sum);
         let host_state = received(StateSum { host_count: 1, in_flight, stats });
-        let Some(aggregate) = aggregate else {
-            return self.receive_state(Source::Host(sender.incarnation), host_state);
-        };
-        self.receive_crashes(now, &aggregate.sum.stats);
-        self.receive_leaving(now, &aggregate.sum.stats);
-        let source = match aggregate.scope {
-            AggregateScope::Followers => {
-                self.receive_state(Source::Host(sender.incarnation), host_state);
-                Source::Followers(sender.zone)
-            }
-            AggregateScope::Region => Source::Region,
-        };
-        self.receive_state(source, received(aggregate.sum));
+        let scope = aggregate.as_ref().map(|a| a.scope);
+        // The sum of the region includes the sender.
+        if scope != Some(AggregateScope::Region) {
+            self.receive_state(Source::Host(sender.incarnation), host_state);
+        }
+        if let Some(aggregate) = aggregate {
+            self.receive_crashes(now, &aggregate.sum.stats);
+            self.receive_leaving(now, &aggregate.sum.stats);
+            let source = match aggregate.scope {
+                AggregateScope::Followers => Source::Followers(sender.zone),
+                AggregateScope::Region => Source::Region,
+            };
+            self.receive_state(source, received(aggregate.sum));
+        }
+        self.judge_rollouts();
     }
 
     fn receive_state(&mut self, source: Source, state: ReceivedState) {
@@ -97,6 +99,7 @@
         self.receive_crashes(now, &summary.stats);
         self.receive_leaving(now, &summary.stats);
         self.remote_regions.insert(now, summary);
+        self.judge_rollouts();
     }
 
     fn receive_leaving(&mut self, now: Instant, stats: &TrafficStats) {
--- a/crates/core/src/steer/steering/rollouts.rs
+++ b/crates/core/src/steer/steering/rollouts.rs
@@ -1,7 +1,7 @@
 //! Rollouts on the request path: the responses of the new version at all hosts, the verdict on it and
 //! its share of the requests.
 
-use std::time::Duration;
+use std::{collections::BTreeSet, time::Duration};
 
 use super::Steering;
 use crate::{
@@ -42,11 +42,31 @@
         self.canary_counts(service).map_or(Verdict::Sound, |counts| rollout::verdict(&counts))
     }
 
+    /// Judges the versions of all rollouts.
+    pub(super) fn judge_rollouts(&mut self) {
+        let services: Vec<String> = self.view.rollouts.keys().cloned().collect();
+        services.iter().for_each(|service| self.judge_rollout(service));
+    }
+
+    /// Judges the version that is rolled out for a service. A version stays faulty until the next
+    /// order, because later good responses or lost counts of other hosts do not refute the failures.
+    pub(super) fn judge_rollout(&mut self, service: &str) {
+        if self.rollout_verdict(service) == Verdict::Faulty
+            && let Some(state) = self.services.get_mut(service)
+        {
+            state.canary.found_faulty = true;
+        }
+    }
+
+    /// Revisions of the rollout orders whose versions this host has found faulty.
+    pub fn faulty_orders(&self) -> BTreeSet<u64> {
+        let canaries = self.services.values().map(|s| &s.canary);
+        canaries.filter(|c| c.found_faulty).map(|c| c.order_revision).collect()
+    }
+
     /// Returns this host's counts for the digests to other hosts, with its verdict.
     pub(super) fn local_canary(&self, service: &str) -> Option<CanaryStats> {
-        let mut canary = self.services.get(service)?.canary.clone();
-        canary.found_faulty = self.rollout_verdict(service) == Verdict::Faulty;
-        Some(canary)
+        Some(self.services.get(service)?.canary.clone())
     }
 
     /// Returns the sum of the counts of all hosts; `None` if the service has had no rollout.
--- a/crates/core/tests/steer/main.rs
+++ b/crates/core/tests/steer/main.rs
@@ -16,3 +16,4 @@
 mod rollout;
 mod server_changes;
 mod steering;
+mod verdict;
--- a/crates/edge/src/control/context.rs
+++ b/crates/edge/src/control/context.rs
@@ -24,6 +24,7 @@
 };
 use jasminestage_net::clock;
 use jasminestage_platform::{store::LeaseId, store_items};
+use tokio::sync::Notify;
 
 use crate::shared::Shared;
 
@@ -64,6 +65,8 @@
     store_read_at: Cell<Option<Instant>>,
     /// When the last read before the current outage succeeded; `None` outside an outage.
     last_read_before_outage: Cell<Option<Instant>>,
+    /// Notified when a turn should not wait for its time.
+    pub urgent: Notify,
     /// Share and verdict of each rollout that were last logged, by service.
     logged_rollouts: RefCell<HashMap<String, (f64, Verdict)>>,
 }
@@ -86,6 +89,7 @@
             reaches_store: Cell::new(true),
             store_read_at: Cell::new(None),
             last_read_before_outage: Cell::new(None),
+            urgent: Notify::new(),
             logged_rollouts: RefCell::default(),
             shared,
         }
@@ -301,17 +305,25 @@
 
     /// Applies the digest of another host of the region.
     pub fn receive_digest(&self, digest: Digest) {
-        self.shared.with_steering(|steering, now| {
-            exchange::receive_digest(now, &mut self.control.borrow_mut(), steering, digest);
+        let is_urgent = self.shared.with_steering(|steering, now| {
+            exchange::receive_digest(now, &mut self.control.borrow_mut(), steering, digest)
         });
-        self.publish();
+        self.publish_received(is_urgent);
     }
 
     /// Applies the summary of another region.
     pub fn receive_region_summary(&self, summary: RegionSummary) {
-        self.shared.with_steering(|steering, now| steering.receive_region_summary(now, &summary));
-        self.control.borrow_mut().receive_region_summary(clock::now(), summary);
+        let is_urgent = self.shared.with_steering(|steering, now| {
+            exchange::receive_region_summary(now, &mut self.control.borrow_mut(), steering, summary)
+        });
+        self.publish_received(is_urgent);
+    }
+
+    fn publish_received(&self, is_urgent: bool) {
         self.publish();
+        if is_urgent {
+            self.urgent.notify_one();
+        }
     }
 
     /// Applies due removals and timeouts; called several times a second.
--- a/crates/edge/src/control/gossip.rs
+++ b/crates/edge/src/control/gossip.rs
@@ -87,10 +87,13 @@
 }
 
 /// In each turn, applies due removals and timeouts and sends the messages that are due, until the
-/// process ends.
+/// process ends. Urgent state of other hosts starts the next turn at once.
 pub async fn broadcast(context: Rc<ControlContext>, udp: Rc<UdpSocket>) {
     for turn in 1.. {
-        tokio::time::sleep(TURN).await;
+        tokio::select! {
+            () = tokio::time::sleep(TURN) => {}
+            () = context.urgent.notified() => {}
+        }
         context.tick();
         send_due(&context, &udp, turn);
     }
