Compare the errors of a new version with those of the others as they come in

Callers saw: a version that failed in a tenth of its responses, against one in a hundred of the old one, was used for four seconds more until it had full load. Cause: the comparison of totals asks for 12 points more failures than the others, since slow responses of servers without cached objects count as failures; and responses from before a fault dilute it. Evidence: 11 of 114 against 21 of 2,328 at 13.0 s, verdict at 17.2 s. Change: errors that a server itself reports are counted apart from slow responses and compared by the sequential test that declared moves use already; counts that are missing for a while do not reset it. As a verdict is kept now, the comparison of totals allows three standard deviations instead of two: 4 slow responses of 16 had rolled back a sound version. A follower that counts new errors sends its digest in the next turn.

--- a/crates/core/src/rollout/regression.rs
+++ b/crates/core/src/rollout/regression.rs
@@ -113,6 +113,13 @@
 
 impl Default for RegressionDetector {
     fn default() -> Self {
+        RegressionDetector::new(8.0)
+    }
+}
+
+impl RegressionDetector {
+    /// Creates a detector for which the log-likelihood ratio of failures has to reach a threshold.
+    pub fn new(failure_threshold: f64) -> Self {
         let test = |min_old_fraction, worse_by, threshold| CusumTest {
             min_old_fraction,
             worse_by,
@@ -121,11 +128,12 @@
             old_bad: 0.0,
             sum: 0.0,
         };
-        RegressionDetector { failing: test(0.01, 0.10, 8.0), slow: test(0.10, 0.30, 12.0) }
+        RegressionDetector {
+            failing: test(0.01, 0.10, failure_threshold),
+            slow: test(0.10, 0.30, 12.0),
+        }
     }
-}
 
-impl RegressionDetector {
     /// Adds requests of the old version.
     pub fn add_old(&mut self, counts: &RequestCounts) {
         self.failing.add_old(counts.ended, counts.bad);
--- a/crates/core/src/steer/control/relays.rs
+++ b/crates/core/src/steer/control/relays.rs
@@ -55,21 +55,14 @@
     pub operator_revision: u64,
     /// Revisions of the rollout orders whose versions are faulty.
     pub faulty_orders: BTreeSet<u64>,
+    /// Errors of new versions that this host has counted.
+    pub canary_errors: u32,
 }
 
 impl ControlState {
     /// Returns the digests that this host has to send in a turn. Turns are counted from the start of
     /// the process. All digests are due when urgent state has changed.
-    pub fn due_digests(
-        &mut self,
-        now: Instant,
-        turn: u64,
-        operator_revision: u64,
-        faulty_orders: BTreeSet<u64>,
-    ) -> DueDigests {
-        let mut readiness = self.region_readiness(now);
-        readiness.sort_unstable();
-        let urgent = UrgentState { readiness, operator_revision, faulty_orders };
+    pub fn due_digests(&mut self, now: Instant, turn: u64, urgent: UrgentState) -> DueDigests {
         let has_changed = urgent != self.last_urgent;
         self.last_urgent = urgent;
         let region_summary = has_changed || self.is_region_summary_due(turn);
@@ -148,7 +141,9 @@
     /// and whether they accept new callers.
     pub fn region_readiness(&self, now: Instant) -> Vec<(Incarnation, bool)> {
         let in_region = self.peers.values().filter(|p| self.is_in_region(p));
-        self.readiness(in_region.filter(|p| p.is_reported(now)))
+        let mut readiness = self.readiness(in_region.filter(|p| p.is_reported(now)));
+        readiness.sort_unstable();
+        readiness
     }
 
     fn readiness<'a>(
--- a/crates/core/src/steer/digest.rs
+++ b/crates/core/src/steer/digest.rs
@@ -38,12 +38,17 @@
     pub order_revision: u64,
     /// Responses from servers of the new version.
     pub responses: u32,
-    /// Failed responses from servers of the new version.
+    /// Failed or slow responses from servers of the new version.
     pub failures: u32,
+    /// Responses among them that the servers of the new version themselves marked as failed, or that
+    /// were invalid.
+    pub errors: u32,
     /// Responses from servers of the other versions.
     pub baseline_responses: u32,
-    /// Failed responses from servers of the other versions.
+    /// Failed or slow responses from servers of the other versions.
     pub baseline_failures: u32,
+    /// Responses among them that are errors.
+    pub baseline_errors: u32,
     /// Whether the version is faulty according to all counts that this host has.
     pub found_faulty: bool,
 }
@@ -60,8 +65,10 @@
     pub fn add(&mut self, other: &CanaryStats) {
         self.responses += other.responses;
         self.failures += other.failures;
+        self.errors += other.errors;
         self.baseline_responses += other.baseline_responses;
         self.baseline_failures += other.baseline_failures;
+        self.baseline_errors += other.baseline_errors;
         self.found_faulty |= other.found_faulty;
     }
 }
--- a/crates/core/src/steer/exchange.rs
+++ b/crates/core/src/steer/exchange.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 
 use super::{
-    control::{ControlState, DigestParts, StoreStatus},
+    control::{ControlState, DigestParts, StoreStatus, UrgentState},
     digest::{Aggregate, AggregateScope, Digest, Message, RegionSummary, StoreProgress},
     steering::Steering,
 };
@@ -30,8 +30,13 @@
     steering: &Steering,
     store: &StoreState,
 ) -> Vec<OutgoingMessage> {
-    let faulty_orders = steering.faulty_orders();
-    let due = control.due_digests(now, turn, store.progress.operator_revision, faulty_orders);
+    let urgent = UrgentState {
+        readiness: control.region_readiness(now),
+        operator_revision: store.progress.operator_revision,
+        faulty_orders: steering.faulty_orders(),
+        canary_errors: steering.canary_errors(),
+    };
+    let due = control.due_digests(now, turn, urgent);
     let mut messages = Vec::new();
     if !due.own.is_empty() {
         let followers = (!due.followers.is_empty())
--- a/crates/core/src/steer/rollout.rs
+++ b/crates/core/src/steer/rollout.rs
@@ -5,7 +5,10 @@
 use serde::{Deserialize, Serialize};
 
 use super::digest::CanaryStats;
-use crate::time::Instant;
+use crate::{
+    rollout::regression::{RegressionDetector, RequestCounts},
+    time::Instant,
+};
 
 /// Share of the new version before the first of the [`STEPS`], as a multiple of the permitted share.
 const CANARY_MULTIPLE: f64 = 0.5;
@@ -23,12 +26,15 @@
 /// a version is considered faulty.
 const EXCESS_FAILURE_RATE: f64 = 0.12;
 /// Deviation of the failure rate that is considered random, in standard deviations.
-const RANDOM_DEVIATIONS: f64 = 2.0;
+const RANDOM_DEVIATIONS: f64 = 3.0;
 /// Smallest failure rate of the other versions from which the standard deviation is calculated.
 const MIN_BASELINE_RATE: f64 = 0.02;
 /// Number of responses of the other versions below which their failure rate is taken as zero.
 const MIN_BASELINE_RESPONSES: u32 = 10;
 
+/// Log-likelihood ratio of "clearly worse" against "as good as the others" from which a version is
+/// considered faulty. A few failures in a row, as at the end of a server, do not reach it.
+const FAILURE_LOG_LIKELIHOOD: f64 = 12.0;
 /// Number of failures from which a version is judged by its own failure rate, since the other
 /// versions may fail as often under overload. The platform permits 50 failed responses.
 const MAX_FAILURES: u32 = 35;
@@ -141,6 +147,48 @@
     }
 }
 
+/// Compares the errors of a version with those of the others while the counts of all hosts grow, so
+/// that responses from before a fault do not hide it. Slow responses do not count: those of a version
+/// whose servers have no objects cached yet are slow without a fault.
+#[derive(Clone, Debug)]
+pub struct VersionComparison {
+    detector: RegressionDetector,
+    /// Largest counts that have been compared.
+    compared: CanaryStats,
+}
+
+impl Default for VersionComparison {
+    fn default() -> Self {
+        let detector = RegressionDetector::new(FAILURE_LOG_LIKELIHOOD);
+        VersionComparison { detector, compared: CanaryStats::default() }
+    }
+}
+
+impl VersionComparison {
+    /// Adds the responses by which the sum of all hosts has grown; returns whether the version fails
+    /// clearly more often than the others. The sum may shrink while counts of hosts are missing.
+    pub fn add(&mut self, total: &CanaryStats) -> bool {
+        let compared = &mut self.compared;
+        let grow = |count: &mut u32, total: u32| {
+            let growth = total.saturating_sub(*count);
+            *count += growth;
+            u64::from(growth)
+        };
+        let old = RequestCounts {
+            ended: grow(&mut compared.baseline_responses, total.baseline_responses),
+            bad: grow(&mut compared.baseline_errors, total.baseline_errors),
+            ..RequestCounts::default()
+        };
+        let new = RequestCounts {
+            ended: grow(&mut compared.responses, total.responses),
+            bad: grow(&mut compared.errors, total.errors),
+            ..RequestCounts::default()
+        };
+        self.detector.add_old(&old);
+        self.detector.add_new(&new)
+    }
+}
+
 /// Judges a version by the sum of the results of all hosts.
 pub fn verdict(total: &CanaryStats) -> Verdict {
     if total.found_faulty {
--- a/crates/core/src/steer/steering/mod.rs
+++ b/crates/core/src/steer/steering/mod.rs
@@ -30,6 +30,7 @@
     quota::Quotas,
     region_summaries::RegionSummaries,
     retry::RetryBudget,
+    rollout::VersionComparison,
     server::{Server, ServerKey},
     view::View,
 };
@@ -61,6 +62,8 @@
     has_plan: bool,
     /// Responses during the current or last rollout of the service.
     canary: CanaryStats,
+    /// Comparison of the versions during that rollout.
+    comparison: VersionComparison,
 }
 
 impl ServiceState {
@@ -130,6 +133,7 @@
         for (service, rollout) in view.rollouts.iter() {
             let state = self.services.entry(service.clone()).or_default();
             if state.canary.order_revision != rollout.order.revision {
+                state.comparison = VersionComparison::default();
                 state.canary = CanaryStats {
                     service: service.clone(),
                     version: rollout.order.version.clone(),
--- a/crates/core/src/steer/steering/outcome.rs
+++ b/crates/core/src/steer/steering/outcome.rs
@@ -179,15 +179,21 @@
             AttemptOutcome::Abandoned => is_slow,
             AttemptOutcome::Shed | AttemptOutcome::WrongServer | AttemptOutcome::NotSent => return,
         };
+        let is_error = match outcome {
+            AttemptOutcome::Answered { status, .. } => status >= 500,
+            outcome => outcome == AttemptOutcome::BadAnswer,
+        };
         let canary = &mut state.canary;
         if canary.version == attempt.version {
             if !was_cold {
                 canary.responses += 1;
                 canary.failures += u32::from(failed);
+                canary.errors += u32::from(is_error);
             }
         } else if !canary.version.is_empty() {
             canary.baseline_responses += 1;
             canary.baseline_failures += u32::from(failed);
+            canary.baseline_errors += u32::from(is_error);
         }
         if failed && view.rollouts.contains_key(&request.service) {
             self.judge_rollout(&request.service);
--- a/crates/core/src/steer/steering/rollouts.rs
+++ b/crates/core/src/steer/steering/rollouts.rs
@@ -51,11 +51,15 @@
     /// Judges the version that is rolled out for a service. A version stays faulty until the next
     /// order, because later good responses or lost counts of other hosts do not refute the failures.
     pub(super) fn judge_rollout(&mut self, service: &str) {
-        if self.rollout_verdict(service) == Verdict::Faulty
-            && let Some(state) = self.services.get_mut(service)
-        {
-            state.canary.found_faulty = true;
-        }
+        let Some(counts) = self.canary_counts(service) else { return };
+        let Some(state) = self.services.get_mut(service) else { return };
+        let is_worse = state.comparison.add(&counts);
+        state.canary.found_faulty |= is_worse || rollout::verdict(&counts) == Verdict::Faulty;
+    }
+
+    /// Errors of new versions that this host has counted.
+    pub fn canary_errors(&self) -> u32 {
+        self.services.values().map(|s| s.canary.errors).sum()
     }
 
     /// Revisions of the rollout orders whose versions this host has found faulty.
--- a/crates/edge/src/control/context.rs
+++ b/crates/edge/src/control/context.rs
@@ -31,6 +31,8 @@
 /// Minimum time between this host's last read before an outage and a read by another host that
 /// shows that the store was reachable during the outage.
 const OUTAGE_MARGIN: Duration = Duration::from_millis(800);
+/// Smallest change of a new version's share that is logged, as a fraction of the share.
+const MIN_LOGGED_CHANGE: f64 = 0.25;
 
 /// Part of the store's items of which the host has a local copy; log lines contain `Orders` and
 /// `Servers`.
@@ -339,14 +341,19 @@
         self.log_rollouts(&statuses);
     }
 
-    /// Logs each change of the share or the verdict of a rollout, with the counts behind it.
+    /// Logs changes of the share or the verdict of a rollout, with the counts behind them.
     fn log_rollouts(&self, statuses: &[RolloutStatus]) {
         let mut logged = self.logged_rollouts.borrow_mut();
         for RolloutStatus { share, verdict, elapsed, counts } in statuses {
-            let current = (*share, *verdict);
-            if logged.insert(counts.service.clone(), current) == Some(current) {
+            let known = logged.get(&counts.service);
+            let is_logged = known.is_some_and(|(logged_share, logged_verdict)| {
+                logged_verdict == verdict
+                    && (share - logged_share).abs() <= logged_share * MIN_LOGGED_CHANGE
+            });
+            if is_logged {
                 continue;
             }
+            logged.insert(counts.service.clone(), (*share, *verdict));
             tracing::info!(
                 event = 341,
                 service = counts.service,
@@ -356,8 +363,10 @@
                 elapsed_ms = elapsed.as_millis() as u64,
                 responses = counts.responses,
                 failures = counts.failures,
+                errors = counts.errors,
                 baseline_responses = counts.baseline_responses,
                 baseline_failures = counts.baseline_failures,
+                baseline_errors = counts.baseline_errors,
                 "The share of a new version or the verdict on it has changed."
             );
         }
