Leave enough of the permitted exposure for a fault that shows under full load only

Callers saw: on the grown Vaska site a version that fails under load got 888 to 968 of 5,343 requests; 584 are allowed. Cause: the steps up to 60% use up the permitted share, and nothing is left for the time that the last step needs to show a fault and to be taken back. Change: before the last step the share is bounded by the requests that the version has had at all hosts, less those of the time in which a fault under full load is found. The hosts report how many requests they have sent to the version; the extra requests that are allowed come from the settings. Result: the simulation broke the bound on the code before at 380 and 500 requests a second, and keeps it at 0.5 to 500.

--- a/crates/core/src/steer/bounds.rs
+++ b/crates/core/src/steer/bounds.rs
@@ -21,6 +21,8 @@
     pub quota_slack: f64,
     /// Largest share of a service's requests that a faulty new version may get over a whole rollout.
     pub canary_share: f64,
+    /// Number of requests that a faulty new version may get besides the share.
+    pub canary_extra: f64,
     /// Largest change within two seconds of the shares in which a region distributes its requests.
     pub max_shift: f64,
 }
@@ -36,6 +38,7 @@
             quota_overage: 0.0,
             quota_slack: 0.0,
             canary_share: 0.1,
+            canary_extra: 0.0,
             max_shift: 0.15,
         }
     }
--- a/crates/core/src/steer/digest.rs
+++ b/crates/core/src/steer/digest.rs
@@ -36,7 +36,9 @@
     pub version: String,
     /// Revision of the rollout order.
     pub order_revision: u64,
-    /// Responses from servers of the new version.
+    /// Requests sent to servers of the new version.
+    pub requests: u32,
+    /// Responses from servers of the new version that can be compared with the others.
     pub responses: u32,
     /// Failed or slow responses from servers of the new version.
     pub failures: u32,
@@ -63,6 +65,7 @@
 
     /// Adds the responses that another host counted.
     pub fn add(&mut self, other: &CanaryStats) {
+        self.requests += other.requests;
         self.responses += other.responses;
         self.failures += other.failures;
         self.errors += other.errors;
--- a/crates/core/src/steer/rollout.rs
+++ b/crates/core/src/steer/rollout.rs
@@ -12,9 +12,19 @@
 
 /// Share of the new version before the first of the [`STEPS`], as a multiple of the permitted share.
 const CANARY_MULTIPLE: f64 = 0.5;
-/// Fraction of the rollout's duration from which a step applies, and the share in this step as a
-/// multiple of the permitted share.
-const STEPS: [(f64, f64); 4] = [(0.50, 1.5), (0.57, 3.0), (0.64, 6.0), (0.71, f64::INFINITY)];
+/// Fraction of the rollout's duration from which a step applies, and the largest share in this step
+/// as a multiple of the permitted share.
+const STEPS: [(f64, f64); 3] = [(0.50, 1.5), (0.57, 3.0), (0.64, 6.0)];
+/// Fraction of the rollout's duration from which the new version serves all requests.
+const FULL_FRACTION: f64 = 0.71;
+/// Smallest share of a running rollout as a multiple of the permitted share, so that a fault shows.
+const MIN_MULTIPLE: f64 = 0.1;
+/// Longest time from the first failed responses of a faulty version until no host uses it any more:
+/// the response to a request that was sent before, the next turn of the host that counts it, and the
+/// verdict on its way.
+const DETECTION_TIME: Duration = Duration::from_millis(700);
+/// Fraction of the permitted requests that is planned with, since counts of other hosts arrive late.
+const USED_EXPOSURE: f64 = 0.9;
 /// Fraction of the rollout's duration after which a version without faults has succeeded.
 const SUCCESS_FRACTION: f64 = 0.82;
 /// Fraction of the rollout's duration after which a version that could not be compared with the
@@ -81,6 +91,37 @@
     RolledBack,
 }
 
+/// Requests of a service since the start of a rollout, at all hosts, and how many of them a faulty
+/// version may get.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Exposure {
+    /// Largest share of the requests until the end of the rollout that a faulty version may get.
+    pub permitted_share: f64,
+    /// Number of requests that it may get besides the share.
+    pub permitted_extra: f64,
+    /// Requests of the new version.
+    pub exposed: f64,
+    /// Requests of all versions.
+    pub total: f64,
+    /// Requests of all versions per second.
+    pub rate: f64,
+}
+
+impl Exposure {
+    /// Returns the share up to which the new version may grow before all requests go to it after
+    /// `until_full`. It leaves enough of the permitted requests for the time in which a fault is
+    /// detected that shows under full load only.
+    fn largest_share(&self, until_full: Duration, until_end: Duration) -> f64 {
+        let total = self.total + self.rate * until_end.as_secs_f64();
+        let permitted = (self.permitted_share * total + self.permitted_extra) * USED_EXPOSURE;
+        let reserve = self.rate * DETECTION_TIME.as_secs_f64();
+        let left = (permitted - reserve - self.exposed).max(0.0);
+        let requests = |time: Duration| (self.rate * time.as_secs_f64()).max(1.0);
+        // A fault may also show now, before the version has full load.
+        (left / requests(until_full)).min((left + reserve) / requests(DETECTION_TIME))
+    }
+}
+
 /// A rollout as seen by one host.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Rollout {
@@ -93,23 +134,29 @@
 }
 
 impl Rollout {
-    /// Returns the new version's share of the requests. `permitted_share` is the largest share that a
-    /// faulty version may have had over the whole rollout.
-    pub fn traffic_share(&self, now: Instant, verdict: Verdict, permitted_share: f64) -> f64 {
+    /// Returns the new version's share of the requests.
+    pub fn traffic_share(&self, now: Instant, verdict: Verdict, exposure: &Exposure) -> f64 {
+        let permitted_share = exposure.permitted_share;
         match self.state {
-            RolloutState::Succeeded => 1.0,
-            RolloutState::RolledBack => 0.0,
-            RolloutState::Running if verdict == Verdict::Faulty => 0.0,
-            RolloutState::Running if verdict == Verdict::Inconclusive => {
-                permitted_share * CANARY_MULTIPLE
-            }
-            RolloutState::Running => {
-                let elapsed = self.elapsed_fraction(now);
+            RolloutState::Succeeded => return 1.0,
+            RolloutState::RolledBack => return 0.0,
+            RolloutState::Running => {}
+        }
+        let elapsed = self.elapsed_fraction(now);
+        let multiple = match verdict {
+            Verdict::Faulty => return 0.0,
+            Verdict::Inconclusive => CANARY_MULTIPLE,
+            Verdict::Sound if elapsed >= FULL_FRACTION => return 1.0,
+            Verdict::Sound => {
                 let step = STEPS.iter().rev().find(|(from, _)| elapsed >= *from);
-                let multiple = step.map_or(CANARY_MULTIPLE, |(_, multiple)| *multiple);
-                (permitted_share * multiple).min(1.0)
+                step.map_or(CANARY_MULTIPLE, |(_, multiple)| *multiple)
             }
-        }
+        };
+        let until =
+            |fraction| self.order.duration.mul_f64(fraction).saturating_sub(self.elapsed(now));
+        let largest_share = exposure.largest_share(until(FULL_FRACTION), until(1.0));
+        let smallest_share = permitted_share * MIN_MULTIPLE;
+        (permitted_share * multiple).min(largest_share.max(smallest_share)).min(1.0)
     }
 
     /// Returns the state to record now, if it differs from the recorded one.
--- a/crates/core/src/steer/steering/choose.rs
+++ b/crates/core/src/steer/steering/choose.rs
@@ -15,7 +15,6 @@
         quota::QuotaState,
         refusal::{Refusal, RefusalReason},
         regions,
-        rollout::Verdict,
         server::{Server, ServerKey},
         stable_hash, unit_interval,
         view::View,
@@ -131,11 +130,8 @@
         if view.evacuated_zones.len() >= view.zone_regions.len() && !view.zone_regions.is_empty() {
             return Err(self.final_refusal(request, RefusalReason::NoServer));
         }
-        let verdict = match view.rollouts.contains_key(&request.service) {
-            true => self.rollout_verdict(&request.service),
-            false => Verdict::Sound,
-        };
-        let version_filters = VersionPreference::for_request(&view, now, request, verdict);
+        let new_version_share = self.rollout_share(now, &request.service);
+        let version_filters = VersionPreference::for_request(&view, request, new_version_share);
         let objective_s = request.route.latency_objective.as_secs_f64();
         let state = self.services.entry(request.service.clone()).or_default();
         let base_latency_s = state.base_latency_s.unwrap_or(objective_s * ASSUMED_LATENCY_FRACTION);
@@ -191,6 +187,7 @@
             is_warm: best.is_warm,
             version: entry.version.clone(),
         });
+        self.count_canary_request(&request.service, &entry.version);
         let failover_after = Duration::from_secs_f64((best.latency_s * 4.0).max(objective_s * 1.2));
         Ok(Dispatch {
             address: entry.address,
--- a/crates/core/src/steer/steering/rollouts.rs
+++ b/crates/core/src/steer/steering/rollouts.rs
@@ -6,8 +6,8 @@
 use super::Steering;
 use crate::{
     steer::{
-        digest::CanaryStats,
-        rollout::{self, Verdict},
+        digest::{CanaryStats, name_hash},
+        rollout::{self, Exposure, Verdict},
     },
     time::Instant,
 };
@@ -31,7 +31,7 @@
         let statuses = self.view.rollouts.iter().filter_map(|(service, rollout)| {
             let counts = self.canary_counts(service)?;
             let verdict = rollout::verdict(&counts);
-            let share = rollout.traffic_share(now, verdict, self.view.bounds.canary_share);
+            let share = rollout.traffic_share(now, verdict, &self.exposure(now, service, &counts));
             Some(RolloutStatus { share, verdict, elapsed: rollout.elapsed(now), counts })
         });
         statuses.collect()
@@ -73,6 +73,38 @@
         Some(self.services.get(service)?.canary.clone())
     }
 
+    /// Returns the new version's share of the requests for a service.
+    pub(super) fn rollout_share(&self, now: Instant, service: &str) -> Option<f64> {
+        let rollout = self.view.rollouts.get(service)?;
+        let counts = self.canary_counts(service)?;
+        let verdict = rollout::verdict(&counts);
+        Some(rollout.traffic_share(now, verdict, &self.exposure(now, service, &counts)))
+    }
+
+    /// Counts a request that is sent to a server of this version.
+    pub(super) fn count_canary_request(&mut self, service: &str, version: &str) {
+        let state = self.services.get_mut(service);
+        if let Some(state) = state.filter(|s| s.canary.version == version) {
+            state.canary.requests += 1;
+        }
+    }
+
+    fn exposure(&self, now: Instant, service: &str, counts: &CanaryStats) -> Exposure {
+        let key = name_hash(service);
+        let local = self.services.get(service).map_or(0.0, |s| s.request_rate);
+        let same_region = self.received.fresh(now).map(|(_, state)| &state.sum.stats);
+        let summaries = self.remote_regions.all(now);
+        let stats = same_region.chain(summaries.iter().map(|s| &s.stats));
+        let remote: f32 = stats.filter_map(|s| s.request_rates.get(&key)).sum();
+        Exposure {
+            permitted_share: self.view.bounds.canary_share,
+            permitted_extra: self.view.bounds.canary_extra,
+            exposed: f64::from(counts.requests),
+            total: f64::from(counts.requests) + f64::from(counts.baseline_responses),
+            rate: local + f64::from(remote),
+        }
+    }
+
     /// Returns the sum of the counts of all hosts; `None` if the service has had no rollout.
     fn canary_counts(&self, service: &str) -> Option<CanaryStats> {
         let own = &self.services.get(service)?.canary;
--- a/crates/core/src/steer/steering/version_filter.rs
+++ b/crates/core/src/steer/steering/version_filter.rs
@@ -3,10 +3,7 @@
 use std::collections::HashSet;
 
 use super::request::PendingRequest;
-use crate::{
-    steer::{rollout::Verdict, view::View},
-    time::Instant,
-};
+use crate::steer::view::View;
 
 /// A set of versions that may run a request.
 #[derive(Clone, Debug)]
@@ -32,13 +29,15 @@
 pub(super) struct VersionPreference(Vec<VersionFilter>);
 
 impl VersionPreference {
+    /// Returns the preference of a request; `new_version_share` is the share of the version that is
+    /// rolled out.
     pub(super) fn for_request(
         view: &View,
-        now: Instant,
         request: &PendingRequest,
-        verdict: Verdict,
+        new_version_share: Option<f64>,
     ) -> Self {
-        let Some(rollout) = view.rollouts.get(&request.service) else {
+        let rollout = view.rollouts.get(&request.service);
+        let Some((rollout, share)) = rollout.zip(new_version_share) else {
             let regular = view.regular_versions.get(&request.service).cloned();
             return VersionPreference(vec![
                 regular.map_or(VersionFilter::Any, VersionFilter::OneOf),
@@ -53,7 +52,6 @@
             }
             _ => VersionFilter::Except(HashSet::from([rollout.order.version.clone()])),
         };
-        let share = rollout.traffic_share(now, verdict, view.bounds.canary_share);
         VersionPreference(match () {
             () if share <= 0.0 => vec![old],
             () if share >= 1.0 => vec![new, old],
--- a/crates/core/tests/steer/rollout.rs
+++ b/crates/core/tests/steer/rollout.rs
@@ -4,7 +4,7 @@
 
 use jasminestage_core::steer::{
     digest::CanaryStats,
-    rollout::{Rollout, RolloutOrder, RolloutState, Verdict, verdict},
+    rollout::{Exposure, Rollout, RolloutOrder, RolloutState, Verdict, verdict},
 };
 use test_case::test_case;
 
@@ -20,6 +20,10 @@
     Rollout { order, state: RolloutState::Running, started: at(0) }
 }
 
+fn exposure() -> Exposure {
+    Exposure { permitted_share: 0.1, ..Exposure::default() }
+}
+
 struct FaultCase {
     /// Answers and failures of the new version, then of the other versions.
     counts: [u32; 4],
@@ -61,20 +65,64 @@
     assert_eq!(verdict(&sum), Verdict::Faulty);
 }
 
-/// A fault that appears only under full load is detected late. Until then the faulty version must not
-/// have had more than the permitted share of the requests.
-#[test]
-fn exposure_stays_under_the_bound_until_full_load() {
-    let rollout = running();
-    let (mut exposed, mut total) = (0.0, 0.0);
-    for millis in 0..16_000u64 {
-        let share = rollout.traffic_share(at(millis), Verdict::Sound, 0.1);
-        total += 1.0;
-        if share < 0.6 {
-            exposed += share;
+struct ExposureCase {
+    /// Requests for the service per second.
+    rate: f64,
+    duration_s: u64,
+    /// Share of the requests from which the version fails.
+    fails_from: f64,
+}
+
+/// Requests that a faulty version may get besides a tenth of all.
+const EXTRA: f64 = 50.0;
+/// Time until all hosts have stopped using a version after its first failed responses.
+const DETECTION_MS: u64 = 800;
+
+/// A version that fails only from a certain load on is found when it has that load. Until all hosts
+/// have stopped using it, it must not have had more than the permitted requests.
+#[test_case(&ExposureCase { rate: 0.5, duration_s: 14, fails_from: 1.0 }; "full load at 30 requests a minute")]
+#[test_case(&ExposureCase { rate: 42.0, duration_s: 14, fails_from: 1.0 }; "full load at 42 requests a second")]
+#[test_case(&ExposureCase { rate: 380.0, duration_s: 14, fails_from: 1.0 }; "full load at 380 requests a second")]
+#[test_case(&ExposureCase { rate: 380.0, duration_s: 14, fails_from: 0.10 }; "a tenth of the load at 380 requests a second")]
+#[test_case(&ExposureCase { rate: 380.0, duration_s: 14, fails_from: 0.25 }; "a quarter of the load at 380 requests a second")]
+#[test_case(&ExposureCase { rate: 500.0, duration_s: 16, fails_from: 1.0 }; "full load at 500 requests a second")]
+#[test_case(&ExposureCase { rate: 500.0, duration_s: 120, fails_from: 0.5 }; "half of the load in two minutes")]
+fn exposure_of_a_version_that_fails_under_load_stays_within_the_bound(case: &ExposureCase) {
+    let mut rollout = running();
+    rollout.order.duration = Duration::from_secs(case.duration_s);
+    let (mut exposed, mut total, mut stops_at) = (0.0, 0.0, None);
+    for millis in 0..case.duration_s * 1000 {
+        let exposure = Exposure {
+            permitted_share: 0.1,
+            permitted_extra: EXTRA,
+            exposed,
+            total,
+            rate: case.rate,
+        };
+        let has_stopped = stops_at.is_some_and(|at| millis >= at);
+        let verdict = if has_stopped { Verdict::Faulty } else { Verdict::Sound };
+        let share = rollout.traffic_share(at(millis), verdict, &exposure);
+        if share >= case.fails_from {
+            stops_at.get_or_insert(millis + DETECTION_MS);
         }
+        total += case.rate / 1000.0;
+        exposed += case.rate / 1000.0 * share;
     }
-    assert!(exposed / total <= 0.1, "{}", exposed / total);
+    assert!(exposed <= 0.1 * total + EXTRA, "{exposed} of {total}");
+}
+
+/// A version without a fault gets all requests long enough before the decision that a fault under
+/// full load would show.
+#[test_case(0.5; "at 30 requests a minute")]
+#[test_case(500.0; "at 500 requests a second")]
+fn a_version_without_a_fault_has_full_load_before_it_succeeds(rate: f64) {
+    let (mut exposure, rollout) = (exposure(), running());
+    exposure.rate = rate;
+    let decided_ms = (0..16_000)
+        .find(|millis| rollout.next_state(at(*millis), Verdict::Sound).is_some())
+        .expect("the rollout ends");
+    let share = rollout.traffic_share(at(decided_ms - DETECTION_MS), Verdict::Sound, &exposure);
+    assert!(share >= 1.0, "{share}");
 }
 
 struct NextStateCase {
@@ -97,7 +145,7 @@
     let mut rollout = running();
     assert!(rollout.advance(RolloutState::RolledBack));
     assert!(!rollout.advance(RolloutState::Succeeded));
-    assert_eq!(rollout.traffic_share(at(15_900), Verdict::Sound, 0.1), 0.0);
+    assert_eq!(rollout.traffic_share(at(15_900), Verdict::Sound, &exposure()), 0.0);
 }
 
 /// Under overload the responses of all versions fail alike, so a comparison finds no fault. The
@@ -106,7 +154,7 @@
 fn the_share_does_not_grow_while_versions_cannot_be_compared() {
     let rollout = running();
     let largest = (0..16_000u64)
-        .map(|millis| rollout.traffic_share(at(millis), Verdict::Inconclusive, 0.1))
+        .map(|millis| rollout.traffic_share(at(millis), Verdict::Inconclusive, &exposure()))
         .fold(0.0, f64::max);
     assert!(largest <= 0.05, "{largest}");
 }
--- a/crates/edge/src/options.rs
+++ b/crates/edge/src/options.rs
@@ -122,6 +122,9 @@
     Setting("bounds", "canary_share", false, |o, t| {
         assign(&mut o.bounds.canary_share, parse_positive(t))
     }),
+    Setting("bounds", "canary_extra", false, |o, t| {
+        assign(&mut o.bounds.canary_extra, parse_non_negative(t))
+    }),
     Setting("bounds", "max_shift", false, |o, t| {
         assign(&mut o.bounds.max_shift, parse_positive(t))
     }),
