Keep to the limit that a server states, over all hosts

Callers saw: servers that named a limit got up to 58 requests in 4 s where 37 are allowed. Cause: the header was not read; only cold servers had a bound over all hosts. Change: the pacing of cold servers becomes a rate bound of a server with its senders, a rate and a burst; a limit is a second source of such a bound, and the stricter one holds. About one sender for each request per second of the limit, chosen by rendezvous hashing among the reachable hosts of the server's region, keeps to an equal part. Hosts that send nothing learn a limit and its end from digests, with a revision for each change; a limit holds for one incarnation and ends with a response to a newer request that has none. Values that cannot be read are counted and logged. Event 342 logs each change. Core tests: up to 78 hosts, limits 0 to 20 a second.

--- a/crates/core/src/steer/digest.rs
+++ b/crates/core/src/steer/digest.rs
@@ -16,7 +16,12 @@
 use serde::{Deserialize, Serialize};
 use serde_with::{DurationMilliSeconds, serde_as};
 
-use super::{leaving::IncarnationHash, rollout::RolloutState, stable_hash};
+use super::{
+    leaving::IncarnationHash,
+    limits::{self, LimitReport},
+    rollout::RolloutState,
+    stable_hash,
+};
 use crate::host::Incarnation;
 
 /// Short hash of a name, identical on all hosts.
@@ -106,6 +111,8 @@
     pub crashes: Vec<(u64, u64)>,
     /// Servers that recently announced in a response that they are about to stop.
     pub leaving: BTreeSet<IncarnationHash>,
+    /// Limits that servers recently stated in a response.
+    pub limits: LimitReport,
 }
 
 impl TrafficStats {
@@ -127,6 +134,7 @@
         self.crashes.sort_unstable();
         self.crashes.dedup();
         self.leaving.extend(&other.leaving);
+        limits::merge_report(&mut self.limits, &other.limits);
     }
 }
 
--- a/crates/core/src/steer/mod.rs
+++ b/crates/core/src/steer/mod.rs
@@ -6,7 +6,6 @@
 
 pub mod bounds;
 pub mod catalog;
-pub mod cold;
 pub mod control;
 pub mod crash;
 pub mod deferred_removals;
@@ -14,7 +13,9 @@
 pub mod directory;
 pub mod exchange;
 pub mod leaving;
+pub mod limits;
 pub mod mirror;
+pub mod pacing;
 pub mod pick;
 pub mod quota;
 pub mod refusal;
--- a/crates/core/src/steer/server.rs
+++ b/crates/core/src/steer/server.rs
@@ -13,6 +13,8 @@
 use super::{
     digest::{NameHash, name_hash},
     leaving::{IncarnationHash, incarnation_hash},
+    limits::StatedLimit,
+    pacing::RateBound,
 };
 use crate::time::Instant;
 
@@ -115,7 +117,7 @@
 }
 
 /// What a server reports about itself with a response.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct ServerReport {
     /// Its load.
     pub load: Option<LoadReport>,
@@ -123,6 +125,8 @@
     pub is_leaving: bool,
     /// Time for which it asks this host to send it no requests.
     pub pause: Option<Duration>,
+    /// Rate of requests that it takes from all hosts together.
+    pub limit: StatedLimit,
 }
 
 /// A server with the measurements of this host.
@@ -149,6 +153,10 @@
     pub incarnation: IncarnationHash,
     /// Whether this incarnation has announced in a response that it is about to stop.
     pub is_leaving: bool,
+    /// Bound that follows from the limit that this incarnation has stated.
+    pub limit_bound: Option<RateBound>,
+    /// Whether this host is one of those that send requests to the server while it has a limit.
+    pub is_limit_sender: bool,
     /// Time until which the server asked this host to send it no requests.
     paused_until: Instant,
     /// Time of the last answer and mean latency in seconds.
@@ -176,6 +184,8 @@
             remote_in_flight: 0,
             cold_until,
             is_leaving: false,
+            limit_bound: None,
+            is_limit_sender: false,
             paused_until: Instant::ZERO,
             mean_latency: None,
             failure_rate: 0.0,
--- a/crates/core/src/steer/steering/choose.rs
+++ b/crates/core/src/steer/steering/choose.rs
@@ -10,7 +10,6 @@
 use crate::{
     declaration::Repeat,
     steer::{
-        cold::responsible_host,
         pick::{self, Criteria},
         quota::QuotaState,
         refusal::{Refusal, RefusalReason},
@@ -168,12 +167,10 @@
                 expected_latency: Some(Duration::from_secs_f64(best.latency_s)),
             });
         }
-        let cold_rate =
-            view.catalog.services.get(&request.service).map_or(1.0, |s| s.cold_rate_per_s);
-        let server = &mut self.servers[best.server];
-        if now < server.cold_until {
-            self.cold_pacer.record_request(now, server.hash, cold_rate);
+        if let Some(bound) = self.rate_bound(now, &view, &self.servers[best.server]) {
+            self.pacer.record_request(now, self.servers[best.server].hash, &bound);
         }
+        let server = &mut self.servers[best.server];
         let (load, load_age) = (server.load(now), server.load_report_age(now));
         server.start_request(request.object);
         let entry = Arc::clone(&server.entry);
@@ -200,8 +197,8 @@
         })
     }
 
-    /// Tells the caller to come back when the first of the service's paused servers takes requests
-    /// again, if no request of it can be sent before.
+    /// Tells the caller to come back when the first of the service's paused or limited servers takes
+    /// requests of this host again, if none can be sent before.
     fn with_end_of_pauses(
         &self,
         now: Instant,
@@ -213,7 +210,10 @@
             .servers
             .values()
             .filter(|s| s.entry.service == request.service && self.is_in_service(view, s));
-        let ends = usable.map(|s| s.paused_until(now)).collect::<Option<Vec<Instant>>>();
+        let end = |s: &Server| {
+            s.paused_until(now).max(self.next_request_at(now, view, s).filter(|at| *at > now))
+        };
+        let ends = usable.map(end).collect::<Option<Vec<Instant>>>();
         let first_end = ends.and_then(|ends| ends.into_iter().min());
         match first_end {
             Some(end) if refusal.retry_after.is_some() => {
@@ -280,15 +280,6 @@
             && !request.tried_servers.contains(&key)
             && !server.is_backing_off(now)
             && server.paused_until(now).is_none()
-            && (now >= server.cold_until || self.may_send_cold(now, view, server))
-    }
-
-    /// Whether this host may send a request to this cold server now.
-    fn may_send_cold(&self, now: Instant, view: &View, server: &Server) -> bool {
-        let peers = view.peers.iter().filter(|p| p.is_reachable && p.region == server.region);
-        let local = (view.region == server.region).then_some(view.local_host.incarnation.0);
-        let hosts = peers.map(|p| p.host.incarnation.0).chain(local);
-        responsible_host(server.hash, hosts) == Some(view.local_host.incarnation.0)
-            && self.cold_pacer.is_due(now, server.hash)
+            && self.next_request_at(now, view, server).is_some_and(|at| at <= now)
     }
 }
--- a/crates/core/src/steer/steering/mod.rs
+++ b/crates/core/src/steer/steering/mod.rs
@@ -1,6 +1,7 @@
 //! The request path: all decisions between the arrival of a request and its answer.
 
 mod choose;
+mod limits;
 mod outcome;
 mod peers;
 mod plan;
@@ -19,14 +20,16 @@
 
 use self::received::ReceivedStates;
 pub use self::{
+    limits::LimitChange,
     request::{Dispatch, NextAction, PendingRequest, RequestHead},
     rollouts::RolloutStatus,
 };
 use super::{
-    cold::ColdServerPacer,
     crash::CrashTracker,
     digest::{CanaryStats, NameHash},
     leaving::LeavingServers,
+    limits::ServerLimits,
+    pacing::ServerPacer,
     quota::Quotas,
     region_summaries::RegionSummaries,
     retry::RetryBudget,
@@ -86,9 +89,12 @@
     received: ReceivedStates,
     remote_regions: RegionSummaries,
     quotas: Quotas,
-    cold_pacer: ColdServerPacer,
+    pacer: ServerPacer,
     crashes: CrashTracker,
     leaving: LeavingServers,
+    limits: ServerLimits,
+    /// Changes of limits that have not been logged yet.
+    limit_changes: Vec<LimitChange>,
     last_plan_at: Instant,
     last_tick_at: Instant,
 }
@@ -105,9 +111,11 @@
             received: ReceivedStates::default(),
             remote_regions: RegionSummaries::default(),
             quotas: Quotas::default(),
-            cold_pacer: ColdServerPacer::default(),
+            pacer: ServerPacer::default(),
             crashes: CrashTracker::default(),
             leaving: LeavingServers::default(),
+            limits: ServerLimits::default(),
+            limit_changes: Vec::new(),
             last_plan_at: Instant::ZERO,
             last_tick_at: Instant::ZERO,
         }
@@ -122,11 +130,16 @@
     /// new rollout order.
     pub fn install_view(&mut self, now: Instant, view: Arc<View>) {
         let servers_changed = !Arc::ptr_eq(&view.servers, &self.view.servers);
+        let peers_changed =
+            !Arc::ptr_eq(&view.peers, &self.view.peers) || view.stopping != self.view.stopping;
         let reopened_changed = !Arc::ptr_eq(&view.reopened_zones, &self.view.reopened_zones);
         self.view = Arc::clone(&view);
         if servers_changed {
             self.update_servers(now, &view);
         }
+        if servers_changed || peers_changed {
+            self.update_limit_bounds();
+        }
         if reopened_changed {
             self.mark_reopened_cold(&view);
         }
@@ -196,10 +209,11 @@
     /// Removes expired state and updates the plan; called several times a second.
     pub fn tick(&mut self, now: Instant) {
         self.last_tick_at = now;
-        self.cold_pacer.expire(now);
+        self.pacer.expire(now);
         self.crashes.expire(now);
         let announced: HashSet<_> = self.servers.values().map(|s| s.incarnation).collect();
         self.leaving.expire(now, |server| announced.contains(&server));
+        self.limits.expire(now, |server| announced.contains(&server));
         self.remote_regions.expire(now);
         self.judge_rollouts();
         self.expire_received_states(now);
--- a/crates/core/src/steer/steering/outcome.rs
+++ b/crates/core/src/steer/steering/outcome.rs
@@ -116,6 +116,11 @@
         if report.is_some_and(|r| r.is_leaving) {
             self.leaving.observe(now, attempt.incarnation);
         }
+        let is_own_report =
+            !matches!(outcome, AttemptOutcome::WrongServer | AttemptOutcome::BadAnswer);
+        if let Some(report) = report.filter(|_| is_own_report) {
+            self.observe_limit(now, attempt.sent_at, attempt.incarnation, report.limit);
+        }
         let Some(server) = self.servers.get_mut(attempt.server) else { return };
         let normalize = |took: Duration| took.div_f64(attempt.latency_multiple.max(1.0));
         let normalized = match outcome {
--- a/crates/core/src/steer/steering/peers.rs
+++ b/crates/core/src/steer/steering/peers.rs
@@ -23,6 +23,7 @@
         let Digest { sender, in_flight, stats, aggregate, region_summaries, .. } = digest;
         self.receive_crashes(now, &stats);
         self.receive_leaving(now, &stats);
+        self.receive_limits(now, &stats);
         for summary in &region_summaries {
             self.receive_region_summary(now, summary);
         }
@@ -36,6 +37,7 @@
         if let Some(aggregate) = aggregate {
             self.receive_crashes(now, &aggregate.sum.stats);
             self.receive_leaving(now, &aggregate.sum.stats);
+            self.receive_limits(now, &aggregate.sum.stats);
             let source = match aggregate.scope {
                 AggregateScope::Followers => Source::Followers(sender.zone),
                 AggregateScope::Region => Source::Region,
@@ -98,6 +100,7 @@
     pub fn receive_region_summary(&mut self, now: Instant, summary: &RegionSummary) {
         self.receive_crashes(now, &summary.stats);
         self.receive_leaving(now, &summary.stats);
+        self.receive_limits(now, &summary.stats);
         self.remote_regions.insert(now, summary);
         self.judge_rollouts();
     }
@@ -143,6 +146,7 @@
                 .map(|crash| (crash.fingerprint, crash.server))
                 .collect(),
             leaving: self.leaving.to_report().collect(),
+            limits: self.limits.to_report(),
         }
     }
 
--- a/crates/core/tests/steer/leaving.rs
+++ b/crates/core/tests/steer/leaving.rs
@@ -6,6 +6,7 @@
     steer::{
         digest::{Digest, TrafficStats},
         leaving::incarnation_hash,
+        limits::StatedLimit,
         refusal::RefusalReason,
         server::{AttemptOutcome, ServerEntry, ServerReport},
         steering::{RequestHead, Steering},
@@ -17,7 +18,8 @@
 
 use crate::common::{at, digest, entry, region_summary, view};
 
-const LEAVING: ServerReport = ServerReport { load: None, is_leaving: true, pause: None };
+const LEAVING: ServerReport =
+    ServerReport { load: None, is_leaving: true, pause: None, limit: StatedLimit::None };
 
 fn server(started: Option<u64>, sequence: u64) -> ServerEntry {
     ServerEntry { started_unix_ms: started, sequence, ..entry("s1", "lookup", "a1") }
--- a/crates/core/tests/steer/main.rs
+++ b/crates/core/tests/steer/main.rs
@@ -7,6 +7,7 @@
 mod directory;
 mod exchange;
 mod leaving;
+mod limits;
 mod mirror;
 mod pick;
 mod quota;
--- a/crates/edge/src/control/context.rs
+++ b/crates/edge/src/control/context.rs
@@ -18,7 +18,7 @@
         mirror::{ItemChange, Mirror, Snapshot},
         rollout::Verdict,
         server_changes::{ServerChangeLog, ServerUpdate},
-        steering::RolloutStatus,
+        steering::{LimitChange, RolloutStatus},
     },
     time::Instant,
 };
@@ -334,11 +334,20 @@
         self.apply_due_removals(now);
         self.control.borrow_mut().tick(now);
         self.publish();
-        let statuses = self.shared.with_steering(|steering, now| {
+        let (statuses, limit_changes) = self.shared.with_steering(|steering, now| {
             steering.tick(now);
-            steering.rollout_statuses(now)
+            (steering.rollout_statuses(now), steering.take_limit_changes())
         });
         self.log_rollouts(&statuses);
+        for LimitChange { server, limit, is_own_observation } in limit_changes {
+            tracing::info!(
+                event = 342,
+                server,
+                limit = ?limit,
+                observed = is_own_observation,
+                "The limit of a server has changed."
+            );
+        }
     }
 
     /// Logs changes of the share or the verdict of a rollout, with the counts behind them.
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use jasminestage_core::steer::refusal::RefusalReason;
+use jasminestage_platform::headers::InvalidReport;
 use opentelemetry::{
     KeyValue,
     metrics::{Counter, Gauge, Histogram, MeterProvider},
@@ -28,6 +29,7 @@
     store_calls: Counter<u64>,
     cut_responses: Counter<u64>,
     invalid_retry_after: Counter<u64>,
+    invalid_server_limit: Counter<u64>,
     response_memory: Gauge<u64>,
     configuration: Gauge<u64>,
     hosts: Gauge<u64>,
@@ -75,6 +77,10 @@
                 "jasminestage.retry_after.invalid",
                 "Responses of servers with a Retry-After header that cannot be read.",
             ),
+            invalid_server_limit: counter(
+                "jasminestage.server_limit.invalid",
+                "Responses of servers with a Server-Limit header that cannot be read.",
+            ),
             response_memory: gauge(
                 "jasminestage.responses.bytes",
                 "Bytes of the responses of servers that are read or delivered.",
@@ -118,9 +124,13 @@
         self.cut_responses.add(1, &[KeyValue::new("limit", limit)]);
     }
 
-    /// Counts a response whose `Retry-After` header cannot be read.
-    pub fn count_invalid_retry_after(&self) {
-        self.invalid_retry_after.add(1, &[]);
+    /// Counts a response with a header that cannot be read.
+    pub fn count_invalid_report(&self, report: &InvalidReport) {
+        let counter = match report {
+            InvalidReport::RetryAfter(_) => &self.invalid_retry_after,
+            InvalidReport::ServerLimit(_) => &self.invalid_server_limit,
+        };
+        counter.add(1, &[]);
     }
 
     /// Records the size of all response bodies in memory.
--- a/crates/edge/src/upstream/send.rs
+++ b/crates/edge/src/upstream/send.rs
@@ -144,12 +144,12 @@
     if !has_matching_id || parts.headers.contains_key(header::CONTENT_ENCODING) {
         return Some(AttemptResult::failed(AttemptOutcome::BadAnswer));
     }
-    let (report, invalid_pause) = headers::server_report(status, &parts.headers);
-    if let Some(e) = invalid_pause {
-        shared.metrics.count_invalid_retry_after();
+    let (report, invalid) = headers::server_report(status, &parts.headers);
+    for e in invalid {
+        shared.metrics.count_invalid_report(&e);
         if shared.request_lines.admits(RequestOutcome::Bad) {
             let (server, request) = (&dispatch.server.id, outgoing.id);
-            tracing::warn!(event = 365, server, request, error = %e, "The Retry-After value of a server was ignored.");
+            tracing::warn!(event = 365, server, request, error = %e, "A header of a server's report was ignored.");
         }
     }
     let report = Some(report);
