--- a/crates/edge/src/upstream/send.rs
+++ b/crates/edge/src/upstream/send.rs
@@ -84,7 +84,8 @@
 ) -> AttemptResult {
     let server_id = dispatch.server.id.as_str();
     if let Some(connection) = upstream.pool.take(server_id, outgoing.at_most_once)
-        && let Some(result) = exchange(upstream, shared, dispatch, outgoing, connection).await
+        && let Some(result) =
+            exchange(upstream, shared, dispatch, outgoing, Use::Further(connection)).await
     {
         if result.outcome == AttemptOutcome::Lost {
             upstream.pool.block_at_most_once_reuse();
@@ -99,20 +100,32 @@
         }
     };
     shared.metrics.count_connection();
-    match exchange(upstream, shared, dispatch, outgoing, connection).await {
+    match exchange(upstream, shared, dispatch, outgoing, Use::First(connection)).await {
         Some(result) => result,
         None => AttemptResult::failed(AttemptOutcome::NotSent),
     }
 }
 
+/// A connection, and whether a response on it may still belong to an earlier request.
+enum Use {
+    /// The request is the first one on the connection.
+    First(Connection),
+    /// Earlier requests were sent on the connection.
+    Further(Connection),
+}
+
 /// Sends the request on one connection; returns `None` if no byte of the request was sent.
 async fn exchange(
     upstream: &Upstream,
     shared: &Shared,
     dispatch: &Dispatch,
     outgoing: &OutgoingRequest<'_>,
-    mut connection: Connection,
+    connection: Use,
 ) -> Option<AttemptResult> {
+    let (mut connection, is_first) = match connection {
+        Use::First(connection) => (connection, true),
+        Use::Further(connection) => (connection, false),
+    };
     connection.sender.ready().await.ok()?;
     let sent_at = clock::now();
     let mut req = Request::new(Full::new(outgoing.body.clone()));
@@ -136,10 +149,11 @@
     let (parts, body) = incoming.into_parts();
     let status = parts.status.as_u16();
     let is_signed = parts.headers.contains_key(&headers::RESPONSE_SIGNATURE);
-    // A late copy of an earlier response may arrive instead of the response to this request.
+    // A late copy of an earlier response may arrive instead of the response to this request. Without
+    // an id, only the first response on a connection certainly belongs to the request.
     let has_matching_id = match headers::text(&parts.headers, &headers::REQUEST_ID) {
         Some(id) => id == outgoing.id,
-        None => !is_signed,
+        None => is_first && !is_signed,
     };
     if !has_matching_id || parts.headers.contains_key(header::CONTENT_ENCODING) {
         return Some(AttemptResult::failed(AttemptOutcome::BadAnswer));
--- a/crates/edge/tests/processes/raw.rs
+++ b/crates/edge/tests/processes/raw.rs
@@ -6,7 +6,7 @@
 use jasminestage_platform_standin::{
     caller::{Caller, fetch_page, request_once},
     fleet::{self, API_KEY, Host},
-    raw::{RawResponse, RawServer},
+    raw::{CutAfter, RawResponse, RawServer},
     store::Store,
 };
 use test_case::test_case;
@@ -133,3 +133,61 @@
     }
     assert!(served > 10, "{served} of 40 were served");
 }
+
+struct LateRefusalCase {
+    has_id: bool,
+}
+
+/// Fails if the late second copy of a refusal is taken as the response to the next request on the same
+/// connection: the caller of a request that has run would be told that it has not, or a second server
+/// would run it.
+#[test_case(&LateRefusalCase { has_id: true }; "with the id of the earlier request")]
+#[test_case(&LateRefusalCase { has_id: false }; "without an id")]
+fn a_late_copy_of_a_refusal_does_not_refuse_the_next_request(case: &LateRefusalCase) {
+    let runtime = tokio::runtime::Runtime::new().expect("a runtime starts");
+    runtime.block_on(async {
+        let response = RawResponse::LateRefusal { has_id: case.has_id };
+        let (_store, servers, host) = start(response).await;
+        let mut has_run = 0;
+        for n in 0..40 {
+            let id = format!("r{n}");
+            let answer = request_once(host.caller_address, "/book/x", &id, API_KEY).await;
+            let answer = answer.expect("an answer");
+            let runs: usize = servers.iter().map(|s| s.runs(&id)).sum();
+            assert!(runs <= 1, "{id} ran {runs} times");
+            let is_refused = matches!(answer.status, 408 | 421 | 429 | 503);
+            assert!(!is_refused || runs == 0, "{id} has run: {answer:?}");
+            has_run += runs;
+        }
+        assert!(has_run > 0, "no request ran");
+    });
+}
+
+/// Fails if a response that ends in its head reaches the caller as a success, or if the caller of a
+/// request that may have run is told that it has not.
+#[test_case(&EarlyEndCase { response: RawResponse::CutHead(CutAfter::HalfStatusLine), path: "/book/x" }; "half of the status line, at most once")]
+#[test_case(&EarlyEndCase { response: RawResponse::CutHead(CutAfter::StatusLine), path: "/read/x" }; "only the status line")]
+#[test_case(&EarlyEndCase { response: RawResponse::CutHead(CutAfter::StatusLine), path: "/book/x" }; "only the status line, at most once")]
+#[test_case(&EarlyEndCase { response: RawResponse::CutHead(CutAfter::HalfField), path: "/read/x" }; "half of a field")]
+#[test_case(&EarlyEndCase { response: RawResponse::CutHead(CutAfter::HalfField), path: "/book/x" }; "half of a field, at most once")]
+#[test_case(&EarlyEndCase { response: RawResponse::CutHead(CutAfter::Fields), path: "/read/x" }; "head without its end")]
+#[test_case(&EarlyEndCase { response: RawResponse::CutHead(CutAfter::Fields), path: "/book/x" }; "head without its end, at most once")]
+fn a_response_that_ends_in_its_head_is_no_success(case: &EarlyEndCase) {
+    let runtime = tokio::runtime::Runtime::new().expect("a runtime starts");
+    runtime.block_on(async {
+        let (_store, servers, host) = start(case.response).await;
+        let mut has_run = 0;
+        for n in 0..4 {
+            let id = format!("r{n}");
+            let answer = request_once(host.caller_address, case.path, &id, API_KEY).await;
+            let answer = answer.expect("an answer");
+            let runs: usize = servers.iter().map(|s| s.runs(&id)).sum();
+            // Servers that lose connections get no requests for a while.
+            let expected = if runs > 0 { 502 } else { 503 };
+            assert_eq!(answer.status, expected, "{id} ran {runs} times: {answer:?}");
+            assert!(!answer.headers.contains_key("jasminestage-response-signature"));
+            has_run += runs;
+        }
+        assert!(has_run > 0, "no request ran");
+    });
+}
