Answer the requests of a planned stop before the end of its grace

Callers saw: requests that came on kept connections late in the grace were passed on and cut without an answer at its end, among them requests that must run at most once. Cause: the deadline of a request and the wait for its server took no account of the end of the process; with a grace under 4.5 s the wait was also shorter than the grace allows. Change: from the signal on, requests have to end 0.85 s before the end of the grace: that bounds the deadline which the server gets, the refusal of requests that cannot be done in time, and the wait of requests that are already running, which are answered with 504.

--- a/crates/core/src/steer/steering/request.rs
+++ b/crates/core/src/steer/steering/request.rs
@@ -73,6 +73,11 @@
 }
 
 impl PendingRequest {
+    /// Makes the request end at `latest`, if its deadline is later.
+    pub fn limit_deadline(&mut self, latest: Instant) {
+        self.deadline = self.deadline.min(latest);
+    }
+
     /// Whether an attempt is in progress.
     pub fn has_attempt_in_progress(&self) -> bool {
         self.current_attempt.is_some()
--- a/crates/edge/src/front/mod.rs
+++ b/crates/edge/src/front/mod.rs
@@ -12,6 +12,7 @@
 use tokio::runtime;
 
 use self::listener::Listener;
+pub use self::listener::wait_for_phase;
 use crate::{
     error::EdgeError,
     shared::{Phase, Shared},
--- a/crates/edge/src/front/request.rs
+++ b/crates/edge/src/front/request.rs
@@ -25,6 +25,7 @@
 };
 use crate::{
     shared::{Phase, Shared},
+    stop,
     upstream::{AttemptResult, OutgoingRequest, ServerResponse, Upstream, send},
 };
 
@@ -92,6 +93,7 @@
     trace.record_admission(&pending);
     shared.with_steering(|steering, now| steering.charge_quota(now, &pending))?;
     let mut guard = AbandonGuard { shared, pending };
+    guard.pending.limit_deadline(shared.last_response_at());
     let body = read_body(shared, body).await?;
     let fingerprint = fingerprint(parts, &body);
     shared.with_steering(|steering, now| {
@@ -114,16 +116,26 @@
             deadline: guard.pending.deadline,
         };
         dispatch.timeout += LATE_RESPONSE_MARGIN;
-        let mut attempt = pin!(send(upstream, shared, &dispatch, &outgoing));
-        let result = match timeout(dispatch.failover_after, attempt.as_mut()).await {
-            Ok(result) => result,
-            Err(_)
-                if shared.with_steering(|s, now| s.may_switch_server(now, &mut guard.pending)) =>
-            {
+        let attempt = async {
+            let mut attempt = pin!(send(upstream, shared, &dispatch, &outgoing));
+            match timeout(dispatch.failover_after, attempt.as_mut()).await {
+                Ok(result) => result,
+                Err(_)
+                    if shared
+                        .with_steering(|s, now| s.may_switch_server(now, &mut guard.pending)) =>
+                {
+                    AttemptResult::failed(AttemptOutcome::TimedOut)
+                }
+                Err(_) => attempt.await,
+            }
+        };
+        let result = tokio::select! {
+            result = attempt => result,
+            () = stop::wait_for_last_responses(shared) => {
                 AttemptResult::failed(AttemptOutcome::TimedOut)
             }
-            Err(_) => attempt.await,
         };
+        guard.pending.limit_deadline(shared.last_response_at());
         let AttemptResult { outcome, report, response } = result;
         trace.record_attempt(outcome);
         let next_action = shared.with_steering(|steering, now| {
--- a/crates/edge/src/shared.rs
+++ b/crates/edge/src/shared.rs
@@ -2,7 +2,7 @@
 
 use std::{
     path::PathBuf,
-    sync::{Arc, Mutex, PoisonError},
+    sync::{Arc, Mutex, OnceLock, PoisonError},
 };
 
 use arc_swap::ArcSwap;
@@ -45,6 +45,8 @@
     /// Limit on the log lines about requests.
     pub request_lines: LineLimiter,
     phase: watch::Sender<Phase>,
+    /// Time by which a stopping host answers all requests.
+    last_response_at: OnceLock<Instant>,
     bounds: watch::Sender<Bounds>,
     steering: Mutex<Steering>,
 }
@@ -71,6 +73,7 @@
             metrics,
             request_lines: LineLimiter::default(),
             phase: watch::Sender::new(Phase::Serving),
+            last_response_at: OnceLock::new(),
             bounds,
             steering: Mutex::new(Steering::new(view)),
         }
@@ -118,6 +121,17 @@
         });
     }
 
+    /// Time by which this host has to answer the requests that it has accepted; the end of the clock
+    /// if it is not stopping.
+    pub fn last_response_at(&self) -> Instant {
+        self.last_response_at.get().copied().unwrap_or(Instant::MAX)
+    }
+
+    /// Sets the time by which all requests must be answered; only the first value counts.
+    pub fn set_last_response_at(&self, at: Instant) {
+        self.last_response_at.get_or_init(|| at);
+    }
+
     /// Signals the control thread to end.
     pub fn stop_control(&self) {
         self.advance_to(Phase::Ended);
--- a/crates/edge/src/stop.rs
+++ b/crates/edge/src/stop.rs
@@ -2,10 +2,12 @@
 
 use std::{sync::Arc, time::Duration};
 
+use jasminestage_net::clock;
 use tokio::signal::unix::{SignalKind, signal};
 
 use crate::{
     error::EdgeError,
+    front::wait_for_phase,
     options::Options,
     shared::{Phase, Shared},
 };
@@ -15,6 +17,8 @@
 const DRAIN_TIME: Duration = Duration::from_millis(1500);
 /// Part of the stop grace that is reserved for the control thread and the exit of the process.
 const EXIT_RESERVE: Duration = Duration::from_millis(600);
+/// Part of the stop grace before that in which the last responses are written.
+const RESPONSE_RESERVE: Duration = Duration::from_millis(250);
 
 /// Waits for SIGTERM or SIGINT and advances the process to [`Phase::Closing`].
 pub async fn wait_for_stop(shared: Arc<Shared>) -> Result<(), EdgeError> {
@@ -25,15 +29,30 @@
         _ = interrupt.recv() => {}
     }
     tracing::info!(event = 302, "The host received a stop signal and is draining.");
+    let grace = stop_grace(&shared);
+    let until_last_response = grace.saturating_sub(EXIT_RESERVE + RESPONSE_RESERVE);
+    shared.set_last_response_at(clock::now() + until_last_response);
     shared.advance_to(Phase::Draining);
-    tokio::time::sleep(DRAIN_TIME.min(stop_grace(&shared) / 3)).await;
+    tokio::time::sleep(drain_time(grace)).await;
     shared.advance_to(Phase::Closing);
     Ok(())
 }
 
 /// Maximum time between [`Phase::Closing`] and [`Phase::Ended`].
 pub fn closing_limit(shared: &Shared) -> Duration {
-    stop_grace(shared).saturating_sub(DRAIN_TIME).saturating_sub(EXIT_RESERVE)
+    let grace = stop_grace(shared);
+    grace.saturating_sub(drain_time(grace)).saturating_sub(EXIT_RESERVE)
+}
+
+/// Waits until a stopping host has to answer the requests that are still running.
+pub async fn wait_for_last_responses(shared: &Shared) {
+    wait_for_phase(&mut shared.phase(), Phase::Draining).await;
+    let left = shared.last_response_at().saturating_since(clock::now());
+    tokio::time::sleep(left).await;
+}
+
+fn drain_time(grace: Duration) -> Duration {
+    DRAIN_TIME.min(grace / 3)
 }
 
 fn stop_grace(shared: &Shared) -> Duration {
--- a/crates/edge/tests/processes/stop.rs
+++ b/crates/edge/tests/processes/stop.rs
@@ -2,7 +2,12 @@
 
 use std::time::Duration;
 
-use jasminestage_platform_standin::{backend::Fault, caller::request_once, fleet::API_KEY};
+use http::Method;
+use jasminestage_platform_standin::{
+    backend::Fault,
+    caller::{Caller, request_once},
+    fleet::{self, API_KEY},
+};
 use rustix::process::Signal;
 
 use crate::{Environment, eventually};
@@ -46,3 +51,50 @@
     });
     assert!(is_removed.await, "the directory still lists the stopped host");
 }
+
+/// Requests that arrive on kept connections late in the grace, and that their servers cannot answer
+/// before its end.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn requests_late_in_the_grace_are_answered_before_its_end() {
+    let mut environment = Environment::start(&["a1"]).await;
+    let mut config = fleet::sample_config(2, &[API_KEY]);
+    for resource in config["resources"].as_array_mut().expect("a list") {
+        if resource["resource-kind"] == "routes" {
+            resource["spec"]["timeout"] = "9000ms".into();
+        }
+    }
+    environment.store.put("op/config", &config);
+    let address = environment.hosts[0].caller_address;
+    let mut callers = Vec::new();
+    for n in 0..6 {
+        let mut caller = Caller::connect(address).await.expect("the host listens");
+        caller.timeout = Duration::from_secs(9);
+        let id = format!("first-{n}");
+        let answer = caller.send(Method::POST, "/book/x", &id, API_KEY, "").await;
+        assert!(answer.is_some_and(|a| a.is_complete(&id)));
+        callers.push(caller);
+    }
+    for server in &environment.servers {
+        server.set_fault(Fault::Slow(Duration::from_millis(4600)));
+    }
+    environment.hosts[0].send_signal(Signal::TERM);
+    tokio::time::sleep(Duration::from_millis(1200)).await;
+    let late: Vec<_> = (0..)
+        .zip(callers)
+        .map(|(n, mut caller)| {
+            tokio::spawn(async move {
+                let id = format!("late-{n}");
+                let answer = caller.send(Method::POST, "/book/x", &id, API_KEY, "").await;
+                (id, answer)
+            })
+        })
+        .collect();
+    for task in late {
+        let (id, answer) = task.await.expect("the caller ends");
+        let answer = answer.unwrap_or_else(|| panic!("{id} was cut without an answer"));
+        let is_refused = matches!(answer.status, 408 | 421 | 429 | 503);
+        assert!(!is_refused || environment.runs(&id) == 0, "{id} has run: {answer:?}");
+        assert!(is_refused || answer.status == 504 || answer.is_complete(&id), "{answer:?}");
+    }
+    assert_eq!(environment.hosts[0].wait_for_exit(Duration::from_secs(6)).await, Some(0));
+}
