--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -79,7 +79,7 @@
             ),
             invalid_server_limit: counter(
                 "jasminestage.server_limit.invalid",
-                "Responses of servers with a Server-Limit header that cannot be read.",
+                "Responses of servers with a limit that cannot be read.",
             ),
             response_memory: gauge(
                 "jasminestage.responses.bytes",
--- a/crates/edge/tests/soak/faults.rs
+++ b/crates/edge/tests/soak/faults.rs
@@ -23,12 +23,16 @@
 const RAW_SERVER_KEY: &str = "servers/raw";
 /// Probability that a report, a raw response or an odd entry of a server follows a fault.
 const SERVER_TROUBLE_PROBABILITY: f64 = 0.3;
+/// Probability that a change of the limit of a server follows a fault.
+const LIMIT_PROBABILITY: f64 = 0.2;
 
 /// Chooses random faults and applies them.
 pub struct FaultInjector {
     rng: StdRng,
     /// Draws the troubles of servers, so that the sequence of the other faults stays the same.
     trouble_rng: StdRng,
+    /// Draws the limits of servers, for the same reason.
+    limit_rng: StdRng,
     history: Vec<String>,
     /// Version of the last configuration that was written.
     version: u64,
@@ -36,6 +40,8 @@
     paused: Vec<(usize, Instant)>,
     /// Server that has announced its stop or asks for pauses.
     reporting_server: Option<usize>,
+    /// Server that has a limit.
+    limited_server: Option<usize>,
     /// Server whose responses do not end, end early or come twice.
     raw_server: Option<RawServer>,
 }
@@ -46,10 +52,12 @@
         FaultInjector {
             rng: StdRng::seed_from_u64(seed),
             trouble_rng: StdRng::seed_from_u64(!seed),
+            limit_rng: StdRng::seed_from_u64(seed.rotate_left(32)),
             history: Vec::new(),
             version: 1,
             paused: Vec::new(),
             reporting_server: None,
+            limited_server: None,
             raw_server: None,
         }
     }
@@ -77,6 +85,10 @@
                 let description = self.inject_server_trouble(environment).await;
                 self.history.push(format!("{:?} {description}", start.elapsed()));
             }
+            if self.limit_rng.random_bool(LIMIT_PROBABILITY) {
+                let description = self.change_limit(environment);
+                self.history.push(format!("{:?} {description}", start.elapsed()));
+            }
         }
     }
 
@@ -160,6 +172,22 @@
         }
     }
 
+    /// Ends the limit of the limited server, or gives one to a server.
+    fn change_limit(&mut self, environment: &Environment) -> String {
+        if let Some(server) = self.limited_server.take() {
+            environment.servers[server].set_fault(backend::Fault::None);
+            return format!("the limit of server {server} ends");
+        }
+        let server = self.limit_rng.random_range(0..environment.servers.len());
+        let rate = self.limit_rng.random_range(0..30);
+        if self.reporting_server == Some(server) {
+            return format!("server {server} gets no limit, since it leaves or pauses");
+        }
+        self.limited_server = Some(server);
+        environment.servers[server].set_fault(backend::Fault::Limited(rate));
+        format!("server {server} takes {rate} requests per second")
+    }
+
     async fn inject_server_trouble(&mut self, environment: &Environment) -> String {
         // At most one server leaves or pauses at a time, as if others replaced it.
         if let Some(server) = self.reporting_server.take() {
