Let a rollout of the longest duration have a share

Cause: a duration near the largest one, times a fraction of one, could exceed the range by rounding and end the process; an order may hold it. Change: the whole duration is not multiplied; a test with the longest one. Result: core steer rollout tests pass (37).

--- a/crates/core/src/steer/rollout.rs
+++ b/crates/core/src/steer/rollout.rs
@@ -142,19 +142,19 @@
             RolloutState::RolledBack => return 0.0,
             RolloutState::Running => {}
         }
-        let elapsed = self.elapsed_fraction(now);
+        let fraction = self.elapsed_fraction(now);
         let multiple = match verdict {
             Verdict::Faulty => return 0.0,
             Verdict::Inconclusive => CANARY_MULTIPLE,
-            Verdict::Sound if elapsed >= FULL_FRACTION => return 1.0,
+            Verdict::Sound if fraction >= FULL_FRACTION => return 1.0,
             Verdict::Sound => {
-                let step = STEPS.iter().rev().find(|(from, _)| elapsed >= *from);
+                let step = STEPS.iter().rev().find(|(from, _)| fraction >= *from);
                 step.map_or(CANARY_MULTIPLE, |(_, multiple)| *multiple)
             }
         };
-        let until =
-            |fraction| self.order.duration.mul_f64(fraction).saturating_sub(self.elapsed(now));
-        let largest_share = exposure.largest_share(until(FULL_FRACTION), until(1.0));
+        let (duration, elapsed) = (self.order.duration, self.elapsed(now));
+        let until_full = duration.mul_f64(FULL_FRACTION).saturating_sub(elapsed);
+        let largest_share = exposure.largest_share(until_full, duration.saturating_sub(elapsed));
         let smallest_share = permitted_share * MIN_MULTIPLE;
         (permitted_share * multiple).min(largest_share.max(smallest_share)).min(1.0)
     }
--- a/crates/core/tests/steer/rollout.rs
+++ b/crates/core/tests/steer/rollout.rs
@@ -140,6 +140,16 @@
     assert_eq!(running().next_state(at(case.elapsed_ms), case.verdict), case.next_state);
 }
 
+/// The longest duration that an order can have must not end the process.
+#[test]
+fn a_rollout_of_the_longest_duration_has_a_share() {
+    let mut rollout = running();
+    rollout.order.duration = Duration::MAX;
+    let exposure = Exposure { rate: 100.0, total: 50.0, ..exposure() };
+    let share = rollout.traffic_share(at(1000), Verdict::Sound, &exposure);
+    assert!((0.0..=0.05).contains(&share), "{share}");
+}
+
 #[test]
 fn a_rollout_that_has_ended_does_not_run_again() {
     let mut rollout = running();
