--- a/crates/core/tests/steer/limits.rs
+++ b/crates/core/tests/steer/limits.rs
@@ -46,7 +46,7 @@
         &mut self,
         millis: std::ops::Range<u64>,
         rate: f64,
-        limit: fn(&str, u64) -> StatedLimit,
+        limit: impl Fn(&str, u64) -> StatedLimit,
     ) {
         let mut due = 0.0;
         let mut in_flight: VecDeque<_> = VecDeque::new();
@@ -148,14 +148,7 @@
 #[test_case(&Case { hosts: 78, limit: 0.0, rate: 200.0 }; "zero")]
 fn all_hosts_together_keep_to_the_limit_of_a_server(case: &Case) {
     let mut fleet = Fleet::new(case.hosts, 4);
-    let limits: fn(&str, u64) -> StatedLimit = match case.limit {
-        20.0 => |_, _| StatedLimit::PerSecond(20.0),
-        2.7 => |_, _| StatedLimit::PerSecond(2.7),
-        0.4 => |_, _| StatedLimit::PerSecond(0.4),
-        1.0 => |_, _| StatedLimit::PerSecond(1.0),
-        _ => |_, _| StatedLimit::PerSecond(0.0),
-    };
-    fleet.run(0..20_000, case.rate, limits);
+    fleet.run(0..20_000, case.rate, |_, _| StatedLimit::PerSecond(case.limit));
     let allowed = (1.5 * case.limit * 4.0 + 5.0) as usize;
     for server in ["s0", "s1", "s2", "s3"] {
         let most = fleet.most_in_window(server, 3000);
