Bound the limit that a server states before calculating with it

Callers would see: hosts that end one after another when a faulty server states a limit near the largest number. Cause: the burst became infinite, and the interval of zero times it is not a number, which no duration can hold. Found by reading. Change: limits above a million requests a second count as a million. Result: a_huge_limit_does_not_end_the_process failed before with the largest number (cannot convert float seconds to Duration) and passes; core steer tests pass.

--- a/crates/core/src/steer/pacing.rs
+++ b/crates/core/src/steer/pacing.rs
@@ -20,6 +20,8 @@
 const MIN_LIMITED_RATE: f64 = 0.4;
 /// Part of a limit that is worth a sender of its own, in requests per second.
 const LIMIT_PER_SENDER: f64 = 1.0;
+/// Largest limit that is calculated with, in requests per second; a host sends far fewer.
+const MAX_LIMIT: f64 = 1e6;
 /// Requests that all senders of a limited server together may send at once after a pause, and further
 /// ones for each request per second of the limit. With the rate of the limit, they stay below one and
 /// a half times the limit, plus 5, in any 4 s, also while two sets of senders overlap for a moment.
@@ -46,6 +48,7 @@
 
     /// Bound of a server that takes `limit` requests per second from all hosts together.
     pub fn of_limited_server(limit: f64) -> Self {
+        let limit = limit.min(MAX_LIMIT);
         let senders = (limit / LIMIT_PER_SENDER).max(1.0) as usize;
         let burst = LIMITED_BURST + LIMITED_BURST_PER_RATE * limit;
         RateBound { rate: limit.max(MIN_LIMITED_RATE), senders, burst }
--- a/crates/core/tests/steer/limits.rs
+++ b/crates/core/tests/steer/limits.rs
@@ -225,3 +225,13 @@
     }
     assert_eq!(limits.rate(7), case.limit);
 }
+
+/// The largest numbers that a header can hold must not end the process.
+#[test_case(1e9; "a billion")]
+#[test_case(1e300; "beyond all clocks")]
+#[test_case(f64::MAX; "the largest number")]
+fn a_huge_limit_does_not_end_the_process(limit: f64) {
+    let mut fleet = Fleet::new(2, 2);
+    fleet.run(0..1000, 50.0, |_, _| StatedLimit::PerSecond(limit));
+    assert!(fleet.served > 40, "{} of 50 requests", fleet.served);
+}
