Review case 1: stale server entries after a lapse

A server whose entry lapses and comes back while a host has requests in flight to it gets a second record; the first is announced again too, but never updated (Steering::update_servers). The host sends to it after the server reports draining. Not fixed: the review changes no code.

--- /dev/null
+++ b/review/lab/host.rs
@@ -0,0 +1,126 @@
+//! Host processes of jasminestage, started with the command of the deploy file.
+
+use std::fs;
+use std::net::{SocketAddr, TcpListener};
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use crate::client::{Client, request};
+use crate::record::End;
+
+/// Program of the deploy file, started in the root of the repository.
+const PROGRAM: &str = "target/release/jasminestage-edge";
+/// Zones of the small deployment, and their regions.
+pub const ZONES: [(&str, &str); 4] = [("a1", "a"), ("a2", "a"), ("b1", "b"), ("b2", "b")];
+/// SIGTERM to SIGKILL.
+pub const GRACE: Duration = Duration::from_secs(6);
+
+pub const SIGTERM: i32 = 15;
+
+unsafe extern "C" {
+    fn kill(pid: i32, signal: i32) -> i32;
+}
+
+pub struct Host {
+    pub name: String,
+    pub callers: SocketAddr,
+    readiness: SocketAddr,
+    settings: PathBuf,
+    child: Option<Child>,
+}
+
+impl Host {
+    /// Starts a host with the settings that `deploy/host.ini` gives it on a small deployment.
+    pub fn start(name: &str, zone: &str, store: SocketAddr) -> Host {
+        // The ports are free: they are reserved together and released just before the start.
+        let free: Vec<TcpListener> = (0..5)
+            .map(|_| TcpListener::bind("127.0.0.1:0").expect("a loopback port is free"))
+            .collect();
+        let port = |n: usize| free[n].local_addr().expect("a listener has an address");
+        let domains: String = ZONES.iter().map(|(z, r)| format!("{z} = {r}\n")).collect();
+        let text = format!(
+            "[host]\nname = {name}\ndomain = {zone}\ncallers = {}\nreadiness = {}\ndirectory = {}\n\
+             peers = {}\nmetrics = {}\ncores = 0.2\nmemory_mb = 260\nfirst_start = true\n\n\
+             [domains]\n{domains}\n[store]\naddress = {store}\n\n[bounds]\nmax_lookup_ttl = 5s\n\
+             stop_grace = 6s\nretry_ratio = 0.2\nretry_extra = 64\nquota_window = 5s\n\
+             quota_overage = 0.1\nquota_slack = 20\ncanary_share = 0.1\ncanary_extra = 50\n\
+             max_shift = 0.15\n",
+            port(0),
+            port(1),
+            port(2),
+            port(3),
+            port(4)
+        );
+        let settings =
+            std::env::temp_dir().join(format!("review-{}-{name}.ini", std::process::id()));
+        fs::write(&settings, text).expect("the settings can be written");
+        let mut host = Host {
+            name: name.to_owned(),
+            callers: port(0),
+            readiness: port(1),
+            settings,
+            child: None,
+        };
+        drop(free);
+        let child = Command::new(PROGRAM)
+            .env_clear()
+            .env("JASMINESTAGE_NODE_FILE", &host.settings)
+            .stdin(Stdio::null())
+            .stdout(Stdio::null())
+            .stderr(Stdio::null())
+            .spawn();
+        match child {
+            Ok(child) => host.child = Some(child),
+            Err(e) => eprintln!("{PROGRAM} doesn't start: {e}"),
+        }
+        host
+    }
+
+    /// Waits until the host says that it is ready.
+    pub fn wait_until_ready(&self) -> bool {
+        let end = Instant::now() + Duration::from_secs(20);
+        while Instant::now() < end {
+            let second = Duration::from_secs(1);
+            if let Some(mut client) = Client::connect(self.readiness, second) {
+                client.write(&request("GET", "/readiness", "r", second, b""));
+                if client.read() == End::Status(200) {
+                    return true;
+                }
+            }
+            thread::sleep(Duration::from_millis(50));
+        }
+        false
+    }
+
+    pub fn signal(&self, signal: i32) {
+        if let Some(child) = &self.child {
+            // Safety: the process was started here and has not been waited for.
+            unsafe { kill(child.id() as i32, signal) };
+        }
+    }
+
+    /// Waits until the process has ended by itself.
+    pub fn wait(&mut self, time: Duration) -> bool {
+        let end = Instant::now() + time;
+        while Instant::now() < end {
+            if self.child.as_mut().is_none_or(|c| matches!(c.try_wait(), Ok(Some(_)))) {
+                self.child = None;
+                return true;
+            }
+            thread::sleep(Duration::from_millis(20));
+        }
+        false
+    }
+}
+
+impl Drop for Host {
+    fn drop(&mut self) {
+        if let Some(mut child) = self.child.take() {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+        let _ = fs::remove_file(&self.settings);
+    }
+}
