--- a/review/lab/client.rs
+++ b/review/lab/client.rs
@@ -63,7 +63,7 @@
         record.line(&format!("{id} finds no connection to {to}"));
         return End::Closed;
     };
-    record.sent(id, is_safe, &to.to_string());
+    record.sent(id, to);
     client.write(&request(method, path, id, deadline, body));
     let end = client.read();
     record.ended(id, end.clone());
--- a/review/lab/host.rs
+++ b/review/lab/host.rs
@@ -34,6 +34,11 @@
 impl Host {
     /// Starts a host with the settings that `deploy/host.ini` gives it on a small deployment.
     pub fn start(name: &str, zone: &str, store: SocketAddr) -> Host {
+        Host::start_with(name, zone, store, 0.2)
+    }
+
+    /// The same with a number of cores.
+    pub fn start_with(name: &str, zone: &str, store: SocketAddr, cores: f64) -> Host {
         // The ports are free: they are reserved together and released just before the start.
         let free: Vec<TcpListener> = (0..5)
             .map(|_| TcpListener::bind("127.0.0.1:0").expect("a loopback port is free"))
@@ -42,7 +47,7 @@
         let domains: String = ZONES.iter().map(|(z, r)| format!("{z} = {r}\n")).collect();
         let text = format!(
             "[host]\nname = {name}\ndomain = {zone}\ncallers = {}\nreadiness = {}\ndirectory = {}\n\
-             peers = {}\nmetrics = {}\ncores = 0.2\nmemory_mb = 260\nfirst_start = true\n\n\
+             peers = {}\nmetrics = {}\ncores = {cores}\nmemory_mb = 260\nfirst_start = true\n\n\
              [domains]\n{domains}\n[store]\naddress = {store}\n\n[bounds]\nmax_lookup_ttl = 5s\n\
              stop_grace = 6s\nretry_ratio = 0.2\nretry_extra = 64\nquota_window = 5s\n\
              quota_overage = 0.1\nquota_slack = 20\ncanary_share = 0.1\ncanary_extra = 50\n\
@@ -64,18 +69,38 @@
             child: None,
         };
         drop(free);
+        host.run();
+        host
+    }
+
+    fn run(&mut self) {
         let child = Command::new(PROGRAM)
             .env_clear()
-            .env("JASMINESTAGE_NODE_FILE", &host.settings)
+            .env("JASMINESTAGE_NODE_FILE", &self.settings)
             .stdin(Stdio::null())
             .stdout(Stdio::null())
             .stderr(Stdio::null())
             .spawn();
         match child {
-            Ok(child) => host.child = Some(child),
+            Ok(child) => self.child = Some(child),
             Err(e) => eprintln!("{PROGRAM} doesn't start: {e}"),
         }
-        host
+    }
+
+    /// Kills the process without notice.
+    pub fn kill(&mut self) {
+        if let Some(mut child) = self.child.take() {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+
+    /// Starts a killed process again, no longer as part of the first start of the whole system.
+    pub fn restart(&mut self) {
+        let text = fs::read_to_string(&self.settings).expect("the settings can be read");
+        let text = text.replace("first_start = true", "first_start = false");
+        fs::write(&self.settings, text).expect("the settings can be written");
+        self.run();
     }
 
     /// Waits until the host says that it is ready.
@@ -117,10 +142,7 @@
 
 impl Drop for Host {
     fn drop(&mut self) {
-        if let Some(mut child) = self.child.take() {
-            let _ = child.kill();
-            let _ = child.wait();
-        }
+        self.kill();
         let _ = fs::remove_file(&self.settings);
     }
 }
--- a/review/lab/main.rs
+++ b/review/lab/main.rs
@@ -7,6 +7,7 @@
 mod http;
 mod json;
 mod lapse;
+mod readers;
 mod record;
 mod server;
 mod stop;
@@ -33,6 +34,7 @@
     let record = Arc::new(Record::new());
     let verdict = match case.as_str() {
         "lapse" => lapse::play(&record, has_trouble),
+        "readers" => readers::play(&record, has_trouble),
         "stop" => stop::play(&record, has_trouble),
         other => Verdict::CannotRun(format!("there is no case '{other}'")),
     };
--- a/review/lab/record.rs
+++ b/review/lab/record.rs
@@ -1,5 +1,6 @@
 //! What was sent, answered and run, with the time since the start.
 
+use std::net::SocketAddr;
 use std::sync::Mutex;
 use std::time::{Duration, Instant};
 
@@ -28,7 +29,7 @@
 pub struct Sent {
     pub at: Instant,
     pub id: String,
-    pub is_safe: bool,
+    pub to: SocketAddr,
     pub end: Option<End>,
 }
 
@@ -62,9 +63,9 @@
         self.runs.lock().expect("no thread panicked").push(run);
     }
 
-    pub fn sent(&self, id: &str, is_safe: bool, to: &str) {
+    pub fn sent(&self, id: &str, to: SocketAddr) {
         self.line(&format!("{id} is sent to {to}"));
-        let sent = Sent { at: Instant::now(), id: id.to_owned(), is_safe, end: None };
+        let sent = Sent { at: Instant::now(), id: id.to_owned(), to, end: None };
         self.sent.lock().expect("no thread panicked").push(sent);
     }
 
--- a/review/lab/stop.rs
+++ b/review/lab/stop.rs
@@ -44,7 +44,7 @@
                 let ids: Vec<String> = (0..REQUESTS).map(|m| format!("client-{n}-{m}")).collect();
                 let mut bytes = Vec::new();
                 for id in &ids {
-                    record.sent(id, true, &callers.to_string());
+                    record.sent(id, callers);
                     bytes.extend(request("GET", &format!("/read/{id}"), id, DEADLINE, b""));
                 }
                 client.write(&bytes);
