--- a/review/lab/client.rs
+++ b/review/lab/client.rs
@@ -44,15 +44,19 @@
     }
 }
 
-/// Bytes of a request.
-pub fn request(method: &str, path: &str, id: &str, deadline: Duration, body: &[u8]) -> Vec<u8> {
+/// Head of a request.
+pub fn head(method: &str, path: &str, id: &str, deadline: Duration, body_len: usize) -> String {
     let deadline = deadline.as_millis();
     let length =
-        if method == "GET" { String::new() } else { format!("Content-Length: {}\r\n", body.len()) };
-    let head = format!(
+        if method == "GET" { String::new() } else { format!("Content-Length: {body_len}\r\n") };
+    format!(
         "{method} {path} HTTP/1.1\r\nHost: shop.example\r\nJasminestage-Request-Id: {id}\r\nJasminestage-Deadline-Ms: {deadline}\r\n{length}\r\n"
-    );
-    [head.as_bytes(), body].concat()
+    )
+}
+
+/// Bytes of a request.
+pub fn request(method: &str, path: &str, id: &str, deadline: Duration, body: &[u8]) -> Vec<u8> {
+    [head(method, path, id, deadline, body.len()).as_bytes(), body].concat()
 }
 
 /// Sends one request on a new connection and waits for its end.
--- a/review/lab/config.rs
+++ b/review/lab/config.rs
@@ -17,7 +17,7 @@
         route("book", "booking", "unsafe"),
         service("lookup"),
         service("booking"),
-        r#"{"resource-kind":"limits","metadata":{},"spec":{"max-header-bytes":16384,"max-body-bytes":1048576,"header-timeout":"3000ms","idle-timeout":"15000ms"}}"#
+        r#"{"resource-kind":"limits","metadata":{},"spec":{"max-header-bytes":16384,"max-body-bytes":67108864,"header-timeout":"3000ms","idle-timeout":"15000ms"}}"#
             .to_owned(),
     ];
     format!(r#"{{"version":"{version:08x}","resources":[{}]}}"#, resources.join(","))
--- a/review/lab/host.rs
+++ b/review/lab/host.rs
@@ -14,15 +14,6 @@
 const PROGRAM: &str = "target/release/jasminestage-edge";
 /// Zones of the small deployment, and their regions.
 pub const ZONES: [(&str, &str); 4] = [("a1", "a"), ("a2", "a"), ("b1", "b"), ("b2", "b")];
-/// SIGTERM to SIGKILL.
-pub const GRACE: Duration = Duration::from_secs(6);
-
-pub const SIGTERM: i32 = 15;
-
-unsafe extern "C" {
-    fn kill(pid: i32, signal: i32) -> i32;
-}
-
 pub struct Host {
     pub name: String,
     pub callers: SocketAddr,
@@ -87,6 +78,14 @@
         }
     }
 
+    /// Memory of the process in KB; 0 if it doesn't run.
+    pub fn resident_kb(&self) -> u64 {
+        let Some(child) = &self.child else { return 0 };
+        let status = fs::read_to_string(format!("/proc/{}/status", child.id())).unwrap_or_default();
+        let line = status.lines().find_map(|l| l.strip_prefix("VmRSS:")).unwrap_or_default();
+        line.trim().trim_end_matches("kB").trim().parse().unwrap_or(0)
+    }
+
     /// Kills the process without notice.
     pub fn kill(&mut self) {
         if let Some(mut child) = self.child.take() {
@@ -118,26 +117,6 @@
         }
         false
     }
-
-    pub fn signal(&self, signal: i32) {
-        if let Some(child) = &self.child {
-            // Safety: the process was started here and has not been waited for.
-            unsafe { kill(child.id() as i32, signal) };
-        }
-    }
-
-    /// Waits until the process has ended by itself.
-    pub fn wait(&mut self, time: Duration) -> bool {
-        let end = Instant::now() + time;
-        while Instant::now() < end {
-            if self.child.as_mut().is_none_or(|c| matches!(c.try_wait(), Ok(Some(_)))) {
-                self.child = None;
-                return true;
-            }
-            thread::sleep(Duration::from_millis(20));
-        }
-        false
-    }
 }
 
 impl Drop for Host {
--- a/review/lab/main.rs
+++ b/review/lab/main.rs
@@ -10,8 +10,8 @@
 mod readers;
 mod record;
 mod server;
-mod stop;
 mod store;
+mod uploads;
 
 use std::process::ExitCode;
 use std::sync::Arc;
@@ -35,7 +35,7 @@
     let verdict = match case.as_str() {
         "lapse" => lapse::play(&record, has_trouble),
         "readers" => readers::play(&record, has_trouble),
-        "stop" => stop::play(&record, has_trouble),
+        "uploads" => uploads::play(&record, has_trouble),
         other => Verdict::CannotRun(format!("there is no case '{other}'")),
     };
     let (text, code) = match verdict {
