--- a/review/lab/json.rs
+++ b/review/lab/json.rs
@@ -5,7 +5,7 @@
 #[derive(Clone, Debug)]
 pub enum Json {
     Null,
-    Bool(bool),
+    Bool,
     Number(f64),
     Text(String),
     List(Vec<Json>),
@@ -116,8 +116,8 @@
                 }
             }
         }
-        b't' => word(at, 4, Json::Bool(true)),
-        b'f' => word(at, 5, Json::Bool(false)),
+        b't' => word(at, 4, Json::Bool),
+        b'f' => word(at, 5, Json::Bool),
         b'n' => word(at, 4, Json::Null),
         _ => {
             let start = *at;
