--- a/review/lab/main.rs
+++ b/review/1/standins/main.rs
@@ -1,4 +1,4 @@
-//! Stand-ins and cases of the review. Usage: `lab CASE RECORD`; `TROUBLE=0` leaves out the
+//! Stand-ins that the cases share, and the choice of a case. Usage: `lab CASE RECORD`; `TROUBLE=0` leaves out the
 //! disruption. Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
 
 mod client;
@@ -6,11 +6,14 @@
 mod host;
 mod http;
 mod json;
+#[path = "../case.rs"]
 mod lapse;
+#[path = "../../2/case.rs"]
 mod readers;
 mod record;
 mod server;
 mod store;
+#[path = "../../3/case.rs"]
 mod uploads;
 
 use std::process::ExitCode;
--- a/review/build.sh
+++ b/review/build.sh
@@ -3,4 +3,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review
-rustc --edition 2024 -O -o target/review/lab review/lab/main.rs
+rustc --edition 2024 -O -o target/review/lab review/1/standins/main.rs
