Log deferrals of removals, how far copies reach, and count the records of servers

Cause: the logs could not tell a host that has two records of a server from one that has not heard of its report, nor show when removals are deferred. Change: event 343 at the end of an outage, the own revision in event 353, and the gauge jasminestage_servers_records. No logic has changed.

--- a/crates/core/src/steer/steering/mod.rs
+++ b/crates/core/src/steer/steering/mod.rs
@@ -126,6 +126,11 @@
         &self.view
     }
 
+    /// Number of records of servers, also of those that are not announced and finish requests.
+    pub fn server_record_count(&self) -> usize {
+        self.servers.len()
+    }
+
     /// Replaces the view and updates the servers to match it. Resets the counts of a service at a
     /// new rollout order.
     pub fn install_view(&mut self, now: Instant, view: Arc<View>) {
--- a/crates/edge/src/control/context.rs
+++ b/crates/edge/src/control/context.rs
@@ -176,7 +176,15 @@
         let Some(last_read) = self.last_read_before_outage.take() else { return };
         let outage = now.saturating_since(last_read);
         let others_read = self.control.borrow().others_read_store_since(last_read + OUTAGE_MARGIN);
-        self.deferred_removals.borrow_mut().store_recovered(now, outage, others_read);
+        let mut deferred_removals = self.deferred_removals.borrow_mut();
+        deferred_removals.store_recovered(now, outage, others_read);
+        tracing::info!(
+            event = 343,
+            outage_ms = outage.as_millis() as u64,
+            others_read,
+            deferral_ms = deferred_removals.remaining_delay(now).as_millis() as u64,
+            "The store is readable again; removals of servers take effect after the deferral."
+        );
     }
 
     /// Time for which removals of servers are still deferred.
--- a/crates/edge/src/control/snapshots.rs
+++ b/crates/edge/src/control/snapshots.rs
@@ -141,12 +141,17 @@
 }
 
 async fn fetch(context: &ControlContext, peer: SocketAddr, request: CopyRequest) {
+    let own = match request {
+        CopyRequest::Orders => context.revision(ItemKind::Orders),
+        CopyRequest::Servers(_) => context.revision(ItemKind::Servers),
+    };
     match timeout(EXCHANGE_TIMEOUT, exchange(peer, request)).await {
         Ok(Ok(CopyResponse::Orders(snapshot))) => {
             let (at, items) = (snapshot.revision, snapshot.items.len());
             tracing::info!(
                 event = 353,
                 %peer,
+                own,
                 ask = ?request,
                 at,
                 items,
@@ -159,6 +164,7 @@
             tracing::info!(
                 event = 353,
                 %peer,
+                own,
                 ask = ?request,
                 at,
                 items,
@@ -172,6 +178,7 @@
             tracing::info!(
                 event = 353,
                 %peer,
+                own,
                 ask = ?request,
                 at = revision,
                 items,
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -34,6 +34,7 @@
     configuration: Gauge<u64>,
     hosts: Gauge<u64>,
     servers: Gauge<u64>,
+    server_records: Gauge<u64>,
 }
 
 impl Metrics {
@@ -88,6 +89,10 @@
             configuration: gauge("jasminestage.configuration", "Version in force."),
             hosts: gauge("jasminestage.hosts", "Hosts that may be alive."),
             servers: gauge("jasminestage.servers", "Announced servers."),
+            server_records: gauge(
+                "jasminestage.servers.records",
+                "Servers of which the request path has a record, announced or finishing requests.",
+            ),
             registry,
             _provider: provider,
         })
@@ -144,6 +149,11 @@
         self.store_calls.add(1, &labels);
     }
 
+    /// Records the number of records of servers.
+    pub fn record_server_records(&self, records: usize) {
+        self.server_records.record(records as u64, &[]);
+    }
+
     /// Records the gauges of a new view.
     pub fn record_view(&self, configuration: u64, hosts: usize, servers: usize) {
         self.configuration.record(configuration, &[]);
--- a/crates/edge/src/shared.rs
+++ b/crates/edge/src/shared.rs
@@ -89,7 +89,11 @@
     /// Publishes a new view to the request path and the endpoints.
     pub fn publish(&self, view: Arc<View>) {
         self.metrics.record_view(view.catalog.version, view.host_count(), view.servers.len());
-        self.with_steering(|steering, now| steering.install_view(now, Arc::clone(&view)));
+        let records = self.with_steering(|steering, now| {
+            steering.install_view(now, Arc::clone(&view));
+            steering.server_record_count()
+        });
+        self.metrics.record_server_records(records);
         self.view.store(view);
     }
 
