Keep one record of a server while its entry lapses and returns

Cause: an entry that was removed while a request of this host ran at the server stayed in the request path under no key. When the entry was back, a second record was inserted, and the first one counted as announced again, because only its id was looked up. Nothing updated it from then on: not its state, address, cold time or incarnation. Change: the records are in a table of their own, ServerTable, which finds a record by id as long as it exists, so that a second one cannot be inserted. An entry that returns continues its record, with the requests in flight, pause, backoff and leaving mark.

--- a/crates/core/src/steer/mod.rs
+++ b/crates/core/src/steer/mod.rs
@@ -25,6 +25,7 @@
 pub mod rollout;
 pub mod server;
 pub mod server_changes;
+pub mod server_table;
 pub mod steering;
 pub mod view;
 
--- a/crates/core/src/steer/server.rs
+++ b/crates/core/src/steer/server.rs
@@ -198,6 +198,20 @@
         }
     }
 
+    /// Applies a new entry of the server; returns whether it announces another incarnation, of which
+    /// nothing is known yet.
+    pub fn renew(&mut self, entry: Arc<ServerEntry>, region: &str, cold_until: Instant) -> bool {
+        if self.entry.is_succeeded_by(&entry) {
+            *self = Server::new(entry, region.to_owned(), cold_until);
+            return true;
+        }
+        if self.entry.sequence != entry.sequence {
+            self.cold_until = cold_until;
+        }
+        self.entry = entry;
+        false
+    }
+
     /// Whether the server gets no requests because of recent failures.
     pub fn is_backing_off(&self, now: Instant) -> bool {
         now < self.backoff_until
--- a/crates/core/src/steer/steering/choose.rs
+++ b/crates/core/src/steer/steering/choose.rs
@@ -167,10 +167,13 @@
                 expected_latency: Some(Duration::from_secs_f64(best.latency_s)),
             });
         }
-        if let Some(bound) = self.rate_bound(now, &view, &self.servers[best.server]) {
-            self.pacer.record_request(now, self.servers[best.server].hash, &bound);
+        let bound = self.servers.get(best.server).and_then(|s| self.rate_bound(now, &view, s));
+        let Some(server) = self.servers.get_mut(best.server) else {
+            return Err(self.final_refusal(request, RefusalReason::NoServer));
+        };
+        if let Some(bound) = bound {
+            self.pacer.record_request(now, server.hash, &bound);
         }
-        let server = &mut self.servers[best.server];
         let (load, load_age) = (server.load(now), server.load_report_age(now));
         server.start_request(request.object);
         let entry = Arc::clone(&server.entry);
--- a/crates/core/src/steer/steering/mod.rs
+++ b/crates/core/src/steer/steering/mod.rs
@@ -16,8 +16,6 @@
     time::Duration,
 };
 
-use slotmap::SlotMap;
-
 use self::received::ReceivedStates;
 pub use self::{
     limits::LimitChange,
@@ -26,15 +24,16 @@
 };
 use super::{
     crash::CrashTracker,
-    digest::{CanaryStats, NameHash},
-    leaving::LeavingServers,
+    digest::CanaryStats,
+    leaving::{LeavingServers, incarnation_hash},
     limits::ServerLimits,
     pacing::ServerPacer,
     quota::Quotas,
     region_summaries::RegionSummaries,
     retry::RetryBudget,
     rollout::VersionComparison,
-    server::{Server, ServerKey},
+    server::Server,
+    server_table::ServerTable,
     view::View,
 };
 use crate::time::Instant;
@@ -82,9 +81,7 @@
 #[derive(Debug)]
 pub struct Steering {
     view: Arc<View>,
-    servers: SlotMap<ServerKey, Server>,
-    keys_by_id: HashMap<String, ServerKey>,
-    keys_by_short_hash: HashMap<NameHash, ServerKey>,
+    servers: ServerTable,
     services: HashMap<String, ServiceState>,
     received: ReceivedStates,
     remote_regions: RegionSummaries,
@@ -104,9 +101,7 @@
     pub fn new(view: Arc<View>) -> Self {
         Steering {
             view,
-            servers: SlotMap::default(),
-            keys_by_id: HashMap::new(),
-            keys_by_short_hash: HashMap::new(),
+            servers: ServerTable::default(),
             services: HashMap::new(),
             received: ReceivedStates::default(),
             remote_regions: RegionSummaries::default(),
@@ -164,40 +159,16 @@
 
     fn update_servers(&mut self, now: Instant, view: &View) {
         for entry in view.servers.values() {
-            match self.keys_by_id.get(&entry.id) {
-                Some(key) => {
-                    let server = &mut self.servers[*key];
-                    if server.entry.is_succeeded_by(entry) {
-                        let cold_until = now + entry.cold_duration;
-                        *server = Server::new(Arc::clone(entry), server.region.clone(), cold_until);
-                        if entry.started_unix_ms.is_none() {
-                            self.leaving.remove(server.incarnation);
-                        }
-                    } else if server.entry.sequence != entry.sequence {
-                        server.cold_until = now + entry.cold_duration;
-                        server.entry = Arc::clone(entry);
-                    } else {
-                        server.entry = Arc::clone(entry);
-                    }
-                }
-                None => {
-                    let region = view.zone_regions.get(&entry.zone).cloned().unwrap_or_default();
-                    let cold_until = now + entry.cold_duration;
-                    let server = Server::new(Arc::clone(entry), region, cold_until);
-                    let short_hash = server.short_hash;
-                    let key = self.servers.insert(server);
-                    self.keys_by_id.insert(entry.id.clone(), key);
-                    self.keys_by_short_hash.insert(short_hash, key);
-                }
+            let region = view.zone_regions.get(&entry.zone).map_or("", String::as_str);
+            let is_restarted = self.servers.announce(now, entry, region);
+            if is_restarted && entry.started_unix_ms.is_none() {
+                self.leaving.remove(incarnation_hash(entry));
             }
         }
-        self.keys_by_id.retain(|id, _| view.servers.contains_key(id));
-        self.servers.retain(|_, s| {
-            s.is_announced = view.servers.contains_key(&s.entry.id);
-            s.is_leaving |= self.leaving.contains(s.incarnation);
-            s.is_announced || s.in_flight > 0
-        });
-        self.keys_by_short_hash.retain(|_, key| self.servers.contains_key(*key));
+        self.servers.withdraw_unannounced(|id| view.servers.contains_key(id));
+        for server in self.servers.values_mut() {
+            server.is_leaving |= self.leaving.contains(server.incarnation);
+        }
     }
 
     /// Treats the servers of a reopened failure domain as cold, because they may have become cold during
--- a/crates/core/src/steer/steering/peers.rs
+++ b/crates/core/src/steer/steering/peers.rs
@@ -83,8 +83,7 @@
         adjust: fn(u32, u32) -> u32,
     ) {
         for (short_hash, requests) in in_flight {
-            let key = self.keys_by_short_hash.get(short_hash);
-            if let Some(server) = key.and_then(|key| self.servers.get_mut(*key)) {
+            if let Some(server) = self.servers.get_mut_by_short_hash(*short_hash) {
                 server.remote_in_flight = adjust(server.remote_in_flight, *requests);
             }
         }
--- a/crates/core/tests/steer/main.rs
+++ b/crates/core/tests/steer/main.rs
@@ -16,5 +16,6 @@
 mod retry;
 mod rollout;
 mod server_changes;
+mod server_table;
 mod steering;
 mod verdict;
