Start to defer removals before the first read after an outage is applied

What callers saw: at the end of an outage in which entries lapsed, a host dropped all servers for a moment and refused requests, although the servers ran; each server with a request in flight met the condition of the two records. Cause: removals were deferred from the moment at which a read had succeeded, but the changes of that read had been applied before. A host that became a reader during the outage, or started in it, saw no outage at all, and one that read the store shortly after others took their reads after the return for reads during the outage. Change: the read is recorded before its changes are applied. StoreReads keeps the course of a host's reads, with the outages that a host sees which starts or becomes a reader in one. Digests say since when all reads of their sender have succeeded: removals are deferred until 2.3 s after the store came back, not after this host reached it, and not at all if another host has read it for that long since the last failed call.

--- a/crates/core/src/steer/control/peers.rs
+++ b/crates/core/src/steer/control/peers.rs
@@ -46,6 +46,8 @@
     pub(super) reaches_store: bool,
     /// When the host itself last read the store.
     pub(super) store_read_at: Option<Instant>,
+    /// Since when all reads of the host have succeeded.
+    pub(super) store_steady_since: Option<Instant>,
     pub(super) operator_revision: u64,
     pub(super) server_revision: u64,
 }
@@ -63,6 +65,7 @@
             is_listed: false,
             reaches_store: true,
             store_read_at: None,
+            store_steady_since: None,
             operator_revision: 0,
             server_revision: 0,
         }
@@ -113,6 +116,8 @@
     pub is_reachable: bool,
     /// Milliseconds since this host itself last read the store.
     pub read_age_ms: Option<u32>,
+    /// Milliseconds since all reads of this host have succeeded.
+    pub steady_age_ms: Option<u32>,
 }
 
 impl ControlState {
@@ -152,8 +157,9 @@
         peer.ready = digest.ready;
         peer.is_relay = digest.is_relay;
         peer.reaches_store = digest.reaches_store;
-        let age = digest.store_read_age_ms.map(|ms| Duration::from_millis(u64::from(ms)));
-        peer.store_read_at = age.map(|age| now - age);
+        let time_before = |age_ms: u32| now - Duration::from_millis(u64::from(age_ms));
+        peer.store_read_at = digest.store_read_age_ms.map(time_before);
+        peer.store_steady_since = digest.store_steady_age_ms.map(time_before);
         peer.operator_revision = peer.operator_revision.max(digest.progress.operator_revision);
         peer.server_revision = peer.server_revision.max(digest.progress.server_revision);
         self.merge_rollout_progress(now, &digest.progress);
@@ -260,6 +266,7 @@
             is_relay: self.is_relay(now),
             reaches_store: store.is_reachable,
             store_read_age_ms: store.read_age_ms,
+            store_steady_age_ms: store.steady_age_ms,
             progress,
             in_flight,
             stats,
@@ -359,9 +366,20 @@
             .any(|h| *h == self.view.local_host)
     }
 
-    /// Whether another host has read the store after `time`.
-    pub fn others_read_store_since(&self, time: Instant) -> bool {
-        self.peers.values().any(|p| p.store_read_at.is_some_and(|at| at > time))
+    /// Time for which the store has been available according to other hosts that have read it after
+    /// `time`, when a call of this host still failed.
+    pub fn store_available_for(&self, now: Instant, time: Instant) -> Duration {
+        let readers = self.peers.values().filter(|p| p.store_read_at.is_some_and(|at| at > time));
+        let ages = readers.filter_map(|p| p.store_steady_since).map(|at| now.saturating_since(at));
+        ages.max().unwrap_or_default()
+    }
+
+    /// Last read of the store by another host of the region, if a host that reads it for the region
+    /// has lost it; `None` otherwise.
+    pub fn store_lost_since(&self, now: Instant) -> Option<Instant> {
+        let hosts = || self.peers.values().filter(|p| self.is_in_region(p) && p.sends_digests(now));
+        let is_lost = hosts().any(|p| !p.reaches_store);
+        hosts().filter_map(|p| p.store_read_at).max().filter(|_| is_lost)
     }
 
     /// Whether a host belongs to the region of this host.
--- a/crates/core/src/steer/deferred_removals.rs
+++ b/crates/core/src/steer/deferred_removals.rs
@@ -27,11 +27,13 @@
 }
 
 impl DeferredRemovals {
-    /// Starts to defer removals after an outage of the store. When other hosts have read the store
-    /// during the outage, only this host was cut off and no announcement has expired.
-    pub fn store_recovered(&mut self, now: Instant, outage: Duration, others_read: bool) {
-        if outage >= MIN_OUTAGE && !others_read {
-            self.defer_until = now + REMOVAL_DELAY;
+    /// Starts to defer removals after an outage of the store, before the changes of the first read are
+    /// applied. `available_for` is the time for which other hosts have read the store: announcements
+    /// that expired are back a while after the store recovers, not after this host reaches it.
+    pub fn store_recovered(&mut self, now: Instant, outage: Duration, available_for: Duration) {
+        if outage >= MIN_OUTAGE {
+            let delay = REMOVAL_DELAY.saturating_sub(available_for);
+            self.defer_until = self.defer_until.max(now + delay);
         }
     }
 
--- a/crates/core/src/steer/digest.rs
+++ b/crates/core/src/steer/digest.rs
@@ -211,6 +211,8 @@
     pub reaches_store: bool,
     /// Milliseconds since the sender itself last read the store.
     pub store_read_age_ms: Option<u32>,
+    /// Milliseconds since all reads of the sender have succeeded.
+    pub store_steady_age_ms: Option<u32>,
     /// Store revisions that the sender has applied.
     pub progress: StoreProgress,
     /// Requests that the sender has in flight, by short hash of the server's id.
--- a/crates/core/tests/steer/deferred_removals.rs
+++ b/crates/core/tests/steer/deferred_removals.rs
@@ -19,36 +19,39 @@
 
 struct Case {
     outage_ms: u64,
-    others_read: bool,
+    /// Time for which other hosts have read the store when this host reads it again.
+    available_ms: u64,
     draining: bool,
-    /// Whether the removal is deferred.
-    is_deferred: bool,
+    /// Time until the removal takes effect.
+    delay_ms: u64,
 }
 
-#[test_case(&Case { outage_ms: 900, others_read: false, draining: false, is_deferred: false }; "no outage")]
-#[test_case(&Case { outage_ms: 9000, others_read: true, draining: false, is_deferred: false }; "only this host was cut off")]
-#[test_case(&Case { outage_ms: 9000, others_read: false, draining: false, is_deferred: true }; "outage of the store")]
-#[test_case(&Case { outage_ms: 9000, others_read: false, draining: true, is_deferred: false }; "draining server")]
+#[test_case(&Case { outage_ms: 900, available_ms: 0, draining: false, delay_ms: 0 }; "no outage")]
+#[test_case(&Case { outage_ms: 9000, available_ms: 9000, draining: false, delay_ms: 0 }; "only this host was cut off")]
+#[test_case(&Case { outage_ms: 9000, available_ms: 1300, draining: false, delay_ms: 1000 }; "other hosts reach the store earlier")]
+#[test_case(&Case { outage_ms: 9000, available_ms: 0, draining: false, delay_ms: 2300 }; "outage of the store")]
+#[test_case(&Case { outage_ms: 9000, available_ms: 0, draining: true, delay_ms: 0 }; "draining server")]
 fn removals_are_deferred_after_an_outage_of_the_store(case: &Case) {
     let mut server = entry("s", "lookup", "a1");
     server.draining = case.draining;
     let known = servers(&[server]);
     let mut removals = DeferredRemovals::default();
     let now = at(20_000);
-    removals.store_recovered(now, Duration::from_millis(case.outage_ms), case.others_read);
+    let outage = Duration::from_millis(case.outage_ms);
+    removals.store_recovered(now, outage, Duration::from_millis(case.available_ms));
     let mut changes = vec![removal()];
     removals.defer(now, &known, &mut changes);
-    assert_eq!(changes.is_empty(), case.is_deferred);
-    assert!(removals.take_due(now).is_empty());
-    let later = now + Duration::from_millis(2400);
-    assert_eq!(removals.take_due(later).len(), usize::from(case.is_deferred));
+    assert_eq!(changes.is_empty(), case.delay_ms > 0);
+    let end = now + Duration::from_millis(case.delay_ms);
+    assert!(removals.take_due(end - Duration::from_millis(1)).is_empty());
+    assert_eq!(removals.take_due(end).len(), usize::from(case.delay_ms > 0));
 }
 
 #[test]
 fn a_server_that_announces_itself_again_is_not_removed() {
     let known = servers(&[entry("s", "lookup", "a1")]);
     let mut removals = DeferredRemovals::default();
-    removals.store_recovered(at(9000), Duration::from_secs(9), false);
+    removals.store_recovered(at(9000), Duration::from_secs(9), Duration::ZERO);
     removals.defer(at(9000), &known, &mut vec![removal()]);
     let announced = Change::ServerAnnounced(entry("s", "lookup", "a1"));
     let mut announcements = vec![(12, "servers/s".to_owned(), announced)];
--- a/crates/core/tests/steer/main.rs
+++ b/crates/core/tests/steer/main.rs
@@ -18,4 +18,5 @@
 mod server_changes;
 mod server_table;
 mod steering;
+mod store_reads;
 mod verdict;
--- a/crates/core/tests/steer/region_summaries.rs
+++ b/crates/core/tests/steer/region_summaries.rs
@@ -25,7 +25,7 @@
 fn parts() -> DigestParts {
     DigestParts {
         progress: StoreProgress::default(),
-        store: StoreStatus { is_reachable: true, read_age_ms: None },
+        store: StoreStatus { is_reachable: true, read_age_ms: None, steady_age_ms: None },
         in_flight: Vec::new(),
         stats: TrafficStats::default(),
         aggregate: None,
@@ -165,9 +165,12 @@
     let mut control = control(&[]);
     let mut reader = digest(2, "a2");
     reader.store_read_age_ms = Some(400);
+    reader.store_steady_age_ms = Some(3000);
     control.receive_digest(at(5000), &reader);
-    assert!(control.others_read_store_since(at(4500)));
-    assert!(!control.others_read_store_since(at(4700)));
+    let available_for =
+        |last_failed_call| control.store_available_for(at(5100), at(last_failed_call)).as_millis();
+    assert_eq!(available_for(4500), 3100);
+    assert_eq!(available_for(4700), 0, "the read was made before the call that failed");
 }
 
 struct HostCountCase {
--- a/crates/edge/src/control/context.rs
+++ b/crates/edge/src/control/context.rs
@@ -19,6 +19,7 @@
         rollout::Verdict,
         server_changes::{ServerChangeLog, ServerUpdate},
         steering::{LimitChange, RolloutStatus},
+        store_reads::StoreReads,
     },
     time::Instant,
 };
@@ -28,9 +29,6 @@
 
 use crate::shared::Shared;
 
-/// Minimum time between this host's last read before an outage and a read by another host that
-/// shows that the store was reachable during the outage.
-const OUTAGE_MARGIN: Duration = Duration::from_millis(800);
 /// Smallest change of a new version's share that is logged, as a fraction of the share.
 const MIN_LOGGED_CHANGE: f64 = 0.25;
 
@@ -62,11 +60,7 @@
     rollout_states: RefCell<Mirror>,
     deferred_removals: RefCell<DeferredRemovals>,
     server_changes: RefCell<ServerChangeLog>,
-    reaches_store: Cell<bool>,
-    /// When this host last read the store successfully.
-    store_read_at: Cell<Option<Instant>>,
-    /// When the last read before the current outage succeeded; `None` outside an outage.
-    last_read_before_outage: Cell<Option<Instant>>,
+    store_reads: RefCell<StoreReads>,
     /// Notified when a turn should not wait for its time.
     pub urgent: Notify,
     /// Share and verdict of each rollout that were last logged, by service.
@@ -88,9 +82,7 @@
             rollout_states: RefCell::default(),
             deferred_removals: RefCell::default(),
             server_changes: RefCell::default(),
-            reaches_store: Cell::new(true),
-            store_read_at: Cell::new(None),
-            last_read_before_outage: Cell::new(None),
+            store_reads: RefCell::default(),
             urgent: Notify::new(),
             logged_rollouts: RefCell::default(),
             shared,
@@ -162,31 +154,28 @@
         }
     }
 
-    /// Records whether a read of the store succeeded. The first success after an outage may start
-    /// a deferral of server removals.
-    pub fn record_store_read(&self, is_ok: bool) {
-        self.reaches_store.set(is_ok);
-        if !is_ok {
-            let last_read = self.last_read_before_outage.get().or(self.store_read_at.get());
-            self.last_read_before_outage.set(last_read);
-            return;
-        }
+    /// Records a successful read of the store, before its changes are applied: after an outage, those
+    /// of the first read already include removals of servers whose announcements have expired.
+    pub fn record_store_read(&self) {
         let now = clock::now();
-        self.store_read_at.set(Some(now));
-        let Some(last_read) = self.last_read_before_outage.take() else { return };
-        let outage = now.saturating_since(last_read);
-        let others_read = self.control.borrow().others_read_store_since(last_read + OUTAGE_MARGIN);
+        let Some(outage) = self.store_reads.borrow_mut().record_success(now) else { return };
+        let available_for = self.control.borrow().store_available_for(now, outage.last_failed_call);
         let mut deferred_removals = self.deferred_removals.borrow_mut();
-        deferred_removals.store_recovered(now, outage, others_read);
+        deferred_removals.store_recovered(now, outage.duration, available_for);
         tracing::info!(
             event = 343,
-            outage_ms = outage.as_millis() as u64,
-            others_read,
+            outage_ms = outage.duration.as_millis() as u64,
+            available_ms = available_for.as_millis() as u64,
             deferral_ms = deferred_removals.remaining_delay(now).as_millis() as u64,
             "The store is readable again; removals of servers take effect after the deferral."
         );
     }
 
+    /// Records that a read of the store which began at `called_at` has failed.
+    pub fn record_failed_store_read(&self, called_at: Instant) {
+        self.store_reads.borrow_mut().record_failure(called_at);
+    }
+
     /// Time for which removals of servers are still deferred.
     pub fn removal_delay(&self) -> Duration {
         self.deferred_removals.borrow().remaining_delay(clock::now())
@@ -197,17 +186,18 @@
         self.deferred_removals.borrow_mut().extend_delay(clock::now(), delay);
     }
 
-    /// Prepares this host for reading the store after other hosts read it. The time in which this
-    /// host did not read must not count as an outage.
+    /// Prepares this host for reading the store after other hosts read it.
     pub fn begin_store_reading(&self) {
-        self.store_read_at.set(Some(clock::now()));
-        self.last_read_before_outage.set(None);
+        let now = clock::now();
+        let lost_since = self.control.borrow().store_lost_since(now);
+        self.store_reads.borrow_mut().begin(now, lost_since);
     }
 
     /// Whether this host reads the store for the others of its region. A host that cannot reach the
     /// store keeps trying.
     pub fn is_store_reader(&self) -> bool {
-        self.control.borrow().is_store_reader(clock::now(), self.reaches_store.get())
+        let reaches_store = self.store_reads.borrow().is_reachable();
+        self.control.borrow().is_store_reader(clock::now(), reaches_store)
     }
 
     /// Replaces the copy of the servers by a snapshot read from the store.
@@ -414,10 +404,13 @@
     }
 
     fn store_state(&self) -> StoreState {
-        let read_age_ms = self.store_read_at.get().map(|read_at| {
-            clock::now().saturating_since(read_at).as_millis().min(u128::from(u32::MAX)) as u32
-        });
-        let status = StoreStatus { is_reachable: self.reaches_store.get(), read_age_ms };
+        let (now, reads) = (clock::now(), self.store_reads.borrow());
+        let to_ms = |age: Duration| age.as_millis().min(u128::from(u32::MAX)) as u32;
+        let status = StoreStatus {
+            is_reachable: reads.is_reachable(),
+            read_age_ms: reads.read_age(now).map(to_ms),
+            steady_age_ms: reads.steady_age(now).map(to_ms),
+        };
         StoreState { progress: self.progress(), status }
     }
 
--- a/crates/edge/src/control/servers.rs
+++ b/crates/edge/src/control/servers.rs
@@ -3,6 +3,7 @@
 
 use std::{rc::Rc, time::Duration};
 
+use jasminestage_net::clock;
 use jasminestage_platform::{
     keys,
     store::{Freshness, StoreClient, StoreError},
@@ -36,6 +37,7 @@
         if !std::mem::replace(&mut is_reading, true) {
             context.begin_store_reading();
         }
+        let called_at = clock::now();
         let result = if is_complete {
             read_changes(&context, &mut store).await
         } else {
@@ -43,7 +45,6 @@
         };
         match result {
             Ok(()) => {
-                context.record_store_read(true);
                 is_complete = true;
                 backoff.reset();
                 dependency.report_recovery();
@@ -52,7 +53,7 @@
             Err(StoreError::HistoryCompacted) => is_complete = false,
             Err(e) => {
                 dependency.report_failure(&e);
-                context.record_store_read(false);
+                context.record_failed_store_read(called_at);
                 backoff.pause().await;
             }
         }
@@ -62,7 +63,9 @@
 async fn read_all(context: &ControlContext, store: &mut StoreClient) -> Result<(), StoreError> {
     let result = store.range(keys::SERVER_PREFIX, Freshness::Latest).await;
     context.shared.metrics.count_store_call("range servers", result.is_ok());
-    context.load_servers(result?);
+    let snapshot = result?;
+    context.record_store_read();
+    context.load_servers(snapshot);
     Ok(())
 }
 
@@ -71,6 +74,7 @@
     let result = store.watch(keys::SERVER_PREFIX, after, WATCH_WAIT).await;
     context.shared.metrics.count_store_call("watch servers", result.is_ok());
     let (changes, revision) = result?;
+    context.record_store_read();
     context.apply(ItemKind::Servers, changes, revision);
     Ok(())
 }
--- a/crates/edge/tests/processes/store.rs
+++ b/crates/edge/tests/processes/store.rs
@@ -257,3 +257,58 @@
         assert!(f64::from(failed) <= bound, "{failed} of {sent} requests failed");
     });
 }
+
+struct LapseCase {
+    fault: Fault,
+    /// Failure domains of the hosts: the readers of a region and hosts that copy from them.
+    zones: &'static [&'static str],
+    /// Whether the last host starts during the outage.
+    starts_late: bool,
+}
+
+/// Time after the end of an outage at which the entries of running servers are back.
+const RETURN_DELAY: Duration = Duration::from_millis(1500);
+
+/// Fails if servers whose entries lapse in an outage of the store and return soon after it get no
+/// requests in between, from a host that reads the store, one that copies from others or one that has
+/// just started.
+#[test_case(&LapseCase { fault: Fault::ClosesConnections, zones: &["a1"], starts_late: false }; "connections closed, a single host")]
+fn servers_stay_in_use_when_their_entries_lapse_in_an_outage(case: &LapseCase) {
+    let runtime = tokio::runtime::Runtime::new().expect("a runtime starts");
+    runtime.block_on(async {
+        let mut environment = Environment::start(case.zones).await;
+        tokio::time::sleep(Duration::from_secs(2)).await;
+        environment.store.set_fault(case.fault);
+        tokio::time::sleep(Duration::from_secs(1)).await;
+        if case.starts_late {
+            let last = environment.hosts.last_mut().expect("a host");
+            last.restart();
+            last.wait_until_ready().await;
+        }
+        tokio::time::sleep(Duration::from_millis(3500)).await;
+        for server in &environment.servers {
+            environment.store.remove(&format!("servers/{}", server.id));
+        }
+        environment.store.set_fault(Fault::None);
+        let back_at = tokio::time::Instant::now();
+        let (mut n, mut are_back) = (0, false);
+        while back_at.elapsed() < RETURN_DELAY * 3 {
+            if !are_back && back_at.elapsed() >= RETURN_DELAY {
+                for server in &environment.servers {
+                    server.announce(&environment.store, "ready");
+                }
+                are_back = true;
+            }
+            for host in &environment.hosts {
+                n += 1;
+                let id = format!("r{n}");
+                let answer = request_once(host.caller_address, "/read/x", &id, API_KEY)
+                    .await
+                    .expect("an answer");
+                let since = back_at.elapsed();
+                assert!(answer.is_complete(&id), "{} after {since:?}: {answer:?}", host.name);
+            }
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    });
+}
