Judge by the log itself which changes of servers are passed on

What callers saw: after a lapse, one host of a failure domain sent requests to servers that had left (3.1 to 10.0 s after the store had acknowledged it), also with one record an id. Cause: whether a change was logged for the hosts that copy was judged by the sender's view of the servers. While a removal was deferred, the server was still in the view, so its return changed nothing there and was not logged. Hosts that had copied the removal lost the server for good; when it left, its removal changed nothing in their views either, so they did not pass it on, but told those that copied from them that they were up to date. Change: the log keeps a hash of each entry as the store has it, without the sequence, and logs what differs from it. Test: steer server_changes::the_return_of_a_lapsed_entry_is_logged states what the old log could not do: with the server still among the known ones, it logged no return. edge store a_server_that_leaves_after_a_lapse_gets_no_requests passes on the code before as well: hosts there recover too evenly.

--- a/crates/core/src/steer/server_changes.rs
+++ b/crates/core/src/steer/server_changes.rs
@@ -2,12 +2,14 @@
 //!
 //! Hosts send each other only these changes, not the periodic renewals of announcements.
 
-use std::collections::VecDeque;
+use std::collections::{HashMap, VecDeque};
 
 use super::{
     control::Change,
+    deferred_removals::KeyedChange,
     mirror::{ItemChange, Mirror},
-    server::{ServerEntries, ServerEntry},
+    server::ServerEntry,
+    stable_hash,
 };
 
 /// Maximum number of changes in the log; a host that is further behind needs a whole snapshot.
@@ -21,6 +23,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct ServerChangeLog {
     changes: VecDeque<(u64, String)>,
+    /// Hash of each entry by its key.
+    entry_hashes: HashMap<String, u64>,
     last_revision: u64,
     /// The log holds every change after this revision.
     complete_after: u64,
@@ -41,18 +45,19 @@
         self.last_revision
     }
 
-    /// Logs the changes that affect the selection of a server; `known` must hold the entries as they
-    /// were before the changes.
-    pub fn record(&mut self, known: &ServerEntries, changes: &[(u64, String, Change)]) {
+    /// Logs those changes that affect the selection of a server.
+    pub fn record(&mut self, changes: &[KeyedChange]) {
         for (revision, key, change) in changes {
-            let is_relevant = match change {
-                Change::ServerAnnounced(entry) => {
-                    known.get(&entry.id).is_none_or(|old| differs_beyond_sequence(old, entry))
-                }
-                Change::ServerRemoved(id) => known.contains_key(id),
-                _ => false,
+            let new_hash = match change {
+                Change::ServerAnnounced(entry) => Some(entry_hash(entry)),
+                Change::ServerRemoved(_) => None,
+                _ => continue,
             };
-            if is_relevant {
+            let old_hash = match new_hash {
+                Some(hash) => self.entry_hashes.insert(key.clone(), hash),
+                None => self.entry_hashes.remove(key),
+            };
+            if old_hash != new_hash {
                 self.changes.push_back((*revision, key.clone()));
                 self.last_revision = self.last_revision.max(*revision);
             }
@@ -110,7 +115,28 @@
     }
 }
 
-fn differs_beyond_sequence(old: &ServerEntry, new: &ServerEntry) -> bool {
-    let without_sequence = |e: &ServerEntry| ServerEntry { sequence: 0, ..e.clone() };
-    without_sequence(old) != without_sequence(new)
+/// Hash of what an entry says apart from its sequence number, which changes with every renewal.
+fn entry_hash(entry: &ServerEntry) -> u64 {
+    let ServerEntry {
+        id,
+        service,
+        address,
+        zone,
+        version,
+        slots,
+        draining,
+        cold_duration,
+        sequence: _,
+        started_unix_ms,
+    } = entry;
+    let address = address.to_string();
+    let texts = [id, service, &address, zone, version];
+    let hash = texts.iter().fold(11, |hash, text| stable_hash(hash, text.as_bytes()));
+    let numbers = [
+        u128::from(*slots),
+        u128::from(*draining),
+        cold_duration.as_nanos(),
+        started_unix_ms.map_or(u128::MAX, u128::from),
+    ];
+    numbers.iter().fold(hash, |hash, number| stable_hash(hash, &number.to_le_bytes()))
 }
--- a/crates/core/tests/steer/server_changes.rs
+++ b/crates/core/tests/steer/server_changes.rs
@@ -4,13 +4,23 @@
 
 use jasminestage_core::steer::{
     control::Change,
+    deferred_removals::KeyedChange,
     mirror::{Item, ItemChange, Mirror},
     server::ServerEntry,
     server_changes::{ServerChangeLog, ServerUpdate},
 };
 use test_case::test_case;
 
-use crate::common::{entry, servers};
+use crate::common::entry;
+
+fn announced(revision: u64, id: &str) -> KeyedChange {
+    let entry = entry(id, "lookup", "a1");
+    (revision, format!("servers/{id}"), Change::ServerAnnounced(entry))
+}
+
+fn removed(revision: u64, id: &str) -> KeyedChange {
+    (revision, format!("servers/{id}"), Change::ServerRemoved(id.to_owned()))
+}
 
 struct Case {
     change: fn(&mut ServerEntry),
@@ -25,38 +35,36 @@
 #[test_case(&Case { change: |e| e.started_unix_ms = Some(5), is_logged: true }; "a restart")]
 #[test_case(&Case { change: |e| e.id = "t".to_owned(), is_logged: true }; "a new server")]
 fn only_changes_that_affect_the_selection_are_logged(case: &Case) {
-    let known = servers(&[entry("s", "lookup", "a1")]);
     let mut changed = entry("s", "lookup", "a1");
     (case.change)(&mut changed);
+    let key = format!("servers/{}", changed.id);
     let mut log = ServerChangeLog::default();
-    log.record(&known, &[(9, "servers/s".to_owned(), Change::ServerAnnounced(changed))]);
-    assert_eq!(log.last_revision(), if case.is_logged { 9 } else { 0 });
+    log.record(&[announced(5, "s")]);
+    log.record(&[(9, key, Change::ServerAnnounced(changed))]);
+    assert_eq!(log.last_revision(), if case.is_logged { 9 } else { 5 });
 }
 
 #[test]
 fn a_host_gets_each_missing_change_once() {
-    let known = servers(&[entry("old", "lookup", "a1")]);
     let mut items = Mirror::default();
     let written = |key: &str, revision| {
         let value = vec![revision as u8];
         ItemChange::Written(Item { key: key.to_owned(), value, revision })
     };
     items.apply(vec![written("servers/a", 7), written("servers/b", 8)], 20);
-    let announced = |id: &str| Change::ServerAnnounced(entry(id, "lookup", "a1"));
     let mut log = ServerChangeLog::default();
-    log.record(
-        &known,
-        &[
-            (3, "servers/a".to_owned(), announced("a")),
-            (7, "servers/a".to_owned(), announced("a")),
-            (8, "servers/b".to_owned(), announced("b")),
-            (9, "servers/old".to_owned(), Change::ServerRemoved("old".to_owned())),
-        ],
-    );
-    let removed = ItemChange::Removed { key: "servers/old".to_owned(), revision: 9 };
-    let all = vec![written("servers/a", 7), written("servers/b", 8), removed.clone()];
+    let draining = ServerEntry { draining: true, ..entry("a", "lookup", "a1") };
+    log.record(&[
+        announced(2, "old"),
+        announced(3, "a"),
+        (7, "servers/a".to_owned(), Change::ServerAnnounced(draining)),
+        announced(8, "b"),
+        removed(9, "old"),
+    ]);
+    let removal = ItemChange::Removed { key: "servers/old".to_owned(), revision: 9 };
+    let all = vec![written("servers/a", 7), written("servers/b", 8), removal.clone()];
     assert_eq!(log.update_since(2, &items), ServerUpdate::Changes(all));
-    assert_eq!(log.update_since(8, &items), ServerUpdate::Changes(vec![removed]));
+    assert_eq!(log.update_since(8, &items), ServerUpdate::Changes(vec![removal]));
     assert_eq!(log.update_since(9, &items), ServerUpdate::Changes(vec![]));
     assert_eq!(log.update_since(0, &items), ServerUpdate::SnapshotRequired);
     log.reset(30, 30);
@@ -78,15 +86,29 @@
     let item = Item { key: "servers/a".to_owned(), value: vec![1], revision: 19 };
     items.apply(vec![ItemChange::Written(item)], 20);
     let mut log = ServerChangeLog::default();
-    let announced = Change::ServerAnnounced(entry("a", "lookup", "a1"));
-    log.record(&servers(&[]), &[(19, "servers/a".to_owned(), announced)]);
+    log.record(&[announced(19, "a")]);
     log.start(20, case.is_first_start);
     assert_eq!(log.last_revision(), case.advertised);
     assert_eq!(log.update_since(10, &items), ServerUpdate::SnapshotRequired);
-    let removed = Change::ServerRemoved("a".to_owned());
-    log.record(&servers(&[entry("a", "lookup", "a1")]), &[(22, "servers/a".to_owned(), removed)]);
+    log.record(&[removed(22, "a")]);
     items.apply(vec![ItemChange::Removed { key: "servers/a".to_owned(), revision: 22 }], 22);
     assert_eq!(log.last_revision(), 22);
     assert!(matches!(log.update_since(20, &items), ServerUpdate::Changes(c) if c.len() == 1));
     assert_eq!(log.update_since(10, &items), ServerUpdate::SnapshotRequired);
 }
+
+/// Fails if a host does not pass on that an entry returned which had lapsed, because its own removal of the
+/// server was still deferred. The hosts that copy from it would lose the server, and with it all that
+/// they would pass on about it, such as its removal.
+#[test]
+fn the_return_of_a_lapsed_entry_is_logged() {
+    let mut items = Mirror::default();
+    let item = Item { key: "servers/a".to_owned(), value: vec![1], revision: 15 };
+    items.apply(vec![ItemChange::Written(item.clone())], 20);
+    let mut log = ServerChangeLog::default();
+    for change in [announced(5, "a"), removed(10, "a"), announced(15, "a")] {
+        log.record(&[change]);
+    }
+    let expected = ServerUpdate::Changes(vec![ItemChange::Written(item)]);
+    assert_eq!(log.update_since(10, &items), expected);
+}
--- a/crates/edge/src/control/context.rs
+++ b/crates/edge/src/control/context.rs
@@ -133,7 +133,7 @@
         if kind == ItemKind::Servers {
             let control = self.control.borrow();
             let known = &control.view().servers;
-            self.server_changes.borrow_mut().record(known, &changes);
+            self.server_changes.borrow_mut().record(&changes);
             self.deferred_removals.borrow_mut().defer(clock::now(), known, &mut changes);
         }
         self.apply_decoded(changes);
--- a/crates/edge/tests/processes/store.rs
+++ b/crates/edge/tests/processes/store.rs
@@ -312,3 +312,50 @@
         }
     });
 }
+
+struct DepartureCase {
+    fault: Fault,
+    /// How the server leaves after its entry has lapsed and returned.
+    leave: fn(&Backend, &Store),
+}
+
+/// Fails if a server that leaves gets requests because its entry had lapsed in an outage of the store: a
+/// host that had lost the entry did not pass on its removal to the hosts that copy from it.
+#[test_case(&DepartureCase { fault: Fault::ClosesConnections, leave: |s, store| store.remove(&format!("servers/{}", s.id)) }; "connections closed, the entry is removed")]
+#[test_case(&DepartureCase { fault: Fault::Unavailable, leave: |s, store| store.remove(&format!("servers/{}", s.id)) }; "unavailable, the entry is removed")]
+#[test_case(&DepartureCase { fault: Fault::Unavailable, leave: |s, store| s.announce(store, "draining") }; "unavailable, the server drains")]
+fn a_server_that_leaves_after_a_lapse_gets_no_requests(case: &DepartureCase) {
+    let runtime = tokio::runtime::Runtime::new().expect("a runtime starts");
+    runtime.block_on(async {
+        let zones = ["a1", "a1", "a1", "a1", "a1", "a2", "a2", "a2", "a2"];
+        let environment = Environment::start(&zones).await;
+        tokio::time::sleep(Duration::from_secs(3)).await;
+        environment.store.set_fault(case.fault);
+        tokio::time::sleep(Duration::from_millis(4500)).await;
+        for server in &environment.servers {
+            environment.store.remove(&format!("servers/{}", server.id));
+        }
+        environment.store.set_fault(Fault::None);
+        // The servers' heartbeats are not in step.
+        for server in &environment.servers {
+            tokio::time::sleep(Duration::from_millis(300)).await;
+            server.announce(&environment.store, "ready");
+        }
+        tokio::time::sleep(Duration::from_secs(4)).await;
+        let leaving = &environment.servers[0];
+        (case.leave)(leaving, &environment.store);
+        tokio::time::sleep(PROPAGATION_LIMIT).await;
+        let before = leaving.executed_requests().len();
+        for host in &environment.hosts {
+            for n in 0..20 {
+                let id = format!("{}-{n}", host.name);
+                let answer = request_once(host.caller_address, "/read/x", &id, API_KEY).await;
+                let answer = answer.expect("an answer");
+                assert!(answer.is_complete(&id), "{answer:?}");
+                let ran = leaving.executed_requests().contains_key(&id);
+                assert!(!ran, "{} still sends requests", host.name);
+            }
+        }
+        assert_eq!(leaving.executed_requests().len(), before);
+    });
+}
