Compare copies of the servers by revision and content

Cause: hosts compared the revision of the newest logged change. A host that has just read the store has no log, and advertised revision 1 on purpose; what its first copy included reached a host that lived on only with the next change of any server. Change: each copy states the revision up to which it is complete and a fingerprint of its entries. A copy is behind if another is newer and differs. If copies differ after the changes were fetched, all servers are fetched (event 355). Whole copies carry the delay of removals, as changes did.

--- a/crates/core/src/steer/control/peers.rs
+++ b/crates/core/src/steer/control/peers.rs
@@ -10,6 +10,7 @@
             Aggregate, AggregateScope, Announcement, Digest, NameHash, RegionSummary,
             StoreProgress, TrafficStats,
         },
+        mirror::CopyState,
         stable_hash,
         view::Peer,
     },
@@ -49,7 +50,7 @@
     /// Since when all reads of the host have succeeded.
     pub(super) store_steady_since: Option<Instant>,
     pub(super) operator_revision: u64,
-    pub(super) server_revision: u64,
+    pub(super) servers: CopyState,
 }
 
 impl PeerState {
@@ -67,7 +68,7 @@
             store_read_at: None,
             store_steady_since: None,
             operator_revision: 0,
-            server_revision: 0,
+            servers: CopyState::default(),
         }
     }
 
@@ -161,7 +162,7 @@
         peer.store_read_at = digest.store_read_age_ms.map(time_before);
         peer.store_steady_since = digest.store_steady_age_ms.map(time_before);
         peer.operator_revision = peer.operator_revision.max(digest.progress.operator_revision);
-        peer.server_revision = peer.server_revision.max(digest.progress.server_revision);
+        peer.servers.update(digest.progress.servers);
         self.merge_rollout_progress(now, &digest.progress);
         for summary in &digest.region_summaries {
             self.region_summaries.insert(now, summary);
@@ -399,50 +400,48 @@
         now: Instant,
         own_revision: u64,
     ) -> Option<SocketAddr> {
-        self.host_with_newer_revision(
+        let newer = |revision: u64| (revision > own_revision).then_some(revision);
+        self.host_with_newer_copy(
             now,
-            own_revision,
-            |p| p.operator_revision,
-            |progress| progress.operator_revision,
+            |peer| newer(peer.operator_revision),
+            |progress| newer(progress.operator_revision),
         )
     }
 
-    /// Returns the address of a host with server entries newer than `own_revision`.
-    pub fn host_with_newer_servers(&self, now: Instant, own_revision: u64) -> Option<SocketAddr> {
-        self.host_with_newer_revision(
+    /// Returns the address of a host whose copy of the servers' entries is newer than `own` and differs
+    /// from it.
+    pub fn host_with_newer_servers(&self, now: Instant, own: &CopyState) -> Option<SocketAddr> {
+        let newer = |copy: &CopyState| own.is_behind(copy).then_some(copy.revision);
+        self.host_with_newer_copy(
             now,
-            own_revision,
-            |p| p.server_revision,
-            |progress| progress.server_revision,
+            |peer| newer(&peer.servers),
+            |progress| newer(&progress.servers),
         )
     }
 
-    /// Returns the address of the host with the highest revision above `own_revision`, preferably in
-    /// the failure domain of this host. Only gateways copy from other regions, and only if no host of
+    /// Returns the address of the host with the highest revision of a newer copy, preferably in the
+    /// failure domain of this host. Only gateways copy from other regions, and only if no host of
     /// their own region is newer.
-    fn host_with_newer_revision(
+    fn host_with_newer_copy(
         &self,
         now: Instant,
-        own_revision: u64,
-        peer_revision: fn(&PeerState) -> u64,
-        region_revision: fn(&StoreProgress) -> u64,
+        newer_at_peer: impl Fn(&PeerState) -> Option<u64>,
+        newer_in_region: impl Fn(&StoreProgress) -> Option<u64>,
     ) -> Option<SocketAddr> {
         let own_zone = &self.view.local_host.zone;
-        let same_region = self
-            .peers
-            .values()
-            .filter(|p| p.sends_digests(now) && peer_revision(p) > own_revision)
-            .max_by_key(|p| (p.host.zone == *own_zone, peer_revision(p)))
-            .map(|p| p.host.peer_address);
+        let senders = self.peers.values().filter(|p| p.sends_digests(now));
+        let same_region = senders
+            .filter_map(|p| newer_at_peer(p).map(|revision| (p, revision)))
+            .max_by_key(|(p, revision)| (p.host.zone == *own_zone, *revision))
+            .map(|(p, _)| p.host.peer_address);
         if same_region.is_some() || !self.is_gateway(now) {
             return same_region;
         }
-        self.region_summaries
-            .all(now)
-            .into_iter()
-            .filter(|s| region_revision(&s.progress) > own_revision)
-            .max_by_key(|s| region_revision(&s.progress))
-            .map(|s| s.sender_address)
+        let summaries = self.region_summaries.all(now).into_iter();
+        summaries
+            .filter_map(|s| newer_in_region(&s.progress).map(|revision| (s, revision)))
+            .max_by_key(|(_, revision)| *revision)
+            .map(|(s, _)| s.sender_address)
     }
 }
 
--- a/crates/core/src/steer/digest.rs
+++ b/crates/core/src/steer/digest.rs
@@ -19,6 +19,7 @@
 use super::{
     leaving::IncarnationHash,
     limits::{self, LimitReport},
+    mirror::CopyState,
     rollout::RolloutState,
     stable_hash,
 };
@@ -153,13 +154,13 @@
     pub elapsed: Duration,
 }
 
-/// Newest revisions of the store that a host has applied.
+/// What a host has applied of the store's items.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct StoreProgress {
     /// Revision of the newest change that an operator wrote.
     pub operator_revision: u64,
-    /// Revision of the newest change that affects which servers can be selected.
-    pub server_revision: u64,
+    /// The copy of the servers' entries.
+    pub servers: CopyState,
     /// Progress of each rollout.
     pub rollouts: Vec<RolloutProgress>,
 }
--- a/crates/core/src/steer/mirror.rs
+++ b/crates/core/src/steer/mirror.rs
@@ -62,6 +62,30 @@
     pub items: Vec<Item>,
 }
 
+/// What a copy of the items under one prefix includes.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CopyState {
+    /// Revision up to which the copy is complete; 0 before the first snapshot.
+    pub revision: u64,
+    /// Hash of the content. Copies with the same content have the same fingerprint, also if their
+    /// revisions differ.
+    pub fingerprint: u64,
+}
+
+impl CopyState {
+    /// Whether the other copy is newer and differs from this one.
+    pub fn is_behind(&self, other: &CopyState) -> bool {
+        self.revision < other.revision && self.fingerprint != other.fingerprint
+    }
+
+    /// Takes over a state of the same copy unless it is older.
+    pub fn update(&mut self, reported: CopyState) {
+        if reported.revision >= self.revision {
+            *self = reported;
+        }
+    }
+}
+
 /// A local copy in which an item changes only to a newer revision. The revisions of the latest
 /// removals are kept as well, because a watch of the store may deliver a write after another host
 /// has already sent the removal that followed it.
--- a/crates/core/src/steer/server_changes.rs
+++ b/crates/core/src/steer/server_changes.rs
@@ -15,17 +15,14 @@
 /// Maximum number of changes in the log; a host that is further behind needs a whole snapshot.
 const MAX_LOGGED_CHANGES: usize = 4096;
 
-/// Revision that a host advertises after its first copy from the store: above that of a host without
-/// any copy and below each real one.
-const FIRST_COPY_REVISION: u64 = 1;
-
-/// Bounded log of the revisions and keys of changed server entries, oldest first.
+/// Bounded log of the revisions and keys of changed server entries, oldest first, and a fingerprint of
+/// the current entries.
 #[derive(Clone, Debug, Default)]
 pub struct ServerChangeLog {
     changes: VecDeque<(u64, String)>,
     /// Hash of each entry by its key.
     entry_hashes: HashMap<String, u64>,
-    last_revision: u64,
+    fingerprint: u64,
     /// The log holds every change after this revision.
     complete_after: u64,
 }
@@ -40,9 +37,10 @@
 }
 
 impl ServerChangeLog {
-    /// Revision of the newest change that affects the selection of a server.
-    pub fn last_revision(&self) -> u64 {
-        self.last_revision
+    /// Hash of all entries. It is the same on hosts whose entries do not differ in what affects the
+    /// selection of a server.
+    pub fn fingerprint(&self) -> u64 {
+        self.fingerprint
     }
 
     /// Logs those changes that affect the selection of a server.
@@ -58,8 +56,9 @@
                 None => self.entry_hashes.remove(key),
             };
             if old_hash != new_hash {
+                let without_old = self.fingerprint.wrapping_sub(old_hash.unwrap_or_default());
+                self.fingerprint = without_old.wrapping_add(new_hash.unwrap_or_default());
                 self.changes.push_back((*revision, key.clone()));
-                self.last_revision = self.last_revision.max(*revision);
             }
         }
         while self.changes.len() > MAX_LOGGED_CHANGES {
@@ -68,33 +67,12 @@
         }
     }
 
-    /// Starts the log after the first snapshot that was read from the store at `revision`. The snapshot
-    /// does not show which servers were removed before, so a host with an older copy must not get
-    /// changes from this log. Unless the whole fleet starts for the first time, only hosts without any
-    /// copy take this one for newer, until it has copied from another one or recorded a change.
-    pub fn start(&mut self, revision: u64, is_first_start: bool) {
+    /// Starts the log anew after a whole snapshot of `revision` was loaded. The snapshot does not show
+    /// which servers were removed before, or removed and announced again, so a host with an older copy
+    /// must not get changes from this log.
+    pub fn restart(&mut self, revision: u64) {
         self.changes.clear();
         self.complete_after = self.complete_after.max(revision);
-        if !is_first_start {
-            self.last_revision = FIRST_COPY_REVISION;
-        }
-    }
-
-    /// Clears the log after a whole snapshot was loaded that includes all changes up to `revision`.
-    ///
-    /// `snapshot_revision` is the revision of the snapshot itself, from which the log is complete if
-    /// the sender had only its first copy.
-    pub fn reset(&mut self, revision: u64, snapshot_revision: u64) {
-        let complete_after =
-            if revision <= FIRST_COPY_REVISION { snapshot_revision } else { revision };
-        self.changes.clear();
-        self.complete_after = self.complete_after.max(complete_after);
-        self.last_revision = self.last_revision.max(revision);
-    }
-
-    /// Marks all changes up to `revision` as received from another host.
-    pub fn advance_to(&mut self, revision: u64) {
-        self.last_revision = self.last_revision.max(revision);
     }
 
     /// Returns the logged changes after `revision`, each item once in its current state. If the log
--- a/crates/core/tests/steer/server_changes.rs
+++ b/crates/core/tests/steer/server_changes.rs
@@ -5,7 +5,7 @@
 use jasminestage_core::steer::{
     control::Change,
     deferred_removals::KeyedChange,
-    mirror::{Item, ItemChange, Mirror},
+    mirror::{CopyState, Item, ItemChange, Mirror},
     server::ServerEntry,
     server_changes::{ServerChangeLog, ServerUpdate},
 };
@@ -34,14 +34,26 @@
 #[test_case(&Case { change: |e| e.cold_duration = Duration::from_secs(1), is_logged: true }; "a longer warm-up")]
 #[test_case(&Case { change: |e| e.started_unix_ms = Some(5), is_logged: true }; "a restart")]
 #[test_case(&Case { change: |e| e.id = "t".to_owned(), is_logged: true }; "a new server")]
+#[test_case(&Case { change: |e| e.service = "booking".to_owned(), is_logged: true }; "another service")]
+#[test_case(&Case { change: |e| e.address.set_port(8081), is_logged: true }; "another address")]
+#[test_case(&Case { change: |e| e.zone = "a2".to_owned(), is_logged: true }; "another failure domain")]
+#[test_case(&Case { change: |e| e.version = "v2".to_owned(), is_logged: true }; "another version")]
+#[test_case(&Case { change: |e| e.slots = 4, is_logged: true }; "more slots")]
 fn only_changes_that_affect_the_selection_are_logged(case: &Case) {
     let mut changed = entry("s", "lookup", "a1");
     (case.change)(&mut changed);
     let key = format!("servers/{}", changed.id);
     let mut log = ServerChangeLog::default();
     log.record(&[announced(5, "s")]);
+    let before = log.fingerprint();
     log.record(&[(9, key, Change::ServerAnnounced(changed))]);
-    assert_eq!(log.last_revision(), if case.is_logged { 9 } else { 5 });
+    let mut items = Mirror::default();
+    items.apply(vec![], 10);
+    let ServerUpdate::Changes(changes) = log.update_since(6, &items) else {
+        panic!("the log is complete")
+    };
+    assert_eq!(changes.len(), usize::from(case.is_logged));
+    assert_eq!(log.fingerprint() != before, case.is_logged);
 }
 
 #[test]
@@ -67,36 +79,53 @@
     assert_eq!(log.update_since(8, &items), ServerUpdate::Changes(vec![removal]));
     assert_eq!(log.update_since(9, &items), ServerUpdate::Changes(vec![]));
     assert_eq!(log.update_since(0, &items), ServerUpdate::SnapshotRequired);
-    log.reset(30, 30);
+    log.restart(30);
     assert_eq!(log.update_since(9, &items), ServerUpdate::SnapshotRequired);
 }
 
-struct FirstCopyCase {
-    is_first_start: bool,
-    /// Revision that other hosts compare with theirs.
-    advertised: u64,
-}
-
 /// A host reads the entries from the store after a server was removed at revision 15, so it knows of
 /// no removal. A host with the state of revision 10 must not get changes from it without that one.
-#[test_case(&FirstCopyCase { is_first_start: false, advertised: 1 }; "one host restarts")]
-#[test_case(&FirstCopyCase { is_first_start: true, advertised: 19 }; "the whole fleet starts")]
-fn a_first_copy_from_the_store_does_not_hide_removals(case: &FirstCopyCase) {
+#[test]
+fn a_first_copy_from_the_store_does_not_hide_removals() {
     let mut items = Mirror::default();
     let item = Item { key: "servers/a".to_owned(), value: vec![1], revision: 19 };
     items.apply(vec![ItemChange::Written(item)], 20);
     let mut log = ServerChangeLog::default();
     log.record(&[announced(19, "a")]);
-    log.start(20, case.is_first_start);
-    assert_eq!(log.last_revision(), case.advertised);
+    log.restart(20);
     assert_eq!(log.update_since(10, &items), ServerUpdate::SnapshotRequired);
     log.record(&[removed(22, "a")]);
     items.apply(vec![ItemChange::Removed { key: "servers/a".to_owned(), revision: 22 }], 22);
-    assert_eq!(log.last_revision(), 22);
     assert!(matches!(log.update_since(20, &items), ServerUpdate::Changes(c) if c.len() == 1));
     assert_eq!(log.update_since(10, &items), ServerUpdate::SnapshotRequired);
 }
 
+struct CopyCase {
+    /// What the other host has recorded, and the revision up to which its copy is complete.
+    other: (fn() -> Vec<KeyedChange>, u64),
+    /// Whether the host with the state of revision 10 needs the copy of the other one.
+    is_behind: bool,
+}
+
+/// Fails if a host does not notice that its copy lacks changes which no running host has logged,
+/// because all that read the store have started after them, or if it fetches a copy that equals its own
+/// each time that another host starts.
+#[test_case(&CopyCase { other: (|| vec![announced(3, "a"), announced(4, "b")], 20), is_behind: false }; "the same servers in a newer copy")]
+#[test_case(&CopyCase { other: (|| vec![announced(12, "b"), announced(19, "a")], 20), is_behind: false }; "the same servers with later renewals")]
+#[test_case(&CopyCase { other: (|| vec![announced(4, "b")], 20), is_behind: true }; "a server was removed before the first copy")]
+#[test_case(&CopyCase { other: (|| vec![announced(3, "a"), announced(4, "b"), announced(15, "c")], 20), is_behind: true }; "a server was added before the first copy")]
+#[test_case(&CopyCase { other: (|| vec![announced(3, "a"), announced(4, "b"), removed(5, "b")], 9), is_behind: false }; "an older copy with other servers")]
+fn a_host_notices_that_its_copy_is_behind(case: &CopyCase) {
+    let state = |changes: &[KeyedChange], revision| {
+        let mut log = ServerChangeLog::default();
+        log.record(changes);
+        CopyState { revision, fingerprint: log.fingerprint() }
+    };
+    let own = state(&[announced(3, "a"), announced(4, "b")], 10);
+    let (changes, revision) = case.other;
+    assert_eq!(own.is_behind(&state(&changes(), revision)), case.is_behind);
+}
+
 /// Fails if a host does not pass on that an entry returned which had lapsed, because its own removal of the
 /// server was still deferred. The hosts that copy from it would lose the server, and with it all that
 /// they would pass on about it, such as its removal.
--- a/crates/edge/src/control/context.rs
+++ b/crates/edge/src/control/context.rs
@@ -15,7 +15,7 @@
         deferred_removals::{DeferredRemovals, KeyedChange},
         digest::{Digest, Message, RegionSummary, StoreProgress},
         exchange::{self, OutgoingMessage, StoreState},
-        mirror::{ItemChange, Mirror, Snapshot},
+        mirror::{CopyState, ItemChange, Mirror, Snapshot},
         rollout::Verdict,
         server_changes::{ServerChangeLog, ServerUpdate},
         steering::{LimitChange, RolloutStatus},
@@ -200,40 +200,24 @@
         self.control.borrow().is_store_reader(clock::now(), reaches_store)
     }
 
-    /// Replaces the copy of the servers by a snapshot read from the store.
-    pub fn load_servers(&self, snapshot: Snapshot) {
-        let is_first = self.revision(ItemKind::Servers) == 0;
+    /// Replaces the copy of the servers by a snapshot from the store or another host.
+    pub fn replace_servers(&self, snapshot: Snapshot) {
         let revision = snapshot.revision;
         self.replace(ItemKind::Servers, snapshot);
-        if is_first {
-            let is_first_start = self.shared.cfg.first_start;
-            self.server_changes.borrow_mut().start(revision, is_first_start);
-        }
-    }
-
-    /// Returns what another host lacks of the servers, with the revision of the newest relevant
-    /// change of a server.
-    pub fn server_update(&self, after: u64) -> (ServerUpdate, u64) {
-        let server_changes = self.server_changes.borrow();
-        (server_changes.update_since(after, &self.servers.borrow()), server_changes.last_revision())
+        self.server_changes.borrow_mut().restart(revision);
     }
 
-    /// Replaces the copy of the servers by a snapshot of another host that includes all relevant
-    /// changes up to `server_revision`.
-    pub fn replace_servers(&self, snapshot: Snapshot, server_revision: u64) {
-        let snapshot_revision = snapshot.revision;
-        self.replace(ItemKind::Servers, snapshot);
-        self.server_changes.borrow_mut().reset(server_revision, snapshot_revision);
+    /// Returns what another host lacks of the servers if its copy is complete up to `revision`.
+    pub fn server_update(&self, revision: u64) -> ServerUpdate {
+        self.server_changes.borrow().update_since(revision, &self.servers.borrow())
     }
 
-    /// Marks all relevant changes of servers up to `revision` as received from another host.
-    pub fn advance_server_changes(&self, revision: u64) {
-        self.server_changes.borrow_mut().advance_to(revision);
-    }
-
-    /// Revision of the newest change that affects the selection of a server.
-    pub fn server_revision(&self) -> u64 {
-        self.server_changes.borrow().last_revision()
+    /// What the copy of the servers includes.
+    pub fn servers_state(&self) -> CopyState {
+        CopyState {
+            revision: self.revision(ItemKind::Servers),
+            fingerprint: self.server_changes.borrow().fingerprint(),
+        }
     }
 
     fn log(&self, changes: &[Change]) {
@@ -382,7 +366,7 @@
     fn progress(&self) -> StoreProgress {
         StoreProgress {
             operator_revision: self.last_change(ItemKind::Orders),
-            server_revision: self.server_revision(),
+            servers: self.servers_state(),
             rollouts: self.control.borrow().rollout_progress(clock::now()),
         }
     }
@@ -427,7 +411,7 @@
 
     /// Returns the address of a host with newer server entries.
     pub fn host_with_newer_servers(&self) -> Option<SocketAddr> {
-        self.control.borrow().host_with_newer_servers(clock::now(), self.server_revision())
+        self.control.borrow().host_with_newer_servers(clock::now(), &self.servers_state())
     }
 
     /// Returns the rollout states that this host should record in the store.
--- a/crates/edge/src/control/servers.rs
+++ b/crates/edge/src/control/servers.rs
@@ -65,7 +65,7 @@
     context.shared.metrics.count_store_call("range servers", result.is_ok());
     let snapshot = result?;
     context.record_store_read();
-    context.load_servers(snapshot);
+    context.replace_servers(snapshot);
     Ok(())
 }
 
--- a/crates/edge/src/control/snapshots.rs
+++ b/crates/edge/src/control/snapshots.rs
@@ -5,10 +5,14 @@
 
 use bytes::Bytes;
 use futures_util::SinkExt;
-use jasminestage_core::steer::{
-    mirror::{ItemChange, Snapshot},
-    server_changes::ServerUpdate,
+use jasminestage_core::{
+    steer::{
+        mirror::{CopyState, ItemChange, Snapshot},
+        server_changes::ServerUpdate,
+    },
+    time::Instant,
 };
+use jasminestage_net::clock;
 use serde::{Deserialize, Serialize};
 use tokio::{
     net::{TcpListener, TcpStream},
@@ -25,13 +29,15 @@
 /// Period in which a host checks whether other hosts have newer items, and pause after a connection
 /// could not be accepted.
 const CHECK_PERIOD: Duration = Duration::from_millis(250);
+/// Minimum time between two whole copies that are fetched because the changes have left something out.
+const WHOLE_COPY_PERIOD: Duration = Duration::from_secs(2);
 
 /// Request for items; log lines contain it.
 #[derive(Clone, Copy, Debug, Serialize, Deserialize)]
 enum CopyRequest {
     /// All operator data.
     Orders,
-    /// The relevant changes of servers after this revision.
+    /// The relevant changes of servers after this revision; all servers if it is 0.
     Servers(u64),
 }
 
@@ -40,16 +46,19 @@
 enum CopyResponse {
     /// All operator data.
     Orders(Snapshot),
-    /// All servers, with the revision of the newest relevant change of a server at the sender.
-    AllServers(Snapshot, u64),
+    /// All servers.
+    AllServers {
+        /// The servers.
+        snapshot: Snapshot,
+        /// Time for which the sender still defers removals.
+        removal_delay: Duration,
+    },
     /// Relevant changes of servers.
     Servers {
         /// The changes.
         changes: Vec<ItemChange>,
-        /// Revision up to which the sender's copy is complete.
-        revision: u64,
-        /// Revision of the newest relevant change of a server at the sender.
-        server_revision: u64,
+        /// The sender's copy, which includes the changes.
+        state: CopyState,
         /// Time for which the sender still defers removals.
         removal_delay: Duration,
     },
@@ -102,14 +111,14 @@
         CopyRequest::Orders => return CopyResponse::Orders(context.snapshot(ItemKind::Orders)),
         CopyRequest::Servers(after) => after,
     };
+    let removal_delay = context.removal_delay();
     match context.server_update(after) {
-        (ServerUpdate::Changes(changes), server_revision) => {
-            let (revision, removal_delay) =
-                (context.revision(ItemKind::Servers), context.removal_delay());
-            CopyResponse::Servers { changes, revision, server_revision, removal_delay }
+        ServerUpdate::Changes(changes) => {
+            CopyResponse::Servers { changes, state: context.servers_state(), removal_delay }
         }
-        (ServerUpdate::SnapshotRequired, server_revision) => {
-            CopyResponse::AllServers(context.snapshot(ItemKind::Servers), server_revision)
+        ServerUpdate::SnapshotRequired => {
+            let snapshot = context.snapshot(ItemKind::Servers);
+            CopyResponse::AllServers { snapshot, removal_delay }
         }
     }
 }
@@ -122,6 +131,7 @@
 /// Fetches newer items from other hosts until the process ends.
 pub async fn pull(context: Rc<ControlContext>) {
     let (mut lacked_operator_data, mut lacked_servers) = (false, false);
+    let mut whole_copy_due_at = Instant::ZERO;
     loop {
         tokio::time::sleep(CHECK_PERIOD).await;
         // A reader usually receives a change from the store within one period, so it fetches the
@@ -134,13 +144,44 @@
         lacked_operator_data = newer_host.is_some();
         let newer_host = context.host_with_newer_servers();
         if let Some(peer) = newer_host.filter(|_| lacked_servers || !waits_for_store) {
-            fetch(&context, peer, CopyRequest::Servers(context.server_revision())).await;
+            fetch_servers(&context, peer, &mut whole_copy_due_at).await;
         }
         lacked_servers = newer_host.is_some();
     }
 }
 
-async fn fetch(context: &ControlContext, peer: SocketAddr, request: CopyRequest) {
+/// Fetches the changes of servers from another host. If the copies differ although they are complete up
+/// to the same revision, the changes have left something out, and all servers are fetched.
+async fn fetch_servers(
+    context: &ControlContext,
+    peer: SocketAddr,
+    whole_copy_due_at: &mut Instant,
+) {
+    let own = context.servers_state();
+    let Some(peer_state) = fetch(context, peer, CopyRequest::Servers(own.revision)).await else {
+        return;
+    };
+    let own = context.servers_state();
+    let differs = own.revision == peer_state.revision && own.fingerprint != peer_state.fingerprint;
+    let now = clock::now();
+    if differs && now >= *whole_copy_due_at {
+        *whole_copy_due_at = now + WHOLE_COPY_PERIOD;
+        tracing::warn!(
+            event = 355,
+            %peer,
+            revision = own.revision,
+            "The copy of the servers differs from that of another host; all servers are fetched."
+        );
+        fetch(context, peer, CopyRequest::Servers(0)).await;
+    }
+}
+
+/// Fetches and applies items; returns the state of the other host's copy if changes were received.
+async fn fetch(
+    context: &ControlContext,
+    peer: SocketAddr,
+    request: CopyRequest,
+) -> Option<CopyState> {
     let own = match request {
         CopyRequest::Orders => context.revision(ItemKind::Orders),
         CopyRequest::Servers(_) => context.revision(ItemKind::Servers),
@@ -159,7 +200,7 @@
             );
             context.replace(ItemKind::Orders, snapshot);
         }
-        Ok(Ok(CopyResponse::AllServers(snapshot, server_revision))) => {
+        Ok(Ok(CopyResponse::AllServers { snapshot, removal_delay })) => {
             let (at, items) = (snapshot.revision, snapshot.items.len());
             tracing::info!(
                 event = 353,
@@ -170,22 +211,23 @@
                 items,
                 "Items were received from another host."
             );
-            context.replace_servers(snapshot, server_revision);
-        }
-        Ok(Ok(CopyResponse::Servers { changes, revision, server_revision, removal_delay })) => {
             context.extend_removal_delay(removal_delay);
+            context.replace_servers(snapshot);
+        }
+        Ok(Ok(CopyResponse::Servers { changes, state, removal_delay })) => {
             let items = changes.len();
             tracing::info!(
                 event = 353,
                 %peer,
                 own,
                 ask = ?request,
-                at = revision,
+                at = state.revision,
                 items,
                 "Items were received from another host."
             );
-            context.apply(ItemKind::Servers, changes, revision);
-            context.advance_server_changes(server_revision);
+            context.extend_removal_delay(removal_delay);
+            context.apply(ItemKind::Servers, changes, state.revision);
+            return Some(state);
         }
         Ok(Err(e)) => {
             tracing::info!(
@@ -203,6 +245,7 @@
             "Fetching items from another host timed out."
         ),
     }
+    None
 }
 
 async fn exchange(peer: SocketAddr, request: CopyRequest) -> Result<CopyResponse, ExchangeError> {
--- a/crates/edge/tests/processes/store.rs
+++ b/crates/edge/tests/processes/store.rs
@@ -5,7 +5,7 @@
 use jasminestage_platform_standin::{
     backend::Backend,
     caller::{fetch_page, request_once},
-    fleet::{self, API_KEY, Host},
+    fleet::{self, API_KEY, Host, HostSetup},
     proxy::{ConnectionFault, Proxy},
     store::{Fault, Store},
 };
@@ -156,7 +156,8 @@
     let _server = Backend::start(&store, "lookup-1", "lookup", "a1").await;
     let start = |n: usize| {
         let zone = if n.is_multiple_of(2) { "a1" } else { "a2" };
-        Host::start_with(BINARY, &format!("host-{n}"), zone, store.address, true)
+        let setup = HostSetup { first_start: true, ..HostSetup::default() };
+        Host::start_with(BINARY, &format!("host-{n}"), zone, store.address, &setup)
     };
     let hosts: Vec<Host> = (0..6).map(start).collect();
     for host in &hosts {
@@ -273,6 +274,9 @@
 /// requests in between, from a host that reads the store, one that copies from others or one that has
 /// just started.
 #[test_case(&LapseCase { fault: Fault::ClosesConnections, zones: &["a1"], starts_late: false }; "connections closed, a single host")]
+#[test_case(&LapseCase { fault: Fault::Unavailable, zones: &["a1", "a1", "a2", "a2"], starts_late: false }; "unavailable, hosts that copy")]
+#[test_case(&LapseCase { fault: Fault::NeverResponds, zones: &["a1", "a1", "a2", "a2"], starts_late: false }; "no responses, hosts that copy")]
+#[test_case(&LapseCase { fault: Fault::ClosesConnections, zones: &["a1", "a2", "a2"], starts_late: true }; "connections closed, a host that starts")]
 fn servers_stay_in_use_when_their_entries_lapse_in_an_outage(case: &LapseCase) {
     let runtime = tokio::runtime::Runtime::new().expect("a runtime starts");
     runtime.block_on(async {
@@ -313,6 +317,44 @@
     });
 }
 
+/// Fails if a host that lives on while all hosts that read the store restart misses what servers
+/// reported meanwhile, and goes on sending requests to a draining server.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_host_learns_of_changes_that_all_readers_missed() {
+    let mut environment = Environment::start(&[]).await;
+    let address = environment.store.address;
+    // The smaller host reads the store only if no larger one of its region runs.
+    for (name, zone, cores) in [("small", "a1", 0.5), ("host-1", "a1", 1.0), ("host-2", "a2", 1.0)]
+    {
+        let setup = HostSetup { cores, ..HostSetup::default() };
+        environment.hosts.push(Host::start_with(BINARY, name, zone, address, &setup));
+    }
+    for host in &environment.hosts {
+        host.wait_until_ready().await;
+    }
+    // The hosts know each other and which of them read the store.
+    tokio::time::sleep(Duration::from_secs(4)).await;
+    for reader in &mut environment.hosts[1..] {
+        reader.kill();
+    }
+    tokio::time::sleep(Duration::from_millis(150)).await;
+    let draining = &environment.servers[0];
+    draining.announce(&environment.store, "draining");
+    for reader in &mut environment.hosts[1..] {
+        reader.restart();
+    }
+    tokio::time::sleep(PROPAGATION_LIMIT).await;
+    let before = draining.executed_requests().len();
+    let small = &environment.hosts[0];
+    for n in 0..30 {
+        let id = format!("r{n}");
+        let answer =
+            request_once(small.caller_address, "/read/x", &id, API_KEY).await.expect("an answer");
+        assert!(answer.is_complete(&id), "{answer:?}");
+    }
+    assert_eq!(draining.executed_requests().len(), before, "{:?}", small.log_lines());
+}
+
 struct DepartureCase {
     fault: Fault,
     /// How the server leaves after its entry has lapsed and returned.
