Compare copies of the operators' data by revision and content

What callers saw: a host that lived on while all readers restarted sent nothing to the servers of a failure domain whose evacuation had ended, until the next change by an operator. Cause: as for the servers: the newest revision of a first copy does not show removals, such as the end of an evacuation or a withdrawn rollout. Change: Mirror::state, and one comparison for both kinds of copies; the newest applied revision is gone.

--- a/crates/core/src/steer/control/peers.rs
+++ b/crates/core/src/steer/control/peers.rs
@@ -49,7 +49,7 @@
     pub(super) store_read_at: Option<Instant>,
     /// Since when all reads of the host have succeeded.
     pub(super) store_steady_since: Option<Instant>,
-    pub(super) operator_revision: u64,
+    pub(super) operator_data: CopyState,
     pub(super) servers: CopyState,
 }
 
@@ -67,7 +67,7 @@
             reaches_store: true,
             store_read_at: None,
             store_steady_since: None,
-            operator_revision: 0,
+            operator_data: CopyState::default(),
             servers: CopyState::default(),
         }
     }
@@ -161,7 +161,7 @@
         let time_before = |age_ms: u32| now - Duration::from_millis(u64::from(age_ms));
         peer.store_read_at = digest.store_read_age_ms.map(time_before);
         peer.store_steady_since = digest.store_steady_age_ms.map(time_before);
-        peer.operator_revision = peer.operator_revision.max(digest.progress.operator_revision);
+        peer.operator_data.update(digest.progress.operator_data);
         peer.servers.update(digest.progress.servers);
         self.merge_rollout_progress(now, &digest.progress);
         for summary in &digest.region_summaries {
@@ -393,30 +393,20 @@
         self.peers.values().any(|p| p.host.peer_address == address)
     }
 
-    /// Returns the address of a host that has operators' changes with a revision above
-    /// `own_revision`.
+    /// Returns the address of a host whose copy of the operators' data is newer than `own` and differs
+    /// from it.
     pub fn host_with_newer_operator_data(
         &self,
         now: Instant,
-        own_revision: u64,
+        own: &CopyState,
     ) -> Option<SocketAddr> {
-        let newer = |revision: u64| (revision > own_revision).then_some(revision);
-        self.host_with_newer_copy(
-            now,
-            |peer| newer(peer.operator_revision),
-            |progress| newer(progress.operator_revision),
-        )
+        self.host_with_newer_copy(now, own, |p| &p.operator_data, |p| &p.operator_data)
     }
 
     /// Returns the address of a host whose copy of the servers' entries is newer than `own` and differs
     /// from it.
     pub fn host_with_newer_servers(&self, now: Instant, own: &CopyState) -> Option<SocketAddr> {
-        let newer = |copy: &CopyState| own.is_behind(copy).then_some(copy.revision);
-        self.host_with_newer_copy(
-            now,
-            |peer| newer(&peer.servers),
-            |progress| newer(&progress.servers),
-        )
+        self.host_with_newer_copy(now, own, |p| &p.servers, |p| &p.servers)
     }
 
     /// Returns the address of the host with the highest revision of a newer copy, preferably in the
@@ -425,23 +415,26 @@
     fn host_with_newer_copy(
         &self,
         now: Instant,
-        newer_at_peer: impl Fn(&PeerState) -> Option<u64>,
-        newer_in_region: impl Fn(&StoreProgress) -> Option<u64>,
+        own: &CopyState,
+        peer_copy: fn(&PeerState) -> &CopyState,
+        region_copy: fn(&StoreProgress) -> &CopyState,
     ) -> Option<SocketAddr> {
         let own_zone = &self.view.local_host.zone;
-        let senders = self.peers.values().filter(|p| p.sends_digests(now));
-        let same_region = senders
-            .filter_map(|p| newer_at_peer(p).map(|revision| (p, revision)))
-            .max_by_key(|(p, revision)| (p.host.zone == *own_zone, *revision))
-            .map(|(p, _)| p.host.peer_address);
+        let same_region = self
+            .peers
+            .values()
+            .filter(|p| p.sends_digests(now) && own.is_behind(peer_copy(p)))
+            .max_by_key(|p| (p.host.zone == *own_zone, peer_copy(p).revision))
+            .map(|p| p.host.peer_address);
         if same_region.is_some() || !self.is_gateway(now) {
             return same_region;
         }
-        let summaries = self.region_summaries.all(now).into_iter();
-        summaries
-            .filter_map(|s| newer_in_region(&s.progress).map(|revision| (s, revision)))
-            .max_by_key(|(_, revision)| *revision)
-            .map(|(s, _)| s.sender_address)
+        self.region_summaries
+            .all(now)
+            .into_iter()
+            .filter(|s| own.is_behind(region_copy(&s.progress)))
+            .max_by_key(|s| region_copy(&s.progress).revision)
+            .map(|s| s.sender_address)
     }
 }
 
--- a/crates/core/src/steer/control/relays.rs
+++ b/crates/core/src/steer/control/relays.rs
@@ -51,8 +51,8 @@
 pub struct UrgentState {
     /// Running hosts of the region, and whether they accept new callers.
     pub readiness: Vec<(Incarnation, bool)>,
-    /// Revision of the operators' data.
-    pub operator_revision: u64,
+    /// Fingerprint of the operators' data.
+    pub operator_data: u64,
     /// Revisions of the rollout orders whose versions are faulty.
     pub faulty_orders: BTreeSet<u64>,
     /// Errors of new versions that this host has counted.
--- a/crates/core/src/steer/digest.rs
+++ b/crates/core/src/steer/digest.rs
@@ -157,8 +157,8 @@
 /// What a host has applied of the store's items.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct StoreProgress {
-    /// Revision of the newest change that an operator wrote.
-    pub operator_revision: u64,
+    /// The copy of the operators' data.
+    pub operator_data: CopyState,
     /// The copy of the servers' entries.
     pub servers: CopyState,
     /// Progress of each rollout.
--- a/crates/core/src/steer/exchange.rs
+++ b/crates/core/src/steer/exchange.rs
@@ -32,7 +32,7 @@
 ) -> Vec<OutgoingMessage> {
     let urgent = UrgentState {
         readiness: control.region_readiness(now),
-        operator_revision: store.progress.operator_revision,
+        operator_data: store.progress.operator_data.fingerprint,
         faulty_orders: steering.faulty_orders(),
         canary_errors: steering.canary_errors(),
     };
--- a/crates/core/src/steer/mirror.rs
+++ b/crates/core/src/steer/mirror.rs
@@ -4,6 +4,8 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::stable_hash;
+
 /// Number of removals above which the older half is forgotten.
 const MAX_REMOVALS: usize = 4096;
 
@@ -55,9 +57,6 @@
 pub struct Snapshot {
     /// Revision up to which the snapshot is complete.
     pub revision: u64,
-    /// Revision of the newest change that the sender has applied; 0 in a snapshot read from the
-    /// store.
-    pub last_change: u64,
     /// All items.
     pub items: Vec<Item>,
 }
@@ -95,7 +94,6 @@
     /// Revision of the removal, by key.
     removed: HashMap<String, u64>,
     revision: u64,
-    last_change: u64,
 }
 
 impl Mirror {
@@ -104,9 +102,10 @@
         self.revision
     }
 
-    /// Revision of the newest change under the prefix that was applied.
-    pub fn last_change(&self) -> u64 {
-        self.last_change
+    /// What the copy includes. Every change of an item counts as different content.
+    pub fn state(&self) -> CopyState {
+        let hashes = self.items.values().map(|i| stable_hash(i.revision, i.key.as_bytes()));
+        CopyState { revision: self.revision, fingerprint: hashes.fold(0, u64::wrapping_add) }
     }
 
     /// Returns the item with this key.
@@ -121,11 +120,7 @@
 
     /// Returns the whole copy, to be sent to another host.
     pub fn snapshot(&self) -> Snapshot {
-        Snapshot {
-            revision: self.revision,
-            last_change: self.last_change,
-            items: self.items.values().cloned().collect(),
-        }
+        Snapshot { revision: self.revision, items: self.items.values().cloned().collect() }
     }
 
     /// Applies all changes up to `revision` and returns those that were new.
@@ -142,7 +137,6 @@
             return Vec::new();
         }
         let snapshot_revision = snapshot.revision;
-        let sender_last_change = snapshot.last_change;
         let present: std::collections::HashSet<&str> =
             snapshot.items.iter().map(|i| i.key.as_str()).collect();
         let missing: Vec<String> =
@@ -150,9 +144,7 @@
         let removed =
             missing.into_iter().map(|key| ItemChange::Removed { key, revision: snapshot_revision });
         let changes = removed.chain(snapshot.items.into_iter().map(ItemChange::Written)).collect();
-        let applied = self.apply(changes, snapshot_revision);
-        self.last_change = self.last_change.max(sender_last_change);
-        applied
+        self.apply(changes, snapshot_revision)
     }
 
     fn record_removal(&mut self, key: &str, revision: u64) {
@@ -168,14 +160,14 @@
     fn apply_one(&mut self, change: &ItemChange) -> bool {
         let known_revision = self.items.get(change.key()).map_or(0, |i| i.revision);
         let removed_revision = self.removed.get(change.key()).copied().unwrap_or(0);
-        let (is_new, revision) = match change {
+        match change {
             ItemChange::Written(item) => {
                 let is_new = item.revision > known_revision.max(removed_revision);
                 if is_new {
                     self.removed.remove(&item.key);
                     self.items.insert(item.key.clone(), item.clone());
                 }
-                (is_new, item.revision)
+                is_new
             }
             ItemChange::Removed { key, revision } => {
                 let is_new = known_revision > 0 && *revision > known_revision;
@@ -185,12 +177,8 @@
                 if *revision > known_revision.max(removed_revision) {
                     self.record_removal(key, *revision);
                 }
-                (is_new, *revision)
+                is_new
             }
-        };
-        if is_new {
-            self.last_change = self.last_change.max(revision);
         }
-        is_new
     }
 }
--- a/crates/core/tests/steer/mirror.rs
+++ b/crates/core/tests/steer/mirror.rs
@@ -41,18 +41,34 @@
 fn an_older_snapshot_is_ignored() {
     let mut mirror = Mirror::default();
     mirror.apply(vec![written("a", 5)], 8);
-    let old = Snapshot { revision: 7, last_change: 7, items: vec![item("z", 6)] };
+    let old = Snapshot { revision: 7, items: vec![item("z", 6)] };
     assert!(mirror.replace(old).is_empty());
     assert_eq!(mirror.revision(), 8);
 }
 
-#[test]
-fn a_snapshot_of_another_host_updates_the_last_change() {
-    let mut mirror = Mirror::default();
-    mirror.apply(vec![written("a", 5)], 8);
-    let newer = Snapshot { revision: 12, last_change: 11, items: vec![item("a", 5)] };
-    assert!(mirror.replace(newer).is_empty());
-    assert_eq!(mirror.last_change(), 11);
+struct StateCase {
+    /// Items of the other copy, which is complete up to revision 12.
+    items: &'static [(&'static str, u64)],
+    /// Whether this copy, complete up to revision 8, lacks something that the other one includes.
+    is_behind: bool,
+}
+
+/// Fails if a host does not see that an item was removed which it still has, because the other copy was
+/// read from the store after the removal, or if it takes an equal copy for newer.
+#[test_case(&StateCase { items: &[("a", 5), ("b", 3)], is_behind: false }; "the same items")]
+#[test_case(&StateCase { items: &[("a", 5)], is_behind: true }; "an item was removed")]
+#[test_case(&StateCase { items: &[("a", 11), ("b", 3)], is_behind: true }; "an item was written again")]
+#[test_case(&StateCase { items: &[("a", 5), ("b", 3), ("c", 9)], is_behind: true }; "an item was added")]
+fn the_state_of_a_copy_shows_what_it_lacks(case: &StateCase) {
+    let mut own = Mirror::default();
+    own.apply(vec![written("a", 5), written("b", 3)], 8);
+    let mut other = Mirror::default();
+    let items = case.items.iter().map(|(key, revision)| item(key, *revision)).collect();
+    other.replace(Snapshot { revision: 12, items });
+    assert_eq!(own.state().is_behind(&other.state()), case.is_behind);
+    assert!(!other.state().is_behind(&own.state()), "the older copy is not taken for newer");
+    own.replace(other.snapshot());
+    assert_eq!(own.state(), other.state());
 }
 
 struct ReorderCase {
@@ -83,7 +99,7 @@
 fn an_older_write_does_not_return_after_a_snapshot_without_the_item() {
     let mut mirror = Mirror::default();
     mirror.apply(vec![written("a", 5)], 5);
-    mirror.replace(Snapshot { revision: 9, last_change: 8, items: vec![item("b", 6)] });
+    mirror.replace(Snapshot { revision: 9, items: vec![item("b", 6)] });
     assert!(mirror.apply(vec![written("a", 7)], 7).is_empty());
     assert!(mirror.get("a").is_none());
 }
--- a/crates/core/tests/steer/region_summaries.rs
+++ b/crates/core/tests/steer/region_summaries.rs
@@ -9,6 +9,7 @@
         catalog::{Catalog, Limits},
         control::{Change, ControlState, DigestParts, StoreStatus},
         digest::{CanaryStats, StoreProgress, TrafficStats, name_hash},
+        mirror::CopyState,
         region_summaries::RegionSummaries,
         rollout::Verdict,
         steering::{RequestHead, Steering},
@@ -241,6 +242,11 @@
     assert_eq!(targets, [sender_address]);
 }
 
+/// A copy whose content changed at its revision.
+fn copy_of(revision: u64) -> CopyState {
+    CopyState { revision, fingerprint: revision }
+}
+
 struct CopyCase {
     /// Larger hosts of the region that send digests: incarnation, failure domain and revision of the
     /// operators' data.
@@ -263,13 +269,13 @@
     for (incarnation, zone, revision) in case.hosts {
         let mut digest = digest(*incarnation, zone);
         digest.sender.millicores = 500;
-        digest.progress.operator_revision = *revision;
+        digest.progress.operator_data = copy_of(*revision);
         control.receive_digest(at(0), &digest);
     }
     let mut summary = region_summary("b", 20, 1);
-    summary.progress.operator_revision = case.elsewhere;
+    summary.progress.operator_data = copy_of(case.elsewhere);
     control.receive_region_summary(at(10), summary);
     control.tick(at(20));
     let expected = case.copies_from.map(|n| announcement(n, "a1").peer_address);
-    assert_eq!(control.host_with_newer_operator_data(at(20), 5), expected);
+    assert_eq!(control.host_with_newer_operator_data(at(20), &copy_of(5)), expected);
 }
--- a/crates/edge/src/control/context.rs
+++ b/crates/edge/src/control/context.rs
@@ -103,11 +103,6 @@
         self.mirror(kind).borrow().revision()
     }
 
-    /// Revision of the newest change that was applied to a copy.
-    pub fn last_change(&self, kind: ItemKind) -> u64 {
-        self.mirror(kind).borrow().last_change()
-    }
-
     /// Returns a whole copy, to be sent to another host.
     pub fn snapshot(&self, kind: ItemKind) -> Snapshot {
         self.mirror(kind).borrow().snapshot()
@@ -365,7 +360,7 @@
 
     fn progress(&self) -> StoreProgress {
         StoreProgress {
-            operator_revision: self.last_change(ItemKind::Orders),
+            operator_data: self.operator_data.borrow().state(),
             servers: self.servers_state(),
             rollouts: self.control.borrow().rollout_progress(clock::now()),
         }
@@ -405,8 +400,8 @@
 
     /// Returns the address of a host with newer operator data.
     pub fn host_with_newer_operator_data(&self) -> Option<SocketAddr> {
-        let own_revision = self.last_change(ItemKind::Orders);
-        self.control.borrow().host_with_newer_operator_data(clock::now(), own_revision)
+        let own = self.operator_data.borrow().state();
+        self.control.borrow().host_with_newer_operator_data(clock::now(), &own)
     }
 
     /// Returns the address of a host with newer server entries.
--- a/crates/edge/tests/processes/store.rs
+++ b/crates/edge/tests/processes/store.rs
@@ -317,42 +317,68 @@
     });
 }
 
-/// Fails if a host that lives on while all hosts that read the store restart misses what servers
-/// reported meanwhile, and goes on sending requests to a draining server.
-#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
-async fn a_host_learns_of_changes_that_all_readers_missed() {
-    let mut environment = Environment::start(&[]).await;
-    let address = environment.store.address;
-    // The smaller host reads the store only if no larger one of its region runs.
-    for (name, zone, cores) in [("small", "a1", 0.5), ("host-1", "a1", 1.0), ("host-2", "a2", 1.0)]
-    {
-        let setup = HostSetup { cores, ..HostSetup::default() };
-        environment.hosts.push(Host::start_with(BINARY, name, zone, address, &setup));
-    }
-    for host in &environment.hosts {
-        host.wait_until_ready().await;
-    }
-    // The hosts know each other and which of them read the store.
-    tokio::time::sleep(Duration::from_secs(4)).await;
-    for reader in &mut environment.hosts[1..] {
-        reader.kill();
-    }
-    tokio::time::sleep(Duration::from_millis(150)).await;
-    let draining = &environment.servers[0];
-    draining.announce(&environment.store, "draining");
-    for reader in &mut environment.hosts[1..] {
-        reader.restart();
-    }
-    tokio::time::sleep(PROPAGATION_LIMIT).await;
-    let before = draining.executed_requests().len();
-    let small = &environment.hosts[0];
-    for n in 0..30 {
-        let id = format!("r{n}");
-        let answer =
-            request_once(small.caller_address, "/read/x", &id, API_KEY).await.expect("an answer");
-        assert!(answer.is_complete(&id), "{answer:?}");
-    }
-    assert_eq!(draining.executed_requests().len(), before, "{:?}", small.log_lines());
+struct MissedCase {
+    /// State of the store before the readers restart, and the change that all of them miss.
+    before: fn(&Environment),
+    change: fn(&Environment),
+    /// Time after which the small host must have learned of the change.
+    wait: Duration,
+    /// Which of the three lookup servers it must use then.
+    used: [bool; 3],
+}
+
+/// Fails if a host that lives on while all hosts that read the store restart misses what servers or
+/// operators changed meanwhile: it would go on sending requests to a draining server, or none to the
+/// servers of a failure domain whose evacuation has ended.
+#[test_case(&MissedCase { before: |_| (), change: |e| e.servers[0].announce(&e.store, "draining"), wait: PROPAGATION_LIMIT, used: [false, true, true] }; "a server drains")]
+#[test_case(&MissedCase {
+    before: |e| { e.store.put("op/evacuate/a2", &json!({})); },
+    change: |e| e.store.remove("op/evacuate/a2"),
+    // The servers of a reopened failure domain are cold for 3 s.
+    wait: PROPAGATION_LIMIT.saturating_add(Duration::from_secs(3)),
+    used: [true; 3],
+}; "an evacuation ends")]
+fn a_host_learns_of_changes_that_all_readers_missed(case: &MissedCase) {
+    let runtime = tokio::runtime::Runtime::new().expect("a runtime starts");
+    runtime.block_on(async {
+        let mut environment = Environment::start(&[]).await;
+        let address = environment.store.address;
+        let remote_server = Backend::start(&environment.store, "lookup-3", "lookup", "a2").await;
+        (case.before)(&environment);
+        // The smaller host reads the store only if no larger one of its region runs.
+        let hosts = [("small", "a1", 0.5), ("host-1", "a1", 1.0), ("host-2", "a2", 1.0)];
+        for (name, zone, cores) in hosts {
+            let setup = HostSetup { cores, ..HostSetup::default() };
+            environment.hosts.push(Host::start_with(BINARY, name, zone, address, &setup));
+        }
+        for host in &environment.hosts {
+            host.wait_until_ready().await;
+        }
+        // The hosts know each other and which of them read the store.
+        tokio::time::sleep(Duration::from_secs(4)).await;
+        for reader in &mut environment.hosts[1..] {
+            reader.kill();
+        }
+        tokio::time::sleep(Duration::from_millis(150)).await;
+        (case.change)(&environment);
+        for reader in &mut environment.hosts[1..] {
+            reader.restart();
+        }
+        tokio::time::sleep(case.wait).await;
+        let lookup_servers = || environment.servers_of("lookup").chain([&remote_server]);
+        let count = |s: &Backend| s.executed_requests().len();
+        let before: Vec<usize> = lookup_servers().map(count).collect();
+        let small = &environment.hosts[0];
+        let requests = (0..60).map(|n| async move {
+            let id = format!("r{n}");
+            request_once(small.caller_address, "/read/x", &id, API_KEY).await.expect("an answer")
+        });
+        for answer in futures_util::future::join_all(requests).await {
+            assert_eq!(answer.status, 200, "{answer:?}");
+        }
+        let used: Vec<bool> = lookup_servers().zip(before).map(|(s, b)| count(s) > b).collect();
+        assert_eq!(used, case.used, "{:?}", small.log_lines());
+    });
 }
 
 struct DepartureCase {
