Bound the responses of the store

What callers saw: a process that answers at the address of the store with bytes without end made a host use all memory within the timeout of a call (more than 128 MB in some 30 ms); the requests of all callers on that host would end with it. Cause: the body of a response was collected without a limit. A watch that returns more is answered by reading the pages.

--- a/crates/edge/src/control/operator_data.rs
+++ b/crates/edge/src/control/operator_data.rs
@@ -43,6 +43,8 @@
             }
             Err(StoreError::HistoryCompacted) => is_complete = false,
             Err(e) => {
+                // The pages of a whole read are smaller than a watch that returns too many changes.
+                is_complete &= !matches!(e, StoreError::ResponseTooLarge { .. });
                 dependency.report_failure(&e);
                 backoff.pause().await;
             }
--- a/crates/edge/src/control/servers.rs
+++ b/crates/edge/src/control/servers.rs
@@ -52,6 +52,8 @@
             }
             Err(StoreError::HistoryCompacted) => is_complete = false,
             Err(e) => {
+                // The pages of a whole read are smaller than a watch that returns too many changes.
+                is_complete &= !matches!(e, StoreError::ResponseTooLarge { .. });
                 dependency.report_failure(&e);
                 context.record_failed_store_read(called_at);
                 backoff.pause().await;
--- a/crates/edge/tests/processes/raw.rs
+++ b/crates/edge/tests/processes/raw.rs
@@ -1,17 +1,18 @@
 //! Servers whose responses do not end, end early or come twice.
 
-use std::time::Duration;
+use std::{net::SocketAddr, time::Duration};
 
 use http::Method;
 use jasminestage_platform_standin::{
     caller::{Caller, fetch_page, request_once},
     fleet::{self, API_KEY, Host},
-    raw::{CutAfter, RawResponse, RawServer},
+    raw::{CutAfter, RawResponse, RawServer, send_without_end, serve_without_end},
     store::Store,
 };
 use test_case::test_case;
+use tokio::net::TcpListener;
 
-use crate::{BINARY, eventually};
+use crate::{BINARY, Environment, eventually};
 
 /// Requests that the servers answer at the same time.
 const REQUESTS: usize = 60;
@@ -52,6 +53,16 @@
 #[test_case(&Case { response: RawResponse::EndlessBody, path: "/read/x", statuses: &[502, 504], is_cut: true }; "body without a length")]
 #[test_case(&Case { response: RawResponse::BytesAfterResponse, path: "/read/x", statuses: &[200], is_cut: false }; "bytes after a complete response")]
 #[test_case(&Case { response: RawResponse::SlowBody, path: "/read/x", statuses: &[502, 504], is_cut: false }; "slow body")]
+#[test_case(&Case { response: RawResponse::SlowHead, path: "/read/x", statuses: &[502, 504], is_cut: false }; "slow head")]
+#[test_case(&Case { response: RawResponse::SlowHead, path: "/book/x", statuses: &[502, 504], is_cut: false }; "slow head, at most once")]
+#[test_case(&Case { response: RawResponse::EndlessInformational, path: "/read/x", statuses: &[502, 504], is_cut: false }; "informational responses")]
+#[test_case(&Case { response: RawResponse::EndlessInformational, path: "/book/x", statuses: &[502, 504], is_cut: false }; "informational responses, at most once")]
+#[test_case(&Case { response: RawResponse::EndlessHeadLine, path: "/read/x", statuses: &[502, 504], is_cut: false }; "one line of the head")]
+#[test_case(&Case { response: RawResponse::EndlessTrailers, path: "/read/x", statuses: &[502, 504], is_cut: false }; "trailers")]
+#[test_case(&Case { response: RawResponse::EndlessTrailers, path: "/book/x", statuses: &[502, 504], is_cut: false }; "trailers, at most once")]
+#[test_case(&Case { response: RawResponse::EndlessChunkExtension, path: "/read/x", statuses: &[502, 504], is_cut: false }; "extension of a chunk")]
+#[test_case(&Case { response: RawResponse::BytesOnIdleConnection, path: "/read/x", statuses: &[200, 502], is_cut: false }; "bytes on an idle connection")]
+#[test_case(&Case { response: RawResponse::BytesOnIdleConnection, path: "/book/x", statuses: &[200, 502], is_cut: false }; "bytes on an idle connection, at most once")]
 fn responses_without_an_end_stay_within_the_memory(case: &Case) {
     let runtime = tokio::runtime::Runtime::new().expect("a runtime starts");
     runtime.block_on(async {
@@ -191,3 +202,93 @@
         assert!(has_run > 0, "no request ran");
     });
 }
+
+/// Watches the memory of a host while `load` runs; fails if it exceeds the limit or the process ends.
+async fn assert_memory_is_bounded<T>(host: &Host, load: impl Future<Output = T>) -> T {
+    let mut load = std::pin::pin!(load);
+    loop {
+        let resident = host.resident_bytes().expect("the host runs");
+        assert!(resident < MAX_RESIDENT_BYTES, "the host used {resident} bytes");
+        tokio::select! {
+            result = load.as_mut() => return result,
+            () = tokio::time::sleep(Duration::from_millis(5)) => {}
+        }
+    }
+}
+
+struct StoreCase {
+    head: &'static str,
+}
+
+/// Fails if a process that answers at the address of the store exhausts the memory of the host, or if
+/// callers get no answer meanwhile.
+#[test_case(&StoreCase { head: "HTTP/1.1 200 OK\r\n\r\n" }; "body without a length")]
+#[test_case(&StoreCase { head: "HTTP/1.1 200 OK\r\ncontent-length: 1000000000000\r\n\r\n" }; "body with a huge length")]
+#[test_case(&StoreCase { head: "HTTP/1.1 410 Gone\r\n\r\n" }; "body of an error")]
+#[test_case(&StoreCase { head: "HTTP/1.1 200 OK\r\nx-more: " }; "head")]
+fn a_store_that_answers_without_an_end_stays_within_the_memory(case: &StoreCase) {
+    let runtime = tokio::runtime::Runtime::new().expect("a runtime starts");
+    runtime.block_on(async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a loopback address is free");
+        let address = listener.local_addr().expect("a listener has an address");
+        let store = tokio::spawn(serve_without_end(listener, case.head));
+        let host = Host::start(BINARY, "host-0", "a1", address);
+        let callers = host.caller_address;
+        let listens = eventually(Duration::from_secs(5), async || {
+            request_once(callers, "/read/x", "first", API_KEY).await.is_some()
+        });
+        assert!(listens.await, "{:?}", host.log_lines());
+        let answer = assert_memory_is_bounded(&host, async {
+            tokio::time::sleep(Duration::from_secs(6)).await;
+            request_once(callers, "/read/x", "last", API_KEY).await
+        });
+        assert_eq!(answer.await.expect("an answer").status, 503);
+        store.abort();
+    });
+}
+
+/// Connections that send bytes without an end at the same time.
+const SENDERS: usize = 60;
+/// Time for which they send at most.
+const SEND_TIME: Duration = Duration::from_secs(4);
+
+struct SenderCase {
+    address: fn(&Host) -> SocketAddr,
+    head: fn() -> Vec<u8>,
+    part: &'static [u8],
+}
+
+/// Fails if callers or processes that connect to the address for other hosts exhaust the memory of the
+/// host by bytes without an end, or if other callers get no answer meanwhile.
+#[test_case(&SenderCase { address: |h| h.caller_address, head: || b"GET /read/x HTTP/1.1\r\nx-more: ".to_vec(), part: &[b'y'; 16_384] }; "one line of a caller's head")]
+#[test_case(&SenderCase { address: |h| h.caller_address, head: || b"POST /book/x HTTP/1.1\r\n".to_vec(), part: b"x-more: yyyyyyyyyyyyyyyyyyyyyyyy\r\n" }; "lines of a caller's head")]
+#[test_case(&SenderCase { address: |h| h.caller_address, head: || {
+    let head = "POST /book/x HTTP/1.1\r\nhost: shop.example\r\njasminestage-request-id: r\r\n";
+    format!("{head}authorization: Token {API_KEY}\r\ntransfer-encoding: chunked\r\n\r\n").into_bytes()
+}, part: b"8\r\nyyyyyyyy\r\n" }; "chunks of a caller's body")]
+#[test_case(&SenderCase { address: |h| h.caller_address, head: || b"\r\n".to_vec(), part: b"\r\n" }; "empty lines before a caller's head")]
+#[test_case(&SenderCase { address: |h| h.readiness_address, head: || b"POST /readiness HTTP/1.1\r\nhost: h\r\ntransfer-encoding: chunked\r\n\r\n".to_vec(), part: b"8\r\nyyyyyyyy\r\n" }; "chunks of a readiness check")]
+fn senders_without_an_end_stay_within_the_memory(case: &SenderCase) {
+    let runtime = tokio::runtime::Runtime::new().expect("a runtime starts");
+    runtime.block_on(async {
+        let environment = Environment::start(&["a1"]).await;
+        let host = &environment.hosts[0];
+        let address = (case.address)(host);
+        for _ in 0..SENDERS {
+            let (head, part) = ((case.head)(), case.part);
+            let sending = async move { send_without_end(address, &head, part).await };
+            tokio::spawn(tokio::time::timeout(SEND_TIME, sending));
+        }
+        let served = assert_memory_is_bounded(host, async {
+            let mut served = 0;
+            for n in 0..20 {
+                tokio::time::sleep(SEND_TIME / 20).await;
+                let id = format!("other-{n}");
+                let answer = request_once(host.caller_address, "/read/x", &id, API_KEY).await;
+                served += usize::from(answer.is_some_and(|a| a.is_complete(&id)));
+            }
+            served
+        });
+        assert_eq!(served.await, 20);
+    });
+}
