Bound the requests that hosts send each other for copies

What callers saw: processes that connect to the address for other hosts and announce large frames made a host keep what they sent, up to 16 MB each; 60 of them exhausted its memory. Cause: one limit on frames served requests, which have a few bytes, and responses. Change: a request may have 64 bytes. Evidence: edge raw senders_without_an_end 'a frame of another host' failed on the code before ('the host used bytes') and passes now.

--- a/crates/edge/src/control/snapshots.rs
+++ b/crates/edge/src/control/snapshots.rs
@@ -22,6 +22,8 @@
 
 use super::context::{ControlContext, ItemKind};
 
+/// Maximum size of a request.
+const MAX_REQUEST_BYTES: usize = 64;
 /// Maximum size of a response.
 const MAX_RESPONSE_BYTES: usize = 16 * 1024 * 1024;
 /// Timeout of one request and its response.
@@ -66,8 +68,9 @@
 
 type Frames = Framed<TcpStream, LengthDelimitedCodec>;
 
-fn frames(stream: TcpStream) -> Frames {
-    LengthDelimitedCodec::builder().max_frame_length(MAX_RESPONSE_BYTES).new_framed(stream)
+/// Splits a connection into frames; received ones may have `max_bytes`.
+fn frames(stream: TcpStream, max_bytes: usize) -> Frames {
+    LengthDelimitedCodec::builder().max_frame_length(max_bytes).new_framed(stream)
 }
 
 /// Answers requests of other hosts until the process ends.
@@ -99,10 +102,12 @@
 type ExchangeError = Box<dyn std::error::Error>;
 
 async fn respond(context: &ControlContext, stream: TcpStream) -> Result<(), ExchangeError> {
-    let mut frames = frames(stream);
+    let mut frames = frames(stream, MAX_REQUEST_BYTES);
     let Some(frame) = next_frame(&mut frames).await? else { return Ok(()) };
     let request: CopyRequest = postcard::from_bytes(&frame)?;
-    frames.send(Bytes::from(postcard::to_stdvec(&build_response(context, request))?)).await?;
+    let response = Bytes::from(postcard::to_stdvec(&build_response(context, request))?);
+    frames.codec_mut().set_max_frame_length(MAX_RESPONSE_BYTES);
+    frames.send(response).await?;
     Ok(())
 }
 
@@ -249,7 +254,7 @@
 }
 
 async fn exchange(peer: SocketAddr, request: CopyRequest) -> Result<CopyResponse, ExchangeError> {
-    let mut frames = frames(TcpStream::connect(peer).await?);
+    let mut frames = frames(TcpStream::connect(peer).await?, MAX_RESPONSE_BYTES);
     frames.send(Bytes::from(postcard::to_stdvec(&request)?)).await?;
     let frame =
         next_frame(&mut frames).await?.ok_or("the connection was closed before the response")?;
--- a/crates/edge/tests/processes/raw.rs
+++ b/crates/edge/tests/processes/raw.rs
@@ -268,6 +268,7 @@
 }, part: b"8\r\nyyyyyyyy\r\n" }; "chunks of a caller's body")]
 #[test_case(&SenderCase { address: |h| h.caller_address, head: || b"\r\n".to_vec(), part: b"\r\n" }; "empty lines before a caller's head")]
 #[test_case(&SenderCase { address: |h| h.readiness_address, head: || b"POST /readiness HTTP/1.1\r\nhost: h\r\ntransfer-encoding: chunked\r\n\r\n".to_vec(), part: b"8\r\nyyyyyyyy\r\n" }; "chunks of a readiness check")]
+#[test_case(&SenderCase { address: |h| h.peer_address, head: || 16_000_000u32.to_be_bytes().to_vec(), part: &[b'y'; 16_384] }; "a frame of another host")]
 fn senders_without_an_end_stay_within_the_memory(case: &SenderCase) {
     let runtime = tokio::runtime::Runtime::new().expect("a runtime starts");
     runtime.block_on(async {
