Bound the memory for the bodies of all callers' requests

Cause: each body was limited, their sum was not; bodies were copied once more when complete; a deadline did not end their reading. Change: one memory for the bodies of requests, 40% of the host's, beside that for responses. A quarter is for bodies of up to 64 KiB. Reading ends at the request's deadline. Both memories share edge/src/body.rs.

--- a/crates/core/src/steer/refusal.rs
+++ b/crates/core/src/steer/refusal.rs
@@ -35,11 +35,13 @@
     TimedOut,
     /// The deadline passed before the request was sent.
     Expired,
+    /// The bodies of other requests use the memory that this one needs.
+    MemoryExhausted,
 }
 
 impl RefusalReason {
     /// All reasons, in the order of their codes.
-    pub const ALL: [RefusalReason; 15] = [
+    pub const ALL: [RefusalReason; 16] = [
         RefusalReason::NoConfiguration,
         RefusalReason::NoRoute,
         RefusalReason::BadKey,
@@ -55,6 +57,7 @@
         RefusalReason::BadAnswer,
         RefusalReason::TimedOut,
         RefusalReason::Expired,
+        RefusalReason::MemoryExhausted,
     ];
 
     /// Code in the table of result codes.
@@ -78,7 +81,8 @@
             | RefusalReason::CrashingRequest
             | RefusalReason::Stopping
             | RefusalReason::Shed
-            | RefusalReason::Expired => 503,
+            | RefusalReason::Expired
+            | RefusalReason::MemoryExhausted => 503,
         }
     }
 
@@ -100,6 +104,7 @@
             RefusalReason::BadAnswer => "The server's answer could not be used.",
             RefusalReason::TimedOut => "No answer came in time.",
             RefusalReason::Expired => "No time was left to send the request.",
+            RefusalReason::MemoryExhausted => "This host has no memory left for the body.",
         }
     }
 }
--- a/crates/edge/src/front/mod.rs
+++ b/crates/edge/src/front/mod.rs
@@ -14,10 +14,11 @@
 use self::listener::Listener;
 pub use self::listener::wait_for_phase;
 use crate::{
+    body::BodyMemory,
     error::EdgeError,
     shared::{Phase, Shared},
     stop,
-    upstream::{BodyMemory, Pool, Upstream},
+    upstream::{Pool, Upstream},
 };
 
 /// Period in which idle connections to servers are checked.
@@ -31,8 +32,8 @@
 }
 
 async fn serve(shared: Arc<Shared>) -> Result<(), EdgeError> {
-    let memory = BodyMemory::new(shared.cfg.max_response_bytes, shared.cfg.response_memory());
-    let upstream = Arc::new(Upstream { pool: Pool::default(), body_memory: Arc::new(memory) });
+    let response_memory = Arc::new(BodyMemory::new(shared.cfg.response_memory(), 0));
+    let upstream = Arc::new(Upstream { pool: Pool::default(), response_memory });
     let callers = Listener::bind(shared.cfg.callers)?;
     let directory = Listener::bind(shared.cfg.directory)?;
     let readiness = Listener::bind(shared.cfg.readiness)?;
@@ -69,7 +70,8 @@
     loop {
         tokio::time::sleep(EXPIRE_PERIOD).await;
         let view = shared.view.load();
-        shared.metrics.record_response_memory(upstream.body_memory.used_bytes());
+        shared.metrics.record_response_memory(upstream.response_memory.used_bytes());
+        shared.metrics.record_request_memory(shared.request_memory.used_bytes());
         upstream.pool.expire(|server| view.servers.contains_key(server));
     }
 }
--- a/crates/edge/src/front/request.rs
+++ b/crates/edge/src/front/request.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use http::{HeaderMap, HeaderValue, Request, Response, header};
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use http_body_util::Full;
 use jasminestage_core::{
     declaration::Repeat,
     steer::{
@@ -12,6 +12,7 @@
         server::AttemptOutcome,
         steering::{NextAction, PendingRequest, RequestHead},
     },
+    time::Instant,
 };
 use jasminestage_net::clock;
 use jasminestage_platform::headers;
@@ -24,6 +25,7 @@
     trace::Trace,
 };
 use crate::{
+    body::{self, ReadBodyError},
     shared::{Phase, Shared},
     stop,
     upstream::{AttemptResult, OutgoingRequest, ServerResponse, Upstream, send},
@@ -32,6 +34,8 @@
 /// Time added to the timeout of an attempt, so that the server's own response to an exceeded
 /// deadline can still arrive.
 const LATE_RESPONSE_MARGIN: Duration = Duration::from_millis(60);
+/// Time after which a caller may send a request again for whose body there was no memory.
+const MEMORY_RETRY_AFTER: Duration = Duration::from_secs(1);
 
 /// Answers a request; `None` closes the connection without a response.
 pub async fn handle(
@@ -94,7 +98,7 @@
     shared.with_steering(|steering, now| steering.charge_quota(now, &pending))?;
     let mut guard = AbandonGuard { shared, pending };
     guard.pending.limit_deadline(shared.last_response_at());
-    let body = read_body(shared, body).await?;
+    let body = read_body(shared, guard.pending.deadline, body).await?;
     let fingerprint = fingerprint(parts, &body);
     shared.with_steering(|steering, now| {
         steering.check_fingerprint(now, &mut guard.pending, fingerprint)
@@ -169,15 +173,23 @@
     }
 }
 
-async fn read_body(shared: &Shared, body: CallerBody) -> Result<Bytes, Failure> {
-    let limit = shared.view.load().catalog.limits.max_body_bytes;
-    match Limited::new(body, limit).collect().await {
-        Ok(body) => Ok(body.to_bytes()),
-        Err(e) if e.is::<LengthLimitError>() => {
-            Err(Failure::Refused(RefusalReason::BodyTooLarge.into()))
-        }
-        Err(_) => Err(Failure::CallerDisconnected),
-    }
+/// Reads the body of a request until its deadline. A body for which there is no memory is refused
+/// before it is read.
+async fn read_body(shared: &Shared, deadline: Instant, body: CallerBody) -> Result<Bytes, Failure> {
+    let max_bytes = shared.view.load().catalog.limits.max_body_bytes;
+    let read = body::read_body(&shared.request_memory, max_bytes, body);
+    let time_left = deadline.saturating_since(clock::now());
+    let refusal = match timeout(time_left, read).await {
+        Ok(Ok(body)) => return Ok(body),
+        Ok(Err(ReadBodyError::Connection(_))) => return Err(Failure::CallerDisconnected),
+        Ok(Err(ReadBodyError::TooLong { .. })) => RefusalReason::BodyTooLarge.into(),
+        Ok(Err(ReadBodyError::MemoryExhausted { .. })) => Refusal {
+            retry_after: Some(MEMORY_RETRY_AFTER),
+            ..RefusalReason::MemoryExhausted.into()
+        },
+        Err(_) => RefusalReason::Expired.into(),
+    };
+    Err(Failure::Refused(refusal))
 }
 
 /// Computes a hash that is the same for all repetitions of a request.
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -1,6 +1,7 @@
 //! The host process: sockets, timers and threads around the core, which chooses the server for each
 //! request. One thread handles control state and one handles traffic.
 
+pub mod body;
 pub mod cli;
 pub mod control;
 pub mod error;
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -30,6 +30,7 @@
     cut_responses: Counter<u64>,
     invalid_retry_after: Counter<u64>,
     invalid_server_limit: Counter<u64>,
+    request_memory: Gauge<u64>,
     response_memory: Gauge<u64>,
     configuration: Gauge<u64>,
     hosts: Gauge<u64>,
@@ -82,6 +83,10 @@
                 "jasminestage.server_limit.invalid",
                 "Responses of servers with a limit that cannot be read.",
             ),
+            request_memory: gauge(
+                "jasminestage.requests.bytes",
+                "Bytes of the requests of callers that are read or passed on.",
+            ),
             response_memory: gauge(
                 "jasminestage.responses.bytes",
                 "Bytes of the responses of servers that are read or delivered.",
@@ -138,6 +143,11 @@
         counter.add(1, &[]);
     }
 
+    /// Records the memory of all request bodies.
+    pub fn record_request_memory(&self, bytes: usize) {
+        self.request_memory.record(bytes as u64, &[]);
+    }
+
     /// Records the size of all response bodies in memory.
     pub fn record_response_memory(&self, bytes: usize) {
         self.response_memory.record(bytes as u64, &[]);
--- a/crates/edge/src/options.rs
+++ b/crates/edge/src/options.rs
@@ -132,6 +132,10 @@
 
 /// Fraction of the host's memory that the bodies of responses may use.
 const RESPONSE_MEMORY_FRACTION: f64 = 0.25;
+/// Fraction of the host's memory that the bodies of callers' requests may use.
+const REQUEST_MEMORY_FRACTION: f64 = 0.4;
+/// Fraction of the memory for bodies of requests that only small bodies may use.
+const SMALL_REQUEST_MEMORY_FRACTION: f64 = 0.25;
 /// Section that assigns each failure domain to its region.
 const DOMAINS_SECTION: &str = "domains";
 
@@ -173,6 +177,16 @@
         (f64::from(self.memory_mb) * 1e6 * RESPONSE_MEMORY_FRACTION) as usize
     }
 
+    /// Maximum size of the bodies of all requests in flight together, in bytes.
+    pub fn request_memory(&self) -> usize {
+        (f64::from(self.memory_mb) * 1e6 * REQUEST_MEMORY_FRACTION) as usize
+    }
+
+    /// Part of the memory for bodies of requests that only small bodies may use, in bytes.
+    pub fn small_request_memory(&self) -> usize {
+        (self.request_memory() as f64 * SMALL_REQUEST_MEMORY_FRACTION) as usize
+    }
+
     fn apply_section(&mut self, section: &Section<'_>) -> Result<(), EdgeError> {
         for entry in &section.entries {
             if section.kind == DOMAINS_SECTION {
--- a/crates/edge/src/shared.rs
+++ b/crates/edge/src/shared.rs
@@ -14,7 +14,7 @@
 use jasminestage_net::clock;
 use tokio::sync::watch;
 
-use crate::{log::LineLimiter, metrics::Metrics, options::Options};
+use crate::{body::BodyMemory, log::LineLimiter, metrics::Metrics, options::Options};
 
 /// Phase of the process, from normal operation to its end.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -42,6 +42,8 @@
     pub view: ArcSwap<View>,
     /// Metrics of the process.
     pub metrics: Metrics,
+    /// Memory for the bodies of callers' requests.
+    pub request_memory: Arc<BodyMemory>,
     /// Limit on the log lines about requests.
     pub request_lines: LineLimiter,
     phase: watch::Sender<Phase>,
@@ -65,12 +67,14 @@
         let bounds = watch::Sender::new(cfg.bounds.clone());
         let view =
             Arc::new(View::empty(cfg.bounds.clone(), announcement.clone(), cfg.domains.clone()));
+        let request_memory = BodyMemory::new(cfg.request_memory(), cfg.small_request_memory());
         Shared {
             cfg,
             settings_path,
             announcement,
             view: ArcSwap::from(Arc::clone(&view)),
             metrics,
+            request_memory: Arc::new(request_memory),
             request_lines: LineLimiter::default(),
             phase: watch::Sender::new(Phase::Serving),
             last_response_at: OnceLock::new(),
--- a/crates/edge/src/upstream/mod.rs
+++ b/crates/edge/src/upstream/mod.rs
@@ -1,13 +1,13 @@
 //! Connections to backend servers and attempts of requests on them.
 
-mod answer;
 mod pool;
 mod send;
 
 use std::sync::Arc;
 
+use crate::body::BodyMemory;
+
 pub use self::{
-    answer::BodyMemory,
     pool::Pool,
     send::{AttemptResult, OutgoingRequest, ServerResponse, send},
 };
@@ -17,5 +17,5 @@
     /// Idle connections.
     pub pool: Pool,
     /// Memory for the bodies of responses.
-    pub body_memory: Arc<BodyMemory>,
+    pub response_memory: Arc<BodyMemory>,
 }
--- a/crates/edge/src/upstream/send.rs
+++ b/crates/edge/src/upstream/send.rs
@@ -14,8 +14,8 @@
 use jasminestage_platform::headers;
 use tokio::time::timeout;
 
-use super::{Upstream, answer::read_body, pool::connect};
-use crate::{log::RequestOutcome, shared::Shared};
+use super::{Upstream, pool::connect};
+use crate::{body::read_body, log::RequestOutcome, shared::Shared};
 
 /// A complete response of a server.
 #[derive(Clone, Debug)]
@@ -167,7 +167,8 @@
         }
     }
     let report = Some(report);
-    let body = match read_body(&upstream.body_memory, body).await {
+    let max_bytes = shared.cfg.max_response_bytes;
+    let body = match read_body(&upstream.response_memory, max_bytes, body).await {
         Ok(body) => body,
         Err(e) => {
             if let Some(limit) = e.limit() {
--- a/crates/edge/tests/processes/main.rs
+++ b/crates/edge/tests/processes/main.rs
@@ -7,6 +7,7 @@
 mod settings;
 mod stop;
 mod store;
+mod uploads;
 
 use std::time::Duration;
 
