Keep the pause that a server asked for while its entry lapses

Cause: the record of a server without an entry and without requests in flight was removed, and the pause with it. Change: such a record is kept until the pause has ended. Evidence: steer leaving::a_pause_outlasts_a_lapse_of_the_entry failed on the code before and passes.

--- a/crates/core/src/steer/server_table.rs
+++ b/crates/core/src/steer/server_table.rs
@@ -15,7 +15,8 @@
 
 /// Records of backend servers, at most one for each id.
 ///
-/// A record outlives the server's entry as long as requests of this host run at the server. An entry
+/// A record outlives the server's entry as long as requests of this host run at the server, or as long
+/// as the server has asked for a pause. An entry
 /// that is written again meanwhile continues the same record, so that no second one with an outdated
 /// state remains.
 #[derive(Clone, Debug, Default)]
@@ -46,11 +47,11 @@
     }
 
     /// Marks the servers whose ids are not announced, and removes those at which no request of this
-    /// host runs.
-    pub fn withdraw_unannounced(&mut self, is_announced: impl Fn(&str) -> bool) {
+    /// host runs and which have not asked for a pause that still lasts.
+    pub fn withdraw_unannounced(&mut self, now: Instant, is_announced: impl Fn(&str) -> bool) {
         self.servers.retain(|_, s| {
             s.is_announced = is_announced(&s.entry.id);
-            s.is_announced || s.in_flight > 0
+            s.is_announced || s.in_flight > 0 || s.paused_until(now).is_some()
         });
         self.keys_by_id.retain(|_, key| self.servers.contains_key(*key));
         self.keys_by_short_hash.retain(|_, key| self.servers.contains_key(*key));
--- a/crates/core/src/steer/steering/mod.rs
+++ b/crates/core/src/steer/steering/mod.rs
@@ -165,7 +165,7 @@
                 self.leaving.remove(incarnation_hash(entry));
             }
         }
-        self.servers.withdraw_unannounced(|id| view.servers.contains_key(id));
+        self.servers.withdraw_unannounced(now, |id| view.servers.contains_key(id));
         for server in self.servers.values_mut() {
             server.is_leaving |= self.leaving.contains(server.incarnation);
         }
--- a/crates/core/tests/steer/leaving.rs
+++ b/crates/core/tests/steer/leaving.rs
@@ -146,6 +146,19 @@
     assert_eq!(is_usable(&mut steering, at(1000 + case.after_ms)), case.is_usable);
 }
 
+/// Fails if a server whose entry lapses and returns during the pause that it asked for gets requests
+/// before the end of the pause.
+#[test]
+fn a_pause_outlasts_a_lapse_of_the_entry() {
+    let mut steering = steering_with(&[server(Some(5), 1)]);
+    let pause = Some(Duration::from_secs(20));
+    exchange(&mut steering, at(1000), ServerReport { pause, ..ServerReport::default() });
+    install(&mut steering, at(2000), &[]);
+    install(&mut steering, at(4000), &[server(Some(5), 2)]);
+    assert!(!is_usable(&mut steering, at(5000)));
+    assert!(is_usable(&mut steering, at(21_500)));
+}
+
 /// A request that no server can take for a known time is refused at once with that time.
 #[test]
 fn callers_come_back_when_the_first_pause_ends() {
--- a/crates/core/tests/steer/server_table.rs
+++ b/crates/core/tests/steer/server_table.rs
@@ -102,7 +102,9 @@
             for entry in announced.iter().flatten() {
                 table.announce(at(step), &Arc::new(entry.clone()), "a");
             }
-            table.withdraw_unannounced(|id| announced.iter().flatten().any(|e| e.id == id));
+            table.withdraw_unannounced(at(step), |id| {
+                announced.iter().flatten().any(|e| e.id == id)
+            });
             for server in table.values_mut() {
                 match rng.random_range(0..3) {
                     0 => server.start_request(None),
