Let entries lapse, servers drain and all readers be lost in the soak

Cause: the soak had outages of the store, but no entry of a server lapsed in one, and nothing checked a server that drains.

--- a/crates/edge/tests/soak/callers.rs
+++ b/crates/edge/tests/soak/callers.rs
@@ -15,6 +15,8 @@
 };
 use tokio::{task::JoinHandle, time::Instant};
 
+use crate::departure::{DRAIN_LIMIT, Departure};
+
 /// Number of callers per host and kind of request.
 const CALLERS_PER_KIND: usize = 2;
 /// Time after the caller's timeout within which a response must still arrive.
@@ -111,6 +113,22 @@
             "seed {seed}: {served} of {total} requests served: {outcomes:?}\n{history:#?}"
         );
     }
+
+    /// Checks that a draining server ran no request that was sent after all hosts had to know of its
+    /// report.
+    pub fn check_departure(&self, seed: u64, servers: &[Backend], departure: &Departure) {
+        let runs = servers[departure.server].executed_requests();
+        let requests = self.requests.lock().unwrap_or_else(PoisonError::into_inner);
+        let late = |request: &&RequestRecord| {
+            request.sent_at > departure.at + DRAIN_LIMIT
+                && runs.contains_key(&request.id)
+                && !self.was_disrupted(request)
+        };
+        let late: Vec<&RequestRecord> = requests.iter().filter(late).collect();
+        assert!(late.is_empty(), "seed {seed}: {departure:?}: sent to it late: {late:#?}");
+        let judged = requests.iter().filter(|r| r.sent_at > departure.at + DRAIN_LIMIT).count();
+        assert!(judged > 0, "seed {seed}: no request was sent after the limit");
+    }
 }
 
 /// Starts the callers of all hosts.
--- a/crates/edge/tests/soak/main.rs
+++ b/crates/edge/tests/soak/main.rs
@@ -5,6 +5,7 @@
 //! that are listed below.
 
 mod callers;
+mod departure;
 mod faults;
 
 use std::{sync::Arc, time::Duration};
@@ -72,10 +73,12 @@
     injector.inject(&mut environment, &request_log, FAULT_DURATION).await;
     injector.end(&mut environment).await;
     check_recovery(seed, &environment).await;
+    let departure = departure::after_lapse(seed, &mut environment, &request_log).await;
     for caller in callers {
         caller.abort();
     }
     request_log.check(seed, &environment.servers, injector.history());
+    request_log.check_departure(seed, &environment.servers, &departure);
 }
 
 /// Checks that every host applies a new configuration and serves requests after the last fault.
