Take the reads of other regions into account when a region loses the store

What servers saw: a server that had left got a request 2,697 ms after the store had acknowledged it (2,500 allowed), by way of a host that was in touch. Cause: a host that becomes a reader because the readers of its region have lost the store takes that for an outage since their last read, and deferred removals for 2.3 s. Change: digests and summaries of regions say for how long all reads of their sender have succeeded; the deferral counts from the earliest such time in any region.

--- a/crates/core/src/steer/control/peers.rs
+++ b/crates/core/src/steer/control/peers.rs
@@ -117,8 +117,6 @@
     pub is_reachable: bool,
     /// Milliseconds since this host itself last read the store.
     pub read_age_ms: Option<u32>,
-    /// Milliseconds since all reads of this host have succeeded.
-    pub steady_age_ms: Option<u32>,
 }
 
 impl ControlState {
@@ -160,7 +158,7 @@
         peer.reaches_store = digest.reaches_store;
         let time_before = |age_ms: u32| now - Duration::from_millis(u64::from(age_ms));
         peer.store_read_at = digest.store_read_age_ms.map(time_before);
-        peer.store_steady_since = digest.store_steady_age_ms.map(time_before);
+        peer.store_steady_since = digest.progress.store_steady_ms.map(time_before);
         peer.operator_data.update(digest.progress.operator_data);
         peer.servers.update(digest.progress.servers);
         self.merge_rollout_progress(now, &digest.progress);
@@ -267,7 +265,6 @@
             is_relay: self.is_relay(now),
             reaches_store: store.is_reachable,
             store_read_age_ms: store.read_age_ms,
-            store_steady_age_ms: store.steady_age_ms,
             progress,
             in_flight,
             stats,
@@ -367,12 +364,16 @@
             .any(|h| *h == self.view.local_host)
     }
 
-    /// Time for which the store has been available according to other hosts that have read it after
-    /// `time`, when a call of this host still failed.
+    /// Time for which the store has been available according to other regions, and to other hosts of
+    /// this one that have read it after `time`, when a call of this host still failed.
     pub fn store_available_for(&self, now: Instant, time: Instant) -> Duration {
         let readers = self.peers.values().filter(|p| p.store_read_at.is_some_and(|at| at > time));
-        let ages = readers.filter_map(|p| p.store_steady_since).map(|at| now.saturating_since(at));
-        ages.max().unwrap_or_default()
+        let in_region = readers.filter_map(|p| p.store_steady_since);
+        let in_region = in_region.map(|at| now.saturating_since(at));
+        let summaries = self.region_summaries.all(now).into_iter();
+        let elsewhere = summaries.filter_map(|s| s.progress.store_steady_ms);
+        let elsewhere = elsewhere.map(|ms| Duration::from_millis(u64::from(ms)));
+        in_region.chain(elsewhere).max().unwrap_or_default()
     }
 
     /// Last read of the store by another host of the region, if a host that reads it for the region
--- a/crates/core/src/steer/digest.rs
+++ b/crates/core/src/steer/digest.rs
@@ -161,6 +161,9 @@
     pub operator_data: CopyState,
     /// The copy of the servers' entries.
     pub servers: CopyState,
+    /// Milliseconds for which all reads of the store by the host have succeeded; `None` if it does not
+    /// read the store.
+    pub store_steady_ms: Option<u32>,
     /// Progress of each rollout.
     pub rollouts: Vec<RolloutProgress>,
 }
@@ -212,8 +215,6 @@
     pub reaches_store: bool,
     /// Milliseconds since the sender itself last read the store.
     pub store_read_age_ms: Option<u32>,
-    /// Milliseconds since all reads of the sender have succeeded.
-    pub store_steady_age_ms: Option<u32>,
     /// Store revisions that the sender has applied.
     pub progress: StoreProgress,
     /// Requests that the sender has in flight, by short hash of the server's id.
--- a/crates/core/src/steer/store_reads.rs
+++ b/crates/core/src/steer/store_reads.rs
@@ -4,6 +4,10 @@
 
 use crate::time::Instant;
 
+/// Time after which a host that has not read the store cannot tell whether it is available: a watch
+/// without changes returns before.
+const MAX_READ_AGE: Duration = Duration::from_secs(3);
+
 /// Reads of the store by one host.
 #[derive(Clone, Debug, Default)]
 pub struct StoreReads {
@@ -69,8 +73,9 @@
         self.last_success.map(|at| now.saturating_since(at))
     }
 
-    /// Time since which all reads have succeeded.
+    /// Time for which all reads have succeeded; `None` if this host does not read the store now.
     pub fn steady_age(&self, now: Instant) -> Option<Duration> {
-        self.steady_since.map(|at| now.saturating_since(at))
+        let is_reading = self.read_age(now).is_some_and(|age| age <= MAX_READ_AGE);
+        self.steady_since.filter(|_| is_reading).map(|at| now.saturating_since(at))
     }
 }
--- a/crates/core/tests/steer/common.rs
+++ b/crates/core/tests/steer/common.rs
@@ -56,7 +56,6 @@
         is_relay: true,
         reaches_store: true,
         store_read_age_ms: None,
-        store_steady_age_ms: None,
         progress: StoreProgress::default(),
         in_flight: Vec::new(),
         stats: TrafficStats::default(),
--- a/crates/core/tests/steer/exchange.rs
+++ b/crates/core/tests/steer/exchange.rs
@@ -174,7 +174,7 @@
                 host.steering.install_view(now, view);
             }
             host.steering.tick(now);
-            let status = StoreStatus { is_reachable: true, read_age_ms: None, steady_age_ms: None };
+            let status = StoreStatus { is_reachable: true, read_age_ms: None };
             let store = StoreState { progress: StoreProgress::default(), status };
             // Hosts do not start in the same turn.
             let turn = self.turn + n as u64;
--- a/crates/core/tests/steer/region_summaries.rs
+++ b/crates/core/tests/steer/region_summaries.rs
@@ -26,7 +26,7 @@
 fn parts() -> DigestParts {
     DigestParts {
         progress: StoreProgress::default(),
-        store: StoreStatus { is_reachable: true, read_age_ms: None, steady_age_ms: None },
+        store: StoreStatus { is_reachable: true, read_age_ms: None },
         in_flight: Vec::new(),
         stats: TrafficStats::default(),
         aggregate: None,
@@ -166,7 +166,7 @@
     let mut control = control(&[]);
     let mut reader = digest(2, "a2");
     reader.store_read_age_ms = Some(400);
-    reader.store_steady_age_ms = Some(3000);
+    reader.progress.store_steady_ms = Some(3000);
     control.receive_digest(at(5000), &reader);
     let available_for =
         |last_failed_call| control.store_available_for(at(5100), at(last_failed_call)).as_millis();
@@ -174,6 +174,17 @@
     assert_eq!(available_for(4700), 0, "the read was made before the call that failed");
 }
 
+/// Fails if a host whose region has lost the store takes that for an outage of the store, although another
+/// region reads it: it would defer removals of servers that have left.
+#[test]
+fn a_summary_shows_for_how_long_the_store_has_been_available() {
+    let mut control = control(&[]);
+    let mut summary = region_summary("b", 20, 1);
+    summary.progress.store_steady_ms = Some(7000);
+    control.receive_region_summary(at(5000), summary);
+    assert_eq!(control.store_available_for(at(5100), at(5050)).as_millis(), 7000);
+}
+
 struct HostCountCase {
     /// Whether a summary of region `b`, of which the store lists two hosts, was received.
     has_summary: bool,
--- a/crates/core/tests/steer/store_reads.rs
+++ b/crates/core/tests/steer/store_reads.rs
@@ -66,4 +66,5 @@
     reads.record_success(at(6000));
     assert_eq!(reads.steady_age(at(6000)), Some(Duration::from_secs(1)));
     assert_eq!(reads.read_age(at(6500)), Some(Duration::from_millis(500)));
+    assert_eq!(reads.steady_age(at(9500)), None, "the host does not read any more");
 }
--- a/crates/edge/src/control/context.rs
+++ b/crates/edge/src/control/context.rs
@@ -362,6 +362,7 @@
         StoreProgress {
             operator_data: self.operator_data.borrow().state(),
             servers: self.servers_state(),
+            store_steady_ms: self.store_reads.borrow().steady_age(clock::now()).map(to_millis),
             rollouts: self.control.borrow().rollout_progress(clock::now()),
         }
     }
@@ -384,11 +385,9 @@
 
     fn store_state(&self) -> StoreState {
         let (now, reads) = (clock::now(), self.store_reads.borrow());
-        let to_ms = |age: Duration| age.as_millis().min(u128::from(u32::MAX)) as u32;
         let status = StoreStatus {
             is_reachable: reads.is_reachable(),
-            read_age_ms: reads.read_age(now).map(to_ms),
-            steady_age_ms: reads.steady_age(now).map(to_ms),
+            read_age_ms: reads.read_age(now).map(to_millis),
         };
         StoreState { progress: self.progress(), status }
     }
@@ -441,3 +440,7 @@
         }
     }
 }
+
+fn to_millis(age: Duration) -> u32 {
+    age.as_millis().min(u128::from(u32::MAX)) as u32
+}
