Log failed reads of the store and older configurations

Cause: when a change is late, the logs cannot tell a read that waited for its timeout from pauses after fast failures: line 310 comes once per outage. Line 330 said that a configuration is in force also when it was not newer and was ignored.

--- a/crates/edge/src/control/context.rs
+++ b/crates/edge/src/control/context.rs
@@ -221,7 +221,24 @@
             match change {
                 Change::Configured(catalog) => {
                     let (version, before) = (catalog.version, control.view().catalog.version);
-                    tracing::info!(event = 330, version, before, "A configuration is in force.");
+                    let revision = self.revision(ItemKind::Orders);
+                    if version > before {
+                        tracing::info!(
+                            event = 330,
+                            version,
+                            before,
+                            revision,
+                            "A configuration is in force."
+                        );
+                    } else if version < before {
+                        tracing::warn!(
+                            event = 345,
+                            version,
+                            before,
+                            revision,
+                            "An older configuration is ignored."
+                        );
+                    }
                 }
                 Change::RolloutOrdered(order) => tracing::info!(
                     event = 331,
--- a/crates/edge/src/control/mod.rs
+++ b/crates/edge/src/control/mod.rs
@@ -16,6 +16,9 @@
     time::Duration,
 };
 
+use jasminestage_core::time::Instant;
+use jasminestage_net::clock;
+use jasminestage_platform::store::StoreError;
 use tokio::{runtime, task::LocalSet};
 
 use self::context::{ControlContext, ItemKind};
@@ -103,6 +106,17 @@
     }
 }
 
+/// Logs a read of the store that failed, with the time for which it waited.
+fn log_failed_read(items: &str, called_at: Instant, error: &StoreError) {
+    tracing::info!(
+        event = 346,
+        items,
+        waited_ms = clock::now().saturating_since(called_at).as_millis() as u64,
+        %error,
+        "A read of the store failed."
+    );
+}
+
 /// Exponential backoff with jitter after failed calls to the store.
 #[derive(Debug)]
 struct Backoff {
--- a/crates/edge/src/control/operator_data.rs
+++ b/crates/edge/src/control/operator_data.rs
@@ -3,6 +3,7 @@
 
 use std::{rc::Rc, time::Duration};
 
+use jasminestage_net::clock;
 use jasminestage_platform::{
     keys,
     store::{Freshness, StoreClient, StoreError},
@@ -11,7 +12,7 @@
 use super::{
     Backoff, Dependency, READER_CHECK_PERIOD, STORE_TIMEOUT,
     context::{ControlContext, ItemKind},
-    wait_for_first_copy,
+    log_failed_read, wait_for_first_copy,
 };
 
 /// Time for which one watch waits for a change. It is short so that a call that the store never
@@ -30,6 +31,7 @@
             tokio::time::sleep(READER_CHECK_PERIOD).await;
             continue;
         }
+        let called_at = clock::now();
         let result = if is_complete {
             read_changes(&context, &mut store).await
         } else {
@@ -46,6 +48,7 @@
                 // The pages of a whole read are smaller than a watch that returns too many changes.
                 is_complete &= !matches!(e, StoreError::ResponseTooLarge { .. });
                 dependency.report_failure(&e);
+                log_failed_read("orders", called_at, &e);
                 backoff.pause().await;
             }
         }
--- a/crates/edge/src/control/servers.rs
+++ b/crates/edge/src/control/servers.rs
@@ -12,7 +12,7 @@
 use super::{
     Backoff, Dependency, READER_CHECK_PERIOD, STORE_TIMEOUT,
     context::{ControlContext, ItemKind},
-    wait_for_first_copy,
+    log_failed_read, wait_for_first_copy,
 };
 
 /// Time for which one watch waits for a change. It is short so that a call that the store never
@@ -55,6 +55,7 @@
                 // The pages of a whole read are smaller than a watch that returns too many changes.
                 is_complete &= !matches!(e, StoreError::ResponseTooLarge { .. });
                 dependency.report_failure(&e);
+                log_failed_read("servers", called_at, &e);
                 context.record_failed_store_read(called_at);
                 backoff.pause().await;
             }
