--- a/crates/edge/tests/processes/store.rs
+++ b/crates/edge/tests/processes/store.rs
@@ -111,6 +111,48 @@
     });
 }
 
+struct OutageCase {
+    fault: Fault,
+    outage: Duration,
+    /// Failure domains of the hosts: the readers of a region, and hosts that copy from them.
+    zones: &'static [&'static str],
+}
+
+/// Time from the end of an outage to the change.
+const CHANGE_DELAY: Duration = Duration::from_millis(500);
+/// Time after the end of an outage from which changes must be in force in time again.
+const CONTACT: Duration = Duration::from_secs(3);
+
+/// Fails if a change that is confirmed soon after an outage of the store waits for calls that were sent
+/// in the outage and never get a response.
+#[test_case(&OutageCase { fault: Fault::NeverResponds, outage: Duration::from_millis(300), zones: &["a1"] }; "a moment without responses")]
+#[test_case(&OutageCase { fault: Fault::NeverResponds, outage: Duration::from_millis(1500), zones: &["a1", "a1", "a2", "a2"] }; "a second and a half without responses")]
+#[test_case(&OutageCase { fault: Fault::NeverResponds, outage: Duration::from_millis(3800), zones: &["a1", "a2", "b1"] }; "some seconds without responses")]
+#[test_case(&OutageCase { fault: Fault::NeverResponds, outage: Duration::from_millis(4400), zones: &["a1", "a1", "a2", "a2", "b1"] }; "a few more seconds without responses")]
+#[test_case(&OutageCase { fault: Fault::NeverResponds, outage: Duration::from_millis(7300), zones: &["a1", "a2"] }; "a long time without responses")]
+#[test_case(&OutageCase { fault: Fault::Unavailable, outage: Duration::from_millis(8000), zones: &["a1", "a2"] }; "a long time unavailable")]
+#[test_case(&OutageCase { fault: Fault::ClosesConnections, outage: Duration::from_millis(8000), zones: &["a1", "a1", "a2"] }; "a long time with closed connections")]
+fn a_change_soon_after_an_outage_is_in_force_in_time(case: &OutageCase) {
+    let runtime = tokio::runtime::Runtime::new().expect("a runtime starts");
+    runtime.block_on(async {
+        let environment = Environment::start(case.zones).await;
+        // The hosts know each other and which of them read the store.
+        tokio::time::sleep(Duration::from_secs(3)).await;
+        environment.store.set_fault(case.fault);
+        tokio::time::sleep(case.outage).await;
+        environment.store.set_fault(Fault::None);
+        tokio::time::sleep(CHANGE_DELAY).await;
+        environment.store.put("op/config", &fleet::sample_config(2, &["other"]));
+        let limit = PROPAGATION_LIMIT.max(CONTACT - CHANGE_DELAY);
+        tokio::time::sleep(limit).await;
+        for host in &environment.hosts {
+            let answer = request_once(host.caller_address, "/read/x", "r", API_KEY).await;
+            let status = answer.expect("an answer").status;
+            assert_eq!(status, 401, "{} is late: {:?}", host.name, host.log_lines());
+        }
+    });
+}
+
 /// Fails if a host that alone loses its connection to the store does not copy changes from the
 /// other hosts of its region.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
