Find out by short reads when the store responds again

Cause: a watch that was sent while the store did not respond is never answered and ended with its own timeout, up to 4 s after it was sent. All readers turned to the silent store at the same time, so no host of any region had the change earlier; other calls of the same hosts had been answered for three seconds. Change: the reads that follow the store's changes pass a gate. A failed call gives up all others that wait, and one short read every 0.4 s, each on a connection of its own, finds out when the store responds; only then do watches wait again. A host that turns to the store because others have lost it starts with a short read. A watch waits for 1 to 1.5 s, and 0.8 s longer (up to 1.5 s if the store is slow) for its response.

--- a/crates/edge/src/control/context.rs
+++ b/crates/edge/src/control/context.rs
@@ -27,6 +27,7 @@
 use jasminestage_platform::{store::LeaseId, store_items};
 use tokio::sync::Notify;
 
+use super::store_gate::StoreGate;
 use crate::shared::Shared;
 
 /// Smallest change of a new version's share that is logged, as a fraction of the share.
@@ -63,6 +64,8 @@
     store_reads: RefCell<StoreReads>,
     /// Notified when a turn should not wait for its time.
     pub urgent: Notify,
+    /// Lets the reads that follow the store's changes pass.
+    pub store_gate: StoreGate,
     /// Share and verdict of each rollout that were last logged, by service.
     logged_rollouts: RefCell<HashMap<String, (f64, Verdict)>>,
 }
@@ -84,6 +87,7 @@
             server_changes: RefCell::default(),
             store_reads: RefCell::default(),
             urgent: Notify::new(),
+            store_gate: StoreGate::default(),
             logged_rollouts: RefCell::default(),
             shared,
         }
@@ -185,6 +189,9 @@
     pub fn begin_store_reading(&self) {
         let now = clock::now();
         let lost_since = self.control.borrow().store_lost_since(now);
+        if lost_since.is_some() {
+            self.store_gate.report_failure();
+        }
         self.store_reads.borrow_mut().begin(now, lost_since);
     }
 
@@ -195,6 +202,11 @@
         self.control.borrow().is_store_reader(clock::now(), reaches_store)
     }
 
+    /// Whether this host is a relay of its failure domain.
+    pub fn is_relay(&self) -> bool {
+        self.control.borrow().is_relay(clock::now())
+    }
+
     /// Replaces the copy of the servers by a snapshot from the store or another host.
     pub fn replace_servers(&self, snapshot: Snapshot) {
         let revision = snapshot.revision;
--- a/crates/edge/src/control/mod.rs
+++ b/crates/edge/src/control/mod.rs
@@ -8,6 +8,7 @@
 mod rollouts;
 mod servers;
 mod snapshots;
+mod store_gate;
 
 use std::{
     rc::Rc,
@@ -55,6 +56,10 @@
     local.block_on(&runtime, async move {
         let context = Rc::new(ControlContext::new(Arc::clone(&shared)));
         let sockets = gossip::Sockets::bind(shared.cfg.peers).await?;
+        tokio::task::spawn_local({
+            let context = Rc::clone(&context);
+            async move { context.store_gate.probe(&context).await }
+        });
         tokio::task::spawn_local(operator_data::follow(Rc::clone(&context)));
         tokio::task::spawn_local(servers::follow(Rc::clone(&context)));
         tokio::task::spawn_local(registry::maintain_announcement(Rc::clone(&context)));
--- a/crates/edge/src/control/operator_data.rs
+++ b/crates/edge/src/control/operator_data.rs
@@ -17,7 +17,7 @@
 
 /// Time for which one watch waits for a change. It is short so that a call that the store never
 /// answers is detected soon.
-const WATCH_WAIT: Duration = Duration::from_millis(2500);
+const WATCH_WAIT: Duration = Duration::from_millis(1500);
 
 /// Reads all operator data, then its changes, until the process ends.
 pub async fn follow(context: Rc<ControlContext>) {
@@ -56,7 +56,8 @@
 }
 
 async fn read_all(context: &ControlContext, store: &mut StoreClient) -> Result<(), StoreError> {
-    let result = store.range(keys::OPERATOR_PREFIX, Freshness::Latest).await;
+    let range = async |s: &mut StoreClient| s.range(keys::OPERATOR_PREFIX, Freshness::Latest).await;
+    let result = context.store_gate.call(store, range).await;
     context.shared.metrics.count_store_call("range orders", result.is_ok());
     context.replace(ItemKind::Orders, result?);
     if context.has_rollouts() {
@@ -68,8 +69,11 @@
 }
 
 async fn read_changes(context: &ControlContext, store: &mut StoreClient) -> Result<(), StoreError> {
-    let after = context.revision(ItemKind::Orders);
-    let result = store.watch(keys::OPERATOR_PREFIX, after, WATCH_WAIT).await;
+    let watch = async |s: &mut StoreClient| {
+        let after = context.revision(ItemKind::Orders);
+        s.watch(keys::OPERATOR_PREFIX, after, WATCH_WAIT).await
+    };
+    let result = context.store_gate.call(store, watch).await;
     context.shared.metrics.count_store_call("watch orders", result.is_ok());
     let (changes, revision) = result?;
     context.apply(ItemKind::Orders, changes, revision);
--- a/crates/edge/src/control/servers.rs
+++ b/crates/edge/src/control/servers.rs
@@ -15,9 +15,9 @@
     log_failed_read, wait_for_first_copy,
 };
 
-/// Time for which one watch waits for a change. It is short so that a call that the store never
-/// answers is detected soon.
-const WATCH_WAIT: Duration = Duration::from_millis(2500);
+/// Time for which one watch waits for a change. Servers renew their entries more often, so that a call
+/// that the store never answers is detected soon and costs no further calls.
+const WATCH_WAIT: Duration = Duration::from_millis(1000);
 /// Pause after a read, so that the next one returns a burst of changes together.
 const BATCH_PAUSE: Duration = Duration::from_millis(250);
 
@@ -64,7 +64,8 @@
 }
 
 async fn read_all(context: &ControlContext, store: &mut StoreClient) -> Result<(), StoreError> {
-    let result = store.range(keys::SERVER_PREFIX, Freshness::Latest).await;
+    let range = async |s: &mut StoreClient| s.range(keys::SERVER_PREFIX, Freshness::Latest).await;
+    let result = context.store_gate.call(store, range).await;
     context.shared.metrics.count_store_call("range servers", result.is_ok());
     let snapshot = result?;
     context.record_store_read();
@@ -73,8 +74,11 @@
 }
 
 async fn read_changes(context: &ControlContext, store: &mut StoreClient) -> Result<(), StoreError> {
-    let after = context.revision(ItemKind::Servers);
-    let result = store.watch(keys::SERVER_PREFIX, after, WATCH_WAIT).await;
+    let watch = async |s: &mut StoreClient| {
+        let after = context.revision(ItemKind::Servers);
+        s.watch(keys::SERVER_PREFIX, after, WATCH_WAIT).await
+    };
+    let result = context.store_gate.call(store, watch).await;
     context.shared.metrics.count_store_call("watch servers", result.is_ok());
     let (changes, revision) = result?;
     context.record_store_read();
