--- a/crates/edge/tests/processes/main.rs
+++ b/crates/edge/tests/processes/main.rs
@@ -4,6 +4,7 @@
 mod pipeline;
 mod raw;
 mod reports;
+mod restored_store;
 mod settings;
 mod stop;
 mod store;
