Order what is copied from the store by its era and revision

Callers were refused by an old configuration for good: a change that was confirmed right after the store had come back from an older copy was in force on no host. Cause: every order was by revision alone. A copy complete up to 146 ignored the store at 130 and all its changes until it passed 146, and a watch from 146 skipped what lay before. An order that comes back does not start its rollout again.

--- a/crates/core/src/steer/control/mod.rs
+++ b/crates/core/src/steer/control/mod.rs
@@ -16,8 +16,9 @@
     bounds::Bounds,
     catalog::Catalog,
     digest::{Announcement, RegionSummary},
+    position::StorePosition,
     region_summaries::RegionSummaries,
-    rollout::{Rollout, RolloutOrder, RolloutState},
+    rollout::{RolloutOrder, RolloutState},
     server::ServerEntry,
     view::View,
 };
@@ -32,9 +33,18 @@
     pub version: String,
     /// The recorded state.
     pub state: RolloutState,
-    /// Revision of the record. A record with a lower revision than the order belongs to an earlier
-    /// order.
-    pub revision: u64,
+    /// Position of the record. A record before the order belongs to an earlier order.
+    pub position: StorePosition,
+}
+
+impl RolloutRecord {
+    /// Whether the record belongs to an order. The order of two writes in different eras is not
+    /// known.
+    pub fn is_of(&self, order: &RolloutOrder) -> bool {
+        self.version == order.version
+            && self.position.era == order.position.era
+            && self.position > order.position
+    }
 }
 
 /// A decoded change of an item in the store.
@@ -148,15 +158,7 @@
                     self.view.catalog = catalog;
                 }
             }
-            Change::RolloutOrdered(order) => {
-                let service = order.service.clone();
-                let known = self.view.rollouts.get(&service);
-                if known.is_none_or(|r| r.order.revision < order.revision) {
-                    let rollout = Rollout { order, state: RolloutState::Running, started: now };
-                    Arc::make_mut(&mut self.view.rollouts).insert(service.clone(), rollout);
-                    self.apply_rollout_record(&service);
-                }
-            }
+            Change::RolloutOrdered(order) => self.apply_rollout_order(now, order),
             Change::RolloutWithdrawn(service) => {
                 Arc::make_mut(&mut self.view.rollouts).remove(&service);
             }
--- a/crates/core/src/steer/control/peers.rs
+++ b/crates/core/src/steer/control/peers.rs
@@ -98,7 +98,7 @@
 /// What a digest contains besides the state of the control thread.
 #[derive(Clone, Debug)]
 pub struct DigestParts {
-    /// Store revisions that this host has applied.
+    /// What this host has applied of the store's items.
     pub progress: StoreProgress,
     /// Access to the store.
     pub store: StoreStatus,
@@ -410,7 +410,7 @@
         self.host_with_newer_copy(now, own, |p| &p.servers, |p| &p.servers)
     }
 
-    /// Returns the address of the host with the highest revision of a newer copy, preferably in the
+    /// Returns the address of the host with the newest copy that this one is behind, preferably in the
     /// failure domain of this host. Only gateways copy from other regions, and only if no host of
     /// their own region is newer.
     fn host_with_newer_copy(
@@ -425,7 +425,7 @@
             .peers
             .values()
             .filter(|p| p.sends_digests(now) && own.is_behind(peer_copy(p)))
-            .max_by_key(|p| (p.host.zone == *own_zone, peer_copy(p).revision))
+            .max_by_key(|p| (p.host.zone == *own_zone, peer_copy(p).position))
             .map(|p| p.host.peer_address);
         if same_region.is_some() || !self.is_gateway(now) {
             return same_region;
@@ -434,7 +434,7 @@
             .all(now)
             .into_iter()
             .filter(|s| own.is_behind(region_copy(&s.progress)))
-            .max_by_key(|s| region_copy(&s.progress).revision)
+            .max_by_key(|s| region_copy(&s.progress).position)
             .map(|s| s.sender_address)
     }
 }
--- a/crates/core/src/steer/control/relays.rs
+++ b/crates/core/src/steer/control/relays.rs
@@ -11,7 +11,10 @@
 };
 use crate::{
     host::Incarnation,
-    steer::digest::{AggregateScope, Announcement, Digest},
+    steer::{
+        digest::{AggregateScope, Announcement, Digest},
+        position::StorePosition,
+    },
     time::Instant,
 };
 
@@ -53,8 +56,8 @@
     pub readiness: Vec<(Incarnation, bool)>,
     /// Fingerprint of the operators' data.
     pub operator_data: u64,
-    /// Revisions of the rollout orders whose versions are faulty.
-    pub faulty_orders: BTreeSet<u64>,
+    /// Positions of the rollout orders whose versions are faulty.
+    pub faulty_orders: BTreeSet<StorePosition>,
     /// Errors of new versions that this host has counted.
     pub canary_errors: u32,
 }
@@ -70,7 +73,7 @@
     }
 
     /// Whether this host has not sent this verdict yet.
-    pub fn is_unsent_verdict(&self, faulty_orders: &BTreeSet<u64>) -> bool {
+    pub fn is_unsent_verdict(&self, faulty_orders: &BTreeSet<StorePosition>) -> bool {
         !faulty_orders.is_subset(&self.last_urgent.faulty_orders)
     }
 
--- a/crates/core/src/steer/control/rollouts.rs
+++ b/crates/core/src/steer/control/rollouts.rs
@@ -11,7 +11,7 @@
     host::Incarnation,
     steer::{
         digest::{RolloutProgress, StoreProgress},
-        rollout::{RolloutOrder, RolloutState, Verdict},
+        rollout::{Rollout, RolloutOrder, RolloutState, Verdict},
         stable_hash,
     },
     time::Instant,
@@ -23,6 +23,9 @@
 /// Time that a host waits for each higher-ranked host to record the state of a rollout.
 const WRITER_DELAY_PER_RANK: Duration = Duration::from_millis(800);
 
+/// Number of higher-ranked hosts above which a host does not wait longer.
+const MAX_WRITER_RANK: u32 = 4;
+
 /// A rollout state that this host should record in the store.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct DueRecord {
@@ -33,6 +36,34 @@
 }
 
 impl ControlState {
+    /// Starts the rollout of an order that is newer than the known one. An order that was written
+    /// again after the store had been restored does not start the rollout again.
+    pub(super) fn apply_rollout_order(&mut self, now: Instant, order: RolloutOrder) {
+        let service = order.service.clone();
+        let rollouts = Arc::make_mut(&mut self.view.rollouts);
+        match rollouts.get_mut(&service) {
+            Some(known) if known.order.position >= order.position => return,
+            Some(known) if known.is_written_again(now, &order) => {
+                if known.order.position.era < order.position.era {
+                    known.restored_at = Some(now);
+                }
+                known.order = order;
+            }
+            _ => {
+                rollouts.insert(service.clone(), Rollout::new(order, now));
+            }
+        }
+        self.apply_rollout_record(&service);
+    }
+
+    /// Whether an order does not start a rollout, because it is the known one or was written again
+    /// after the store had been restored.
+    pub fn is_repeated_order(&self, now: Instant, order: &RolloutOrder) -> bool {
+        self.view.rollouts.get(&order.service).is_some_and(|known| {
+            known.order.position >= order.position || known.is_written_again(now, order)
+        })
+    }
+
     /// Applies the recorded state of a rollout if it belongs to the current order.
     pub(super) fn apply_rollout_record(&mut self, service: &str) {
         let Some(rollout) = Arc::make_mut(&mut self.view.rollouts).get_mut(service) else {
@@ -40,8 +71,7 @@
         };
         let order = &rollout.order;
         let record = self.rollout_records.get(service);
-        let record = record.filter(|r| r.version == order.version && r.revision > order.revision);
-        if let Some(record) = record {
+        if let Some(record) = record.filter(|r| r.is_of(order)) {
             rollout.advance(record.state);
         }
     }
@@ -88,7 +118,7 @@
     pub(super) fn merge_rollout_progress(&mut self, now: Instant, progress: &StoreProgress) {
         for reported in &progress.rollouts {
             let Some(rollout) = self.view.rollouts.get(&reported.service) else { continue };
-            if rollout.order.revision != reported.order_revision {
+            if rollout.order.position != reported.order {
                 continue;
             }
             let started = now - reported.elapsed.min(rollout.order.duration.saturating_mul(2));
@@ -109,7 +139,7 @@
         rollouts
             .map(|(service, r)| RolloutProgress {
                 service: service.clone(),
-                order_revision: r.order.revision,
+                order: r.order.position,
                 state: r.state,
                 elapsed: r.elapsed(now),
             })
@@ -129,15 +159,14 @@
         let rank = self.writer_rank();
         let mut due = Vec::new();
         for (service, rollout) in self.view.rollouts.iter() {
+            let record = self.rollout_records.get(service);
+            let recorded = record.filter(|r| r.is_of(&rollout.order)).map(|r| r.state);
             if rollout.state != RolloutState::Running {
                 continue;
             }
-            let is_recorded = self.rollout_records.get(service).is_some_and(|r| {
-                r.version == rollout.order.version && r.revision > rollout.order.revision
-            });
             let next = match rollout.next_state(now, verdict(service)) {
                 Some(state) => state,
-                None if is_recorded => continue,
+                None if recorded.is_some() => continue,
                 None => RolloutState::Running,
             };
             let key = (service.clone(), next);
@@ -154,11 +183,15 @@
         due
     }
 
-    /// Returns the number of reachable hosts that should write before this one, at most 4.
+    /// Returns the number of reachable hosts that should write before this one, at most
+    /// [`MAX_WRITER_RANK`].
     fn writer_rank(&self) -> u32 {
         let rank_hash = |incarnation: Incarnation| stable_hash(7, &incarnation.0.to_le_bytes());
         let own_hash = rank_hash(self.view.local_host.incarnation);
         let reachable = self.view.peers.iter().filter(|p| p.is_reachable && p.ready);
-        reachable.filter(|p| rank_hash(p.host.incarnation) > own_hash).count().min(4) as u32
+        reachable
+            .filter(|p| rank_hash(p.host.incarnation) > own_hash)
+            .count()
+            .min(MAX_WRITER_RANK as usize) as u32
     }
 }
--- a/crates/core/src/steer/deferred_removals.rs
+++ b/crates/core/src/steer/deferred_removals.rs
@@ -6,7 +6,7 @@
 
 use std::{collections::HashMap, time::Duration};
 
-use super::{control::Change, server::ServerEntries};
+use super::{control::Change, position::StorePosition, server::ServerEntries};
 use crate::time::Instant;
 
 /// Time after the recovery of the store in which servers announce themselves again.
@@ -14,8 +14,8 @@
 /// Shortest outage of the store in which announcements may expire.
 const MIN_OUTAGE: Duration = Duration::from_secs(2);
 
-/// A decoded change with its revision and key.
-pub type KeyedChange = (u64, String, Change);
+/// A decoded change with its position and key.
+pub type KeyedChange = (StorePosition, String, Change);
 
 /// Removals of servers that have not taken effect yet.
 #[derive(Clone, Debug, Default)]
@@ -37,6 +37,12 @@
         }
     }
 
+    /// Starts to defer removals after the store was restored from a copy, before the changes of the
+    /// first read are applied. Servers whose entries are lost announce themselves again.
+    pub fn store_restored(&mut self, now: Instant) {
+        self.defer_until = self.defer_until.max(now + REMOVAL_DELAY);
+    }
+
     /// Time for which removals are still deferred; sent to hosts that copy changes from this one.
     pub fn remaining_delay(&self, now: Instant) -> Duration {
         self.defer_until.saturating_since(now)
--- a/crates/core/src/steer/digest.rs
+++ b/crates/core/src/steer/digest.rs
@@ -20,6 +20,7 @@
     leaving::IncarnationHash,
     limits::{self, LimitReport},
     mirror::CopyState,
+    position::StorePosition,
     rollout::RolloutState,
     stable_hash,
 };
@@ -40,8 +41,8 @@
     pub service: String,
     /// Version that is rolled out.
     pub version: String,
-    /// Revision of the rollout order.
-    pub order_revision: u64,
+    /// Position of the rollout order.
+    pub order: StorePosition,
     /// Requests sent to servers of the new version.
     pub requests: u32,
     /// Responses from servers of the new version that can be compared with the others.
@@ -64,9 +65,7 @@
 impl CanaryStats {
     /// Whether both count the responses of the same rollout.
     pub fn is_same_rollout(&self, other: &CanaryStats) -> bool {
-        self.service == other.service
-            && self.version == other.version
-            && self.order_revision == other.order_revision
+        self.service == other.service && self.version == other.version && self.order == other.order
     }
 
     /// Adds the responses that another host counted.
@@ -145,8 +144,8 @@
 pub struct RolloutProgress {
     /// Service whose version changes.
     pub service: String,
-    /// Revision of the rollout order.
-    pub order_revision: u64,
+    /// Position of the rollout order.
+    pub order: StorePosition,
     /// State that the host knows.
     pub state: RolloutState,
     /// Time since the start of the rollout.
@@ -215,7 +214,7 @@
     pub reaches_store: bool,
     /// Milliseconds since the sender itself last read the store.
     pub store_read_age_ms: Option<u32>,
-    /// Store revisions that the sender has applied.
+    /// What the sender has applied of the store's items.
     pub progress: StoreProgress,
     /// Requests that the sender has in flight, by short hash of the server's id.
     pub in_flight: Vec<(NameHash, u32)>,
@@ -244,7 +243,7 @@
     pub hosts: Vec<(Incarnation, bool)>,
     /// Number of hosts of the region that may be running but whose digests do not reach the sender.
     pub unreachable_hosts: u32,
-    /// Store revisions that the sender has applied.
+    /// What the sender has applied of the store's items.
     pub progress: StoreProgress,
     /// Traffic statistics of the region's hosts.
     pub stats: TrafficStats,
--- a/crates/core/src/steer/mod.rs
+++ b/crates/core/src/steer/mod.rs
@@ -17,6 +17,7 @@
 pub mod mirror;
 pub mod pacing;
 pub mod pick;
+pub mod position;
 pub mod quota;
 pub mod refusal;
 pub mod region_summaries;
--- a/crates/core/src/steer/rollout.rs
+++ b/crates/core/src/steer/rollout.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::digest::CanaryStats;
+use super::{digest::CanaryStats, position::StorePosition};
 use crate::{
     rollout::regression::{RegressionDetector, RequestCounts},
     time::Instant,
@@ -55,6 +55,9 @@
 /// Failure rate, of the new version or of the others, above which their comparison shows nothing.
 const MAX_COMPARABLE_RATE: f64 = 0.3;
 
+/// Time after a restore of the store in which the same order is not a new one.
+const REWRITE_PERIOD: Duration = Duration::from_secs(10);
+
 /// Judgement of a version during its rollout.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Verdict {
@@ -76,8 +79,16 @@
     pub version: String,
     /// Time within which the rollout must end.
     pub duration: Duration,
-    /// Revision of the order in the store.
-    pub revision: u64,
+    /// Position of the order in the store.
+    pub position: StorePosition,
+}
+
+impl RolloutOrder {
+    /// Whether both orders ask for the same, regardless of when they were written.
+    pub fn is_same_request(&self, other: &RolloutOrder) -> bool {
+        (&self.service, &self.version, self.duration)
+            == (&other.service, &other.version, other.duration)
+    }
 }
 
 /// State of a rollout.
@@ -131,9 +142,17 @@
     pub state: RolloutState,
     /// Start of the rollout on the clock of this host.
     pub started: Instant,
+    /// When this host learned that the store had been restored from a copy during or after the
+    /// rollout.
+    pub restored_at: Option<Instant>,
 }
 
 impl Rollout {
+    /// Creates the rollout of an order that this host learned of at `started`.
+    pub fn new(order: RolloutOrder, started: Instant) -> Self {
+        Rollout { order, state: RolloutState::Running, started, restored_at: None }
+    }
+
     /// Returns the new version's share of the requests.
     pub fn traffic_share(&self, now: Instant, verdict: Verdict, exposure: &Exposure) -> f64 {
         let permitted_share = exposure.permitted_share;
@@ -184,6 +203,14 @@
         advances
     }
 
+    /// Whether an order is the one of this rollout, written again after the store was restored from a
+    /// copy that lacked it.
+    pub fn is_written_again(&self, now: Instant, order: &RolloutOrder) -> bool {
+        let is_new_era = self.order.position.era < order.position.era;
+        let is_recent = |at| now.saturating_since(at) <= REWRITE_PERIOD;
+        self.order.is_same_request(order) && (is_new_era || self.restored_at.is_some_and(is_recent))
+    }
+
     /// Time since the start of the rollout.
     pub fn elapsed(&self, now: Instant) -> Duration {
         now.saturating_since(self.started)
--- a/crates/core/src/steer/steering/mod.rs
+++ b/crates/core/src/steer/steering/mod.rs
@@ -31,7 +31,7 @@
     quota::Quotas,
     region_summaries::RegionSummaries,
     retry::RetryBudget,
-    rollout::VersionComparison,
+    rollout::{RolloutOrder, VersionComparison},
     server::Server,
     server_table::ServerTable,
     view::View,
@@ -145,12 +145,16 @@
         }
         for (service, rollout) in view.rollouts.iter() {
             let state = self.services.entry(service.clone()).or_default();
-            if state.canary.order_revision != rollout.order.revision {
+            let RolloutOrder { version, position, .. } = &rollout.order;
+            if rollout.restored_at.is_some() && state.canary.version == *version {
+                state.canary.order = *position;
+            }
+            if state.canary.order != *position {
                 state.comparison = VersionComparison::default();
                 state.canary = CanaryStats {
                     service: service.clone(),
-                    version: rollout.order.version.clone(),
-                    order_revision: rollout.order.revision,
+                    version: version.clone(),
+                    order: *position,
                     ..CanaryStats::default()
                 };
             }
--- a/crates/core/src/steer/steering/rollouts.rs
+++ b/crates/core/src/steer/steering/rollouts.rs
@@ -7,6 +7,7 @@
 use crate::{
     steer::{
         digest::{CanaryStats, name_hash},
+        position::StorePosition,
         rollout::{self, Exposure, Verdict},
     },
     time::Instant,
@@ -62,10 +63,10 @@
         self.services.values().map(|s| s.canary.errors).sum()
     }
 
-    /// Revisions of the rollout orders whose versions this host has found faulty.
-    pub fn faulty_orders(&self) -> BTreeSet<u64> {
+    /// Positions of the rollout orders whose versions this host has found faulty.
+    pub fn faulty_orders(&self) -> BTreeSet<StorePosition> {
         let canaries = self.services.values().map(|s| &s.canary);
-        canaries.filter(|c| c.found_faulty).map(|c| c.order_revision).collect()
+        canaries.filter(|c| c.found_faulty).map(|c| c.order).collect()
     }
 
     /// Returns this host's counts for the digests to other hosts, with its verdict.
--- a/crates/core/tests/steer/common.rs
+++ b/crates/core/tests/steer/common.rs
@@ -9,12 +9,18 @@
         bounds::Bounds,
         catalog::{Catalog, Limits, Route, Service, WeightedService, Workspace},
         digest::{Announcement, Digest, RegionSummary, StoreProgress, TrafficStats},
+        position::StorePosition,
         server::ServerEntry,
         view::{Peer, View},
     },
     time::Instant,
 };
 
+/// Position in the first era.
+pub fn position(revision: u64) -> StorePosition {
+    StorePosition::new(0, revision)
+}
+
 pub fn at(millis: u64) -> Instant {
     Instant::from_millis(millis)
 }
--- a/crates/core/tests/steer/control.rs
+++ b/crates/core/tests/steer/control.rs
@@ -14,7 +14,7 @@
 };
 use test_case::test_case;
 
-use crate::common::{announcement, at, bounds, digest, entry, zone_regions};
+use crate::common::{announcement, at, bounds, digest, entry, position, zone_regions};
 
 fn control() -> ControlState {
     ControlState::new(bounds(), announcement(1, "a1"), zone_regions())
@@ -30,13 +30,13 @@
         service: "lookup".to_owned(),
         version: "v2".to_owned(),
         duration: Duration::from_secs(10),
-        revision,
+        position: position(revision),
     }
 }
 
 fn recorded(state: RolloutState, revision: u64) -> Change {
     let (service, version) = ("lookup".to_owned(), "v2".to_owned());
-    Change::RolloutRecorded(RolloutRecord { service, version, state, revision })
+    Change::RolloutRecorded(RolloutRecord { service, version, state, position: position(revision) })
 }
 
 #[test]
@@ -94,7 +94,7 @@
     let mut report = digest(2, "a1");
     report.progress.rollouts = vec![RolloutProgress {
         service: "lookup".to_owned(),
-        order_revision: case.revision,
+        order: position(case.revision),
         state: RolloutState::Running,
         elapsed: Duration::from_millis(case.elapsed_ms),
     }];
--- a/crates/core/tests/steer/deferred_removals.rs
+++ b/crates/core/tests/steer/deferred_removals.rs
@@ -11,10 +11,10 @@
 };
 use test_case::test_case;
 
-use crate::common::{at, entry, servers};
+use crate::common::{at, entry, position, servers};
 
 fn removal() -> KeyedChange {
-    (9, "servers/s".to_owned(), Change::ServerRemoved("s".to_owned()))
+    (position(9), "servers/s".to_owned(), Change::ServerRemoved("s".to_owned()))
 }
 
 struct Case {
@@ -54,7 +54,7 @@
     removals.store_recovered(at(9000), Duration::from_secs(9), Duration::ZERO);
     removals.defer(at(9000), &known, &mut vec![removal()]);
     let announced = Change::ServerAnnounced(entry("s", "lookup", "a1"));
-    let mut announcements = vec![(12, "servers/s".to_owned(), announced)];
+    let mut announcements = vec![(position(12), "servers/s".to_owned(), announced)];
     removals.defer(at(9900), &known, &mut announcements);
     assert_eq!(announcements.len(), 1);
     assert!(removals.take_due(at(20_000)).is_empty());
--- a/crates/core/tests/steer/main.rs
+++ b/crates/core/tests/steer/main.rs
@@ -13,6 +13,7 @@
 mod quota;
 mod region_summaries;
 mod regions;
+mod restored_store;
 mod retry;
 mod rollout;
 mod server_changes;
--- a/crates/core/tests/steer/region_summaries.rs
+++ b/crates/core/tests/steer/region_summaries.rs
@@ -19,8 +19,8 @@
 use test_case::test_case;
 
 use crate::common::{
-    announcement, at, bounds, digest, entry, peer, region_summary, route, service, view, workspace,
-    zone_regions,
+    announcement, at, bounds, digest, entry, peer, position, region_summary, route, service, view,
+    workspace, zone_regions,
 };
 
 fn parts() -> DigestParts {
@@ -138,7 +138,7 @@
         service: "lookup".to_owned(),
         version: "v2".to_owned(),
         duration: std::time::Duration::from_secs(10),
-        revision: 3,
+        position: position(3),
     };
     let mut control = ControlState::new(bounds(), announcement(1, "a1"), zone_regions());
     control.apply(at(0), vec![Change::RolloutOrdered(order)]);
@@ -147,7 +147,7 @@
     let canary = CanaryStats {
         service: "lookup".to_owned(),
         version: "v2".to_owned(),
-        order_revision: 3,
+        order: position(3),
         responses: 20,
         failures: 10,
         ..CanaryStats::default()
@@ -255,7 +255,7 @@
 
 /// A copy whose content changed at its revision.
 fn copy_of(revision: u64) -> CopyState {
-    CopyState { revision, fingerprint: revision }
+    CopyState { position: position(revision), fingerprint: revision, retained: 0 }
 }
 
 struct CopyCase {
--- a/crates/core/tests/steer/rollout.rs
+++ b/crates/core/tests/steer/rollout.rs
@@ -8,16 +8,16 @@
 };
 use test_case::test_case;
 
-use crate::common::at;
+use crate::common::{at, position};
 
 fn running() -> Rollout {
     let order = RolloutOrder {
         service: "lookup".to_owned(),
         version: "v2".to_owned(),
         duration: Duration::from_secs(16),
-        revision: 5,
+        position: position(5),
     };
-    Rollout { order, state: RolloutState::Running, started: at(0) }
+    Rollout::new(order, at(0))
 }
 
 fn exposure() -> Exposure {
--- a/crates/core/tests/steer/server_changes.rs
+++ b/crates/core/tests/steer/server_changes.rs
@@ -1,6 +1,6 @@
 //! Changes of servers that hosts send each other.
 
-use std::time::Duration;
+use std::{collections::BTreeSet, time::Duration};
 
 use jasminestage_core::steer::{
     control::Change,
@@ -11,15 +11,15 @@
 };
 use test_case::test_case;
 
-use crate::common::entry;
+use crate::common::{entry, position};
 
 fn announced(revision: u64, id: &str) -> KeyedChange {
     let entry = entry(id, "lookup", "a1");
-    (revision, format!("servers/{id}"), Change::ServerAnnounced(entry))
+    (position(revision), format!("servers/{id}"), Change::ServerAnnounced(entry))
 }
 
 fn removed(revision: u64, id: &str) -> KeyedChange {
-    (revision, format!("servers/{id}"), Change::ServerRemoved(id.to_owned()))
+    (position(revision), format!("servers/{id}"), Change::ServerRemoved(id.to_owned()))
 }
 
 struct Case {
@@ -44,12 +44,12 @@
     (case.change)(&mut changed);
     let key = format!("servers/{}", changed.id);
     let mut log = ServerChangeLog::default();
-    log.record(&[announced(5, "s")]);
+    log.record(&[announced(5, "s")], &BTreeSet::new());
     let before = log.fingerprint();
-    log.record(&[(9, key, Change::ServerAnnounced(changed))]);
+    log.record(&[(position(9), key, Change::ServerAnnounced(changed))], &BTreeSet::new());
     let mut items = Mirror::default();
-    items.apply(vec![], 10);
-    let ServerUpdate::Changes(changes) = log.update_since(6, &items) else {
+    items.apply(vec![], position(10));
+    let ServerUpdate::Changes(changes) = log.update_since(position(6), &items) else {
         panic!("the log is complete")
     };
     assert_eq!(changes.len(), usize::from(case.is_logged));
@@ -61,26 +61,29 @@
     let mut items = Mirror::default();
     let written = |key: &str, revision| {
         let value = vec![revision as u8];
-        ItemChange::Written(Item { key: key.to_owned(), value, revision })
+        ItemChange::Written(Item { key: key.to_owned(), value, position: position(revision) })
     };
-    items.apply(vec![written("servers/a", 7), written("servers/b", 8)], 20);
+    items.apply(vec![written("servers/a", 7), written("servers/b", 8)], position(20));
     let mut log = ServerChangeLog::default();
     let draining = ServerEntry { draining: true, ..entry("a", "lookup", "a1") };
-    log.record(&[
-        announced(2, "old"),
-        announced(3, "a"),
-        (7, "servers/a".to_owned(), Change::ServerAnnounced(draining)),
-        announced(8, "b"),
-        removed(9, "old"),
-    ]);
-    let removal = ItemChange::Removed { key: "servers/old".to_owned(), revision: 9 };
+    log.record(
+        &[
+            announced(2, "old"),
+            announced(3, "a"),
+            (position(7), "servers/a".to_owned(), Change::ServerAnnounced(draining)),
+            announced(8, "b"),
+            removed(9, "old"),
+        ],
+        &BTreeSet::new(),
+    );
+    let removal = ItemChange::Removed { key: "servers/old".to_owned(), position: position(9) };
     let all = vec![written("servers/a", 7), written("servers/b", 8), removal.clone()];
-    assert_eq!(log.update_since(2, &items), ServerUpdate::Changes(all));
-    assert_eq!(log.update_since(8, &items), ServerUpdate::Changes(vec![removal]));
-    assert_eq!(log.update_since(9, &items), ServerUpdate::Changes(vec![]));
-    assert_eq!(log.update_since(0, &items), ServerUpdate::SnapshotRequired);
-    log.restart(30);
-    assert_eq!(log.update_since(9, &items), ServerUpdate::SnapshotRequired);
+    assert_eq!(log.update_since(position(2), &items), ServerUpdate::Changes(all));
+    assert_eq!(log.update_since(position(8), &items), ServerUpdate::Changes(vec![removal]));
+    assert_eq!(log.update_since(position(9), &items), ServerUpdate::Changes(vec![]));
+    assert_eq!(log.update_since(position(0), &items), ServerUpdate::SnapshotRequired);
+    log.restart(position(30));
+    assert_eq!(log.update_since(position(9), &items), ServerUpdate::SnapshotRequired);
 }
 
 /// A host reads the entries from the store after a server was removed at revision 15, so it knows of
@@ -88,16 +91,21 @@
 #[test]
 fn a_first_copy_from_the_store_does_not_hide_removals() {
     let mut items = Mirror::default();
-    let item = Item { key: "servers/a".to_owned(), value: vec![1], revision: 19 };
-    items.apply(vec![ItemChange::Written(item)], 20);
+    let item = Item { key: "servers/a".to_owned(), value: vec![1], position: position(19) };
+    items.apply(vec![ItemChange::Written(item)], position(20));
     let mut log = ServerChangeLog::default();
-    log.record(&[announced(19, "a")]);
-    log.restart(20);
-    assert_eq!(log.update_since(10, &items), ServerUpdate::SnapshotRequired);
-    log.record(&[removed(22, "a")]);
-    items.apply(vec![ItemChange::Removed { key: "servers/a".to_owned(), revision: 22 }], 22);
-    assert!(matches!(log.update_since(20, &items), ServerUpdate::Changes(c) if c.len() == 1));
-    assert_eq!(log.update_since(10, &items), ServerUpdate::SnapshotRequired);
+    log.record(&[announced(19, "a")], &BTreeSet::new());
+    log.restart(position(20));
+    assert_eq!(log.update_since(position(10), &items), ServerUpdate::SnapshotRequired);
+    log.record(&[removed(22, "a")], &BTreeSet::new());
+    items.apply(
+        vec![ItemChange::Removed { key: "servers/a".to_owned(), position: position(22) }],
+        position(22),
+    );
+    assert!(
+        matches!(log.update_since(position(20), &items), ServerUpdate::Changes(c) if c.len() == 1)
+    );
+    assert_eq!(log.update_since(position(10), &items), ServerUpdate::SnapshotRequired);
 }
 
 struct CopyCase {
@@ -118,8 +126,8 @@
 fn a_host_notices_that_its_copy_is_behind(case: &CopyCase) {
     let state = |changes: &[KeyedChange], revision| {
         let mut log = ServerChangeLog::default();
-        log.record(changes);
-        CopyState { revision, fingerprint: log.fingerprint() }
+        log.record(changes, &BTreeSet::new());
+        CopyState { position: position(revision), fingerprint: log.fingerprint(), retained: 0 }
     };
     let own = state(&[announced(3, "a"), announced(4, "b")], 10);
     let (changes, revision) = case.other;
@@ -132,12 +140,12 @@
 #[test]
 fn the_return_of_a_lapsed_entry_is_logged() {
     let mut items = Mirror::default();
-    let item = Item { key: "servers/a".to_owned(), value: vec![1], revision: 15 };
-    items.apply(vec![ItemChange::Written(item.clone())], 20);
+    let item = Item { key: "servers/a".to_owned(), value: vec![1], position: position(15) };
+    items.apply(vec![ItemChange::Written(item.clone())], position(20));
     let mut log = ServerChangeLog::default();
     for change in [announced(5, "a"), removed(10, "a"), announced(15, "a")] {
-        log.record(&[change]);
+        log.record(&[change], &BTreeSet::new());
     }
     let expected = ServerUpdate::Changes(vec![ItemChange::Written(item)]);
-    assert_eq!(log.update_since(10, &items), expected);
+    assert_eq!(log.update_since(position(10), &items), expected);
 }
--- a/crates/core/tests/steer/steering.rs
+++ b/crates/core/tests/steer/steering.rs
@@ -5,7 +5,7 @@
 use jasminestage_core::{
     steer::{
         refusal::RefusalReason,
-        rollout::{Rollout, RolloutOrder, RolloutState, Verdict},
+        rollout::{Rollout, RolloutOrder, Verdict},
         server::{AttemptOutcome, ServerEntry},
         steering::{NextAction, PendingRequest, RequestHead, Steering},
         view::View,
@@ -14,7 +14,7 @@
 };
 use test_case::test_case;
 
-use crate::common::{at, entry, peer, view};
+use crate::common::{at, entry, peer, position, view};
 
 fn steering_with(view: View) -> Steering {
     let mut steering = Steering::new(Arc::new(View { servers: Arc::default(), ..view.clone() }));
@@ -256,9 +256,9 @@
         service: "lookup".to_owned(),
         version: "v3".to_owned(),
         duration: Duration::from_secs(16),
-        revision: 9,
+        position: position(9),
     };
-    let rollout = Rollout { order, state: RolloutState::Running, started: at(900) };
+    let rollout = Rollout::new(order, at(900));
     view.rollouts = Arc::new([("lookup".to_owned(), rollout)].into());
     let mut steering = steering_with(view);
     for n in 0..40 {
@@ -282,9 +282,9 @@
         service: "lookup".to_owned(),
         version: "v2".to_owned(),
         duration: Duration::from_secs(16),
-        revision: 9,
+        position: position(9),
     };
-    let rollout = Rollout { order, state: RolloutState::Running, started: at(0) };
+    let rollout = Rollout::new(order, at(0));
     view.rollouts = Arc::new([("lookup".to_owned(), rollout)].into());
     let mut steering = steering_with(view);
     let mut run_attempt = |n: u64, outcome: AttemptOutcome, took_ms: u64| {
@@ -312,12 +312,9 @@
             service: "lookup".to_owned(),
             version: "v2".to_owned(),
             duration: Duration::from_secs(16),
-            revision,
+            position: position(revision),
         };
-        Arc::new(
-            [("lookup".to_owned(), Rollout { order, state: RolloutState::Running, started })]
-                .into(),
-        )
+        Arc::new([("lookup".to_owned(), Rollout::new(order, started))].into())
     };
     let new = ServerEntry { version: "v2".to_owned(), ..entry("s1", "lookup", "a1") };
     let mut view = view(&[new]);
--- a/crates/core/tests/steer/verdict.rs
+++ b/crates/core/tests/steer/verdict.rs
@@ -5,14 +5,14 @@
 
 use jasminestage_core::steer::{
     digest::CanaryStats,
-    rollout::{Rollout, RolloutOrder, RolloutState, Verdict, VersionComparison},
+    rollout::{Rollout, RolloutOrder, Verdict, VersionComparison},
     server::{AttemptOutcome, ServerEntry},
     steering::{RequestHead, Steering},
     view::View,
 };
 use test_case::test_case;
 
-use crate::common::{at, digest, entry, view};
+use crate::common::{at, digest, entry, position, view};
 
 const ORDER_REVISION: u64 = 5;
 
@@ -23,9 +23,9 @@
         service: "lookup".to_owned(),
         version: "v2".to_owned(),
         duration: Duration::from_secs(600),
-        revision: ORDER_REVISION,
+        position: position(ORDER_REVISION),
     };
-    let rollout = Rollout { order, state: RolloutState::Running, started: at(0) };
+    let rollout = Rollout::new(order, at(0));
     let view = View {
         rollouts: Arc::new([("lookup".to_owned(), rollout)].into()),
         ..view(&[entry("s1", "lookup", "a1"), new])
@@ -65,7 +65,7 @@
 /// Reports the counts of another host.
 fn receive(steering: &mut Steering, millis: u64, counts: CanaryStats) {
     let (service, version) = ("lookup".to_owned(), "v2".to_owned());
-    let canary = CanaryStats { service, version, order_revision: ORDER_REVISION, ..counts };
+    let canary = CanaryStats { service, version, order: position(ORDER_REVISION), ..counts };
     let mut report = digest(2, "a2");
     report.stats.canaries = vec![canary];
     steering.receive_digest(at(millis), report);
--- a/crates/edge/src/control/context.rs
+++ b/crates/edge/src/control/context.rs
@@ -16,6 +16,7 @@
         digest::{Digest, Message, RegionSummary, StoreProgress},
         exchange::{self, OutgoingMessage, StoreState},
         mirror::{CopyState, ItemChange, Mirror, Snapshot},
+        position::StorePosition,
         rollout::Verdict,
         server_changes::{ServerChangeLog, ServerUpdate},
         steering::{LimitChange, RolloutStatus},
@@ -79,8 +80,8 @@
         ControlContext {
             lease: Cell::new(None),
             control: RefCell::new(control),
-            operator_data: RefCell::default(),
-            servers: RefCell::default(),
+            operator_data: RefCell::new(Mirror::new(store_items::operator_data_retention())),
+            servers: RefCell::new(Mirror::new(store_items::servers_retention())),
             internal: RefCell::default(),
             rollout_states: RefCell::default(),
             deferred_removals: RefCell::default(),
@@ -102,25 +103,41 @@
         }
     }
 
-    /// Revision up to which a copy is complete; 0 before the first snapshot.
-    pub fn revision(&self, kind: ItemKind) -> u64 {
-        self.mirror(kind).borrow().revision()
+    /// Position up to which a copy is complete; the default before the first snapshot.
+    pub fn position(&self, kind: ItemKind) -> StorePosition {
+        self.mirror(kind).borrow().position()
     }
 
     /// Returns a whole copy, to be sent to another host.
     pub fn snapshot(&self, kind: ItemKind) -> Snapshot {
-        self.mirror(kind).borrow().snapshot()
+        self.mirror(kind).borrow().snapshot(clock::now())
     }
 
-    /// Applies all changes up to `revision` from the store or another host.
-    pub fn apply(&self, kind: ItemKind, changes: Vec<ItemChange>, revision: u64) {
-        let applied = self.mirror(kind).borrow_mut().apply(changes, revision);
+    /// Applies all changes up to `position` from the store or another host.
+    pub fn apply(&self, kind: ItemKind, changes: Vec<ItemChange>, position: StorePosition) {
+        let applied = self.mirror(kind).borrow_mut().apply(changes, position);
         self.process_changes(kind, &applied);
     }
 
     /// Replaces a copy by a snapshot from the store or another host.
     pub fn replace(&self, kind: ItemKind, snapshot: Snapshot) {
-        let applied = self.mirror(kind).borrow_mut().replace(snapshot);
+        let (before, now) = (self.position(kind), clock::now());
+        let applied = self.mirror(kind).borrow_mut().replace(now, snapshot);
+        let after = self.position(kind);
+        if after.era > before.era && before != StorePosition::default() {
+            if kind == ItemKind::Servers {
+                self.deferred_removals.borrow_mut().store_restored(now);
+            }
+            tracing::warn!(
+                event = 347,
+                ?kind,
+                era = after.era,
+                before = before.revision,
+                revision = after.revision,
+                retained = self.mirror(kind).borrow().retained_count(),
+                "The store was restored from a copy; newer states of this host are retained."
+            );
+        }
         self.process_changes(kind, &applied);
     }
 
@@ -132,7 +149,8 @@
         if kind == ItemKind::Servers {
             let control = self.control.borrow();
             let known = &control.view().servers;
-            self.server_changes.borrow_mut().record(&changes);
+            let confirmed = self.servers.borrow_mut().take_confirmed();
+            self.server_changes.borrow_mut().record(&changes, &confirmed);
             self.deferred_removals.borrow_mut().defer(clock::now(), known, &mut changes);
         }
         self.apply_decoded(changes);
@@ -146,6 +164,22 @@
         self.control.borrow_mut().apply(clock::now(), changes);
     }
 
+    /// Returns to the states of the store that were not written again after it had been restored.
+    fn end_retention(&self, now: Instant) {
+        for kind in [ItemKind::Orders, ItemKind::Servers] {
+            let changes = self.mirror(kind).borrow_mut().expire(now);
+            if !changes.is_empty() {
+                tracing::warn!(
+                    event = 348,
+                    ?kind,
+                    items = changes.len(),
+                    "States that the store has lost were not written again; its own ones count now."
+                );
+            }
+            self.process_changes(kind, &changes);
+        }
+    }
+
     fn apply_due_removals(&self, now: Instant) {
         let due = self.deferred_removals.borrow_mut().take_due(now);
         if !due.is_empty() {
@@ -209,36 +243,38 @@
 
     /// Replaces the copy of the servers by a snapshot from the store or another host.
     pub fn replace_servers(&self, snapshot: Snapshot) {
-        let revision = snapshot.revision;
+        let position = snapshot.position;
         self.replace(ItemKind::Servers, snapshot);
-        self.server_changes.borrow_mut().restart(revision);
+        self.server_changes.borrow_mut().restart(position);
     }
 
-    /// Returns what another host lacks of the servers if its copy is complete up to `revision`.
-    pub fn server_update(&self, revision: u64) -> ServerUpdate {
-        self.server_changes.borrow().update_since(revision, &self.servers.borrow())
+    /// Returns what another host lacks of the servers if its copy is complete up to `position`.
+    pub fn server_update(&self, position: StorePosition) -> ServerUpdate {
+        self.server_changes.borrow().update_since(position, &self.servers.borrow())
     }
 
     /// What the copy of the servers includes.
     pub fn servers_state(&self) -> CopyState {
         CopyState {
-            revision: self.revision(ItemKind::Servers),
+            position: self.position(ItemKind::Servers),
             fingerprint: self.server_changes.borrow().fingerprint(),
+            retained: self.servers.borrow().retained_hash(),
         }
     }
 
     fn log(&self, changes: &[Change]) {
-        let control = self.control.borrow();
+        let (control, now) = (self.control.borrow(), clock::now());
         for change in changes {
             match change {
                 Change::Configured(catalog) => {
                     let (version, before) = (catalog.version, control.view().catalog.version);
-                    let revision = self.revision(ItemKind::Orders);
+                    let StorePosition { era, revision } = self.position(ItemKind::Orders);
                     if version > before {
                         tracing::info!(
                             event = 330,
                             version,
                             before,
+                            era,
                             revision,
                             "A configuration is in force."
                         );
@@ -247,16 +283,27 @@
                             event = 345,
                             version,
                             before,
+                            era,
                             revision,
                             "An older configuration is ignored."
                         );
                     }
                 }
+                Change::RolloutOrdered(order) if control.is_repeated_order(now, order) => {
+                    tracing::info!(
+                        event = 349,
+                        service = order.service,
+                        era = order.position.era,
+                        revision = order.position.revision,
+                        "A rollout order was restored or written again; the rollout goes on."
+                    );
+                }
                 Change::RolloutOrdered(order) => tracing::info!(
                     event = 331,
                     service = order.service,
                     version = order.version,
-                    revision = order.revision,
+                    era = order.position.era,
+                    revision = order.position.revision,
                     "A rollout was ordered."
                 ),
                 Change::RolloutWithdrawn(service) => {
@@ -338,6 +385,7 @@
     pub fn tick(&self) {
         let now = clock::now();
         self.apply_due_removals(now);
+        self.end_retention(now);
         self.control.borrow_mut().tick(now);
         self.publish();
         let (statuses, limit_changes) = self.shared.with_steering(|steering, now| {
--- a/crates/edge/src/control/mod.rs
+++ b/crates/edge/src/control/mod.rs
@@ -17,7 +17,7 @@
     time::Duration,
 };
 
-use jasminestage_core::time::Instant;
+use jasminestage_core::{steer::position::StorePosition, time::Instant};
 use jasminestage_net::clock;
 use jasminestage_platform::store::StoreError;
 use tokio::{runtime, task::LocalSet};
@@ -102,7 +102,7 @@
     }
     tokio::time::sleep(DISCOVERY_TIME).await;
     let wait = async {
-        while context.revision(kind) == 0 && !context.is_store_reader() {
+        while context.position(kind) == StorePosition::default() && !context.is_store_reader() {
             tokio::time::sleep(READER_CHECK_PERIOD).await;
         }
     };
--- a/crates/edge/src/control/operator_data.rs
+++ b/crates/edge/src/control/operator_data.rs
@@ -3,6 +3,7 @@
 
 use std::{rc::Rc, time::Duration};
 
+use jasminestage_core::steer::position::StorePosition;
 use jasminestage_net::clock;
 use jasminestage_platform::{
     keys,
@@ -25,7 +26,7 @@
     let mut backoff = Backoff::default();
     let mut dependency = Dependency::new("orders in the store");
     wait_for_first_copy(&context, ItemKind::Orders).await;
-    let mut is_complete = context.revision(ItemKind::Orders) > 0;
+    let mut is_complete = context.position(ItemKind::Orders) > StorePosition::default();
     loop {
         if is_complete && !context.is_store_reader() {
             tokio::time::sleep(READER_CHECK_PERIOD).await;
@@ -44,6 +45,9 @@
                 dependency.report_recovery();
             }
             Err(StoreError::HistoryCompacted) => is_complete = false,
+            Err(StoreError::Restored { expected, actual }) if expected < actual => {
+                is_complete = false;
+            }
             Err(e) => {
                 // The pages of a whole read are smaller than a watch that returns too many changes.
                 is_complete &= !matches!(e, StoreError::ResponseTooLarge { .. });
@@ -70,12 +74,12 @@
 
 async fn read_changes(context: &ControlContext, store: &mut StoreClient) -> Result<(), StoreError> {
     let watch = async |s: &mut StoreClient| {
-        let after = context.revision(ItemKind::Orders);
+        let after = context.position(ItemKind::Orders);
         s.watch(keys::OPERATOR_PREFIX, after, WATCH_WAIT).await
     };
     let result = context.store_gate.call(store, watch).await;
     context.shared.metrics.count_store_call("watch orders", result.is_ok());
-    let (changes, revision) = result?;
-    context.apply(ItemKind::Orders, changes, revision);
+    let (changes, position) = result?;
+    context.apply(ItemKind::Orders, changes, position);
     Ok(())
 }
--- a/crates/edge/src/control/servers.rs
+++ b/crates/edge/src/control/servers.rs
@@ -3,6 +3,7 @@
 
 use std::{rc::Rc, time::Duration};
 
+use jasminestage_core::steer::position::StorePosition;
 use jasminestage_net::clock;
 use jasminestage_platform::{
     keys,
@@ -27,7 +28,8 @@
     let mut backoff = Backoff::default();
     let mut dependency = Dependency::new("servers in the store");
     wait_for_first_copy(&context, ItemKind::Servers).await;
-    let (mut is_complete, mut is_reading) = (context.revision(ItemKind::Servers) > 0, true);
+    let (mut is_complete, mut is_reading) =
+        (context.position(ItemKind::Servers) > StorePosition::default(), true);
     loop {
         if is_complete && !context.is_store_reader() {
             is_reading = false;
@@ -51,6 +53,9 @@
                 tokio::time::sleep(BATCH_PAUSE).await;
             }
             Err(StoreError::HistoryCompacted) => is_complete = false,
+            Err(StoreError::Restored { expected, actual }) if expected < actual => {
+                is_complete = false;
+            }
             Err(e) => {
                 // The pages of a whole read are smaller than a watch that returns too many changes.
                 is_complete &= !matches!(e, StoreError::ResponseTooLarge { .. });
@@ -75,13 +80,13 @@
 
 async fn read_changes(context: &ControlContext, store: &mut StoreClient) -> Result<(), StoreError> {
     let watch = async |s: &mut StoreClient| {
-        let after = context.revision(ItemKind::Servers);
+        let after = context.position(ItemKind::Servers);
         s.watch(keys::SERVER_PREFIX, after, WATCH_WAIT).await
     };
     let result = context.store_gate.call(store, watch).await;
     context.shared.metrics.count_store_call("watch servers", result.is_ok());
-    let (changes, revision) = result?;
+    let (changes, position) = result?;
     context.record_store_read();
-    context.apply(ItemKind::Servers, changes, revision);
+    context.apply(ItemKind::Servers, changes, position);
     Ok(())
 }
--- a/crates/edge/src/control/snapshots.rs
+++ b/crates/edge/src/control/snapshots.rs
@@ -8,6 +8,7 @@
 use jasminestage_core::{
     steer::{
         mirror::{CopyState, ItemChange, Snapshot},
+        position::StorePosition,
         server_changes::ServerUpdate,
     },
     time::Instant,
@@ -39,8 +40,8 @@
 enum CopyRequest {
     /// All operator data.
     Orders,
-    /// The relevant changes of servers after this revision; all servers if it is 0.
-    Servers(u64),
+    /// The relevant changes of servers after this position; all servers if it is the default.
+    Servers(StorePosition),
 }
 
 /// Response to a [`CopyRequest`].
@@ -156,28 +157,29 @@
 }
 
 /// Fetches the changes of servers from another host. If the copies differ although they are complete up
-/// to the same revision, the changes have left something out, and all servers are fetched.
+/// to the same position, the changes have left something out, and all servers are fetched.
 async fn fetch_servers(
     context: &ControlContext,
     peer: SocketAddr,
     whole_copy_due_at: &mut Instant,
 ) {
     let own = context.servers_state();
-    let Some(peer_state) = fetch(context, peer, CopyRequest::Servers(own.revision)).await else {
+    let Some(peer_state) = fetch(context, peer, CopyRequest::Servers(own.position)).await else {
         return;
     };
     let own = context.servers_state();
-    let differs = own.revision == peer_state.revision && own.fingerprint != peer_state.fingerprint;
+    let differs = own.position == peer_state.position && own != peer_state;
     let now = clock::now();
     if differs && now >= *whole_copy_due_at {
         *whole_copy_due_at = now + WHOLE_COPY_PERIOD;
         tracing::warn!(
             event = 355,
             %peer,
-            revision = own.revision,
+            era = own.position.era,
+            revision = own.position.revision,
             "The copy of the servers differs from that of another host; all servers are fetched."
         );
-        fetch(context, peer, CopyRequest::Servers(0)).await;
+        fetch(context, peer, CopyRequest::Servers(StorePosition::default())).await;
     }
 }
 
@@ -188,31 +190,33 @@
     request: CopyRequest,
 ) -> Option<CopyState> {
     let own = match request {
-        CopyRequest::Orders => context.revision(ItemKind::Orders),
-        CopyRequest::Servers(_) => context.revision(ItemKind::Servers),
+        CopyRequest::Orders => context.position(ItemKind::Orders),
+        CopyRequest::Servers(_) => context.position(ItemKind::Servers),
     };
     match timeout(EXCHANGE_TIMEOUT, exchange(peer, request)).await {
         Ok(Ok(CopyResponse::Orders(snapshot))) => {
-            let (at, items) = (snapshot.revision, snapshot.items.len());
+            let (at, items) = (snapshot.position, snapshot.items.len());
             tracing::info!(
                 event = 353,
                 %peer,
-                own,
+                own = own.revision,
                 ask = ?request,
-                at,
+                era = at.era,
+                at = at.revision,
                 items,
                 "Items were received from another host."
             );
             context.replace(ItemKind::Orders, snapshot);
         }
         Ok(Ok(CopyResponse::AllServers { snapshot, removal_delay })) => {
-            let (at, items) = (snapshot.revision, snapshot.items.len());
+            let (at, items) = (snapshot.position, snapshot.items.len());
             tracing::info!(
                 event = 353,
                 %peer,
-                own,
+                own = own.revision,
                 ask = ?request,
-                at,
+                era = at.era,
+                at = at.revision,
                 items,
                 "Items were received from another host."
             );
@@ -224,14 +228,15 @@
             tracing::info!(
                 event = 353,
                 %peer,
-                own,
+                own = own.revision,
                 ask = ?request,
-                at = state.revision,
+                era = state.position.era,
+                at = state.position.revision,
                 items,
                 "Items were received from another host."
             );
             context.extend_removal_delay(removal_delay);
-            context.apply(ItemKind::Servers, changes, state.revision);
+            context.apply(ItemKind::Servers, changes, state.position);
             return Some(state);
         }
         Ok(Err(e)) => {
--- a/crates/edge/src/control/store_gate.rs
+++ b/crates/edge/src/control/store_gate.rs
@@ -154,7 +154,7 @@
 async fn probe_once(context: &Rc<ControlContext>) -> Option<Duration> {
     let mut store = StoreClient::new(context.shared.cfg.store, STORE_TIMEOUT);
     let (called_at, started) = (clock::now(), Instant::now());
-    let after = context.revision(ItemKind::Orders);
+    let after = context.position(ItemKind::Orders);
     let result = store.watch(keys::OPERATOR_PREFIX, after, Duration::ZERO).await;
     let is_answered = !result.as_ref().is_err_and(is_unavailable);
     context.shared.metrics.count_store_call("probe", is_answered);
--- a/crates/store/src/client.rs
+++ b/crates/store/src/client.rs
@@ -7,7 +7,10 @@
     time::{Duration, Instant},
 };
 
-use jasminestage_core::config::{Acks, ChunkHash, DomainAck, Root, chunk::Chunk};
+use jasminestage_core::{
+    config::{Acks, ChunkHash, DomainAck, Root, chunk::Chunk},
+    steer::{mirror::Item, position::StorePosition},
+};
 use jasminestage_platform::store::{
     Condition, Freshness, Put, StoreClient, StoreError as PlatformError, WriteOutcome,
 };
@@ -113,7 +116,9 @@
     /// Reads the value of one key.
     pub async fn get(&self, key: &str) -> Result<Option<Versioned<Vec<u8>>>, StoreError> {
         let found = self.call("get", async |store| store.get(key).await).await?;
-        Ok(found.map(|item| Versioned { value: item.value, version: item.revision }))
+        let versioned =
+            |item: Item| Versioned { value: item.value, version: item.position.revision };
+        Ok(found.map(versioned))
     }
 
     /// Writes a key if its version is still `version` (0: if it does not exist); returns whether it was
@@ -202,19 +207,30 @@
     /// separate connection, because a watch occupies its connection.
     pub async fn watch_root(&self, mut changed: impl FnMut()) -> Result<(), StoreError> {
         let mut store = self.connect()?;
-        let read = store.range(ROOT_KEY, Freshness::Latest).await;
-        let mut after = self.observe_outcome("range", Instant::now(), read)?.revision;
+        let mut after = self.root_position(&mut store).await?;
         loop {
             let start = Instant::now();
             let watched = store.watch(ROOT_KEY, after, WATCH_TIMEOUT).await;
-            let (changes, revision) = self.observe_outcome("watch", start, watched)?;
-            after = after.max(revision);
+            if let Err(PlatformError::HistoryCompacted | PlatformError::Restored { .. }) = watched {
+                after = self.root_position(&mut store).await?;
+                changed();
+                continue;
+            }
+            let (changes, position) = self.observe_outcome("watch", start, watched)?;
+            after = position;
             if !changes.is_empty() {
                 changed();
             }
         }
     }
 
+    /// Position of the store from which changes of the root record are followed.
+    async fn root_position(&self, store: &mut StoreClient) -> Result<StorePosition, StoreError> {
+        let start = Instant::now();
+        let read = store.range(ROOT_KEY, Freshness::Latest).await;
+        Ok(self.observe_outcome("range", start, read)?.position)
+    }
+
     async fn call<T>(
         &self,
         kind: &'static str,
