Trust a lease of the store only in the era in which it was granted

A server's entry could be removed by a host of ours that stopped, after the store had come back from an older copy. Cause: the number of a lost lease is given out again; the host renewed and ended by number alone. Change: the announcement keeps the position at which it was written.

--- a/crates/edge/src/control/context.rs
+++ b/crates/edge/src/control/context.rs
@@ -25,10 +25,10 @@
     time::Instant,
 };
 use jasminestage_net::clock;
-use jasminestage_platform::{store::LeaseId, store_items};
+use jasminestage_platform::store_items;
 use tokio::sync::Notify;
 
-use super::store_gate::StoreGate;
+use super::{registry::OwnAnnouncement, store_gate::StoreGate};
 use crate::shared::Shared;
 
 /// Smallest change of a new version's share that is logged, as a fraction of the share.
@@ -53,8 +53,8 @@
 pub struct ControlContext {
     /// State shared with the traffic thread.
     pub shared: Arc<Shared>,
-    /// Lease of this host's announcement; `None` while this host is not announced.
-    pub lease: Cell<Option<LeaseId>>,
+    /// This host's announcement; `None` while this host is not announced.
+    pub own_announcement: Cell<Option<OwnAnnouncement>>,
     control: RefCell<ControlState>,
     operator_data: RefCell<Mirror>,
     servers: RefCell<Mirror>,
@@ -78,7 +78,7 @@
         let control =
             ControlState::new(cfg.bounds.clone(), shared.announcement.clone(), cfg.domains.clone());
         ControlContext {
-            lease: Cell::new(None),
+            own_announcement: Cell::new(None),
             control: RefCell::new(control),
             operator_data: RefCell::new(Mirror::new(store_items::operator_data_retention())),
             servers: RefCell::new(Mirror::new(store_items::servers_retention())),
