Write the state of a rollout again that the store has lost

Operators saw a rollout that had ended as running, or not at all, after the store had come back from an older copy. Cause: only running rollouts were recorded; a state that had been recorded once was written by nobody again.

--- a/crates/core/src/steer/control/rollouts.rs
+++ b/crates/core/src/steer/control/rollouts.rs
@@ -150,7 +150,8 @@
     ///
     /// All hosts compute the same state. Each one waits for the higher-ranked hosts, so that
     /// usually only one writes; if two write, the precondition in the store rejects the second
-    /// write.
+    /// write. After the store was restored from a copy that lacks the state of a rollout, only the
+    /// highest-ranked hosts record it again, since the others have not read what they wrote.
     pub fn due_records(
         &mut self,
         now: Instant,
@@ -161,13 +162,14 @@
         for (service, rollout) in self.view.rollouts.iter() {
             let record = self.rollout_records.get(service);
             let recorded = record.filter(|r| r.is_of(&rollout.order)).map(|r| r.state);
-            if rollout.state != RolloutState::Running {
-                continue;
-            }
+            let is_restored = rollout.restored_at.is_some();
+            let is_left_to_others = is_restored && rank >= MAX_WRITER_RANK;
             let next = match rollout.next_state(now, verdict(service)) {
                 Some(state) => state,
-                None if recorded.is_some() => continue,
-                None => RolloutState::Running,
+                None if recorded == Some(rollout.state) || is_left_to_others => continue,
+                None if rollout.state == RolloutState::Running && recorded.is_some() => continue,
+                None if rollout.state != RolloutState::Running && !is_restored => continue,
+                None => rollout.state,
             };
             let key = (service.clone(), next);
             let since = *self.due_since.entry(key).or_insert(now);
@@ -178,7 +180,9 @@
         }
         let rollouts = &self.view.rollouts;
         self.due_since.retain(|(service, _), _| {
-            rollouts.get(service).is_some_and(|r| r.state == RolloutState::Running)
+            rollouts
+                .get(service)
+                .is_some_and(|r| r.state == RolloutState::Running || r.restored_at.is_some())
         });
         due
     }
--- a/crates/core/tests/steer/control.rs
+++ b/crates/core/tests/steer/control.rs
@@ -7,6 +7,7 @@
         catalog::{Catalog, Limits},
         control::{Change, ControlState, RolloutRecord},
         digest::RolloutProgress,
+        position::StorePosition,
         rollout::{RolloutOrder, RolloutState, Verdict},
         server::ServerEntry,
     },
@@ -114,6 +115,59 @@
     assert_eq!(due.iter().map(|d| d.state).collect::<Vec<_>>(), [RolloutState::RolledBack]);
 }
 
+struct RestoredOrderCase {
+    /// Era and revision at which the order comes back after it was rolled back at 9 s, and when.
+    returns: (u64, u64, u64),
+    /// Version that it asks for.
+    version: &'static str,
+    /// State that the restored store has recorded after the order.
+    recorded: Option<RolloutState>,
+    state: RolloutState,
+    /// State that the host has to record.
+    due: Option<RolloutState>,
+}
+
+const ROLLED_BACK: RolloutState = RolloutState::RolledBack;
+const RUNNING: RolloutState = RolloutState::Running;
+
+/// Fails if a version that was rolled back gets requests again because the store was restored from a
+/// copy, or if the store does not learn the state of a rollout again.
+#[test_case(&RestoredOrderCase { returns: (1, 3, 10_000), version: "v2", recorded: None, state: ROLLED_BACK, due: Some(ROLLED_BACK) }; "written again, and the state is lost")]
+#[test_case(&RestoredOrderCase { returns: (1, 5, 10_000), version: "v2", recorded: Some(RUNNING), state: ROLLED_BACK, due: Some(ROLLED_BACK) }; "restored with an older state")]
+#[test_case(&RestoredOrderCase { returns: (1, 5, 10_000), version: "v2", recorded: Some(ROLLED_BACK), state: ROLLED_BACK, due: None }; "restored with its state")]
+#[test_case(&RestoredOrderCase { returns: (1, 3, 10_000), version: "v3", recorded: None, state: RUNNING, due: Some(RUNNING) }; "an order of another version")]
+#[test_case(&RestoredOrderCase { returns: (0, 12, 10_000), version: "v2", recorded: None, state: RUNNING, due: Some(RUNNING) }; "a second order in the same era")]
+fn a_restored_order_does_not_start_its_rollout_again(case: &RestoredOrderCase) {
+    let mut control = control();
+    let ordered = Change::RolloutOrdered(order(5));
+    control.apply(at(0), vec![ordered, recorded(ROLLED_BACK, 9)]);
+    let (era, revision, returned_at) = case.returns;
+    let returned = |revision| RolloutOrder {
+        version: case.version.to_owned(),
+        position: StorePosition::new(era, revision),
+        ..order(5)
+    };
+    control.apply(at(returned_at), vec![Change::RolloutOrdered(returned(revision))]);
+    let record = |state| {
+        let (service, version) = ("lookup".to_owned(), case.version.to_owned());
+        let position = StorePosition::new(era, revision + 4);
+        Change::RolloutRecorded(RolloutRecord { service, version, state, position })
+    };
+    control.apply(at(returned_at), case.recorded.map(record).into_iter().collect());
+    assert_eq!(control.view().rollouts["lookup"].state, case.state);
+    let due = control.due_records(at(returned_at + 100), |_| Verdict::Sound);
+    assert_eq!(due.first().map(|d| d.state), case.due);
+    // The operators may write again what has not been lost.
+    if era > 0 && case.state == ROLLED_BACK {
+        let again = Change::RolloutOrdered(returned(revision + 5));
+        control.apply(at(returned_at + 3000), vec![again]);
+        assert_eq!(control.view().rollouts["lookup"].state, ROLLED_BACK);
+        let later = Change::RolloutOrdered(returned(revision + 90));
+        control.apply(at(returned_at + 60_000), vec![later]);
+        assert_eq!(control.view().rollouts["lookup"].state, RUNNING, "it is a new order");
+    }
+}
+
 #[test]
 fn an_evacuation_can_be_undone() {
     let mut control = control();
