Let the store come back from older copies in the soak

Cause: the soak played no drill. Change: copies, restores and rewrites in random steps among the other faults, drawn apart so that their sequence stays the same; at the end a restore of a copy from before a server drained, with a change right after it, which must be in force within 3 s; no host may put a lower version in force than before.

--- a/crates/edge/tests/soak/faults.rs
+++ b/crates/edge/tests/soak/faults.rs
@@ -12,7 +12,7 @@
 use rustix::process::Signal;
 use tokio::time::Instant;
 
-use crate::{Environment, callers::RequestLog};
+use crate::{Environment, callers::RequestLog, drills::Drills};
 
 /// Upper bound of the pause between two faults.
 const MAX_PAUSE_MS: u64 = 500;
@@ -33,6 +33,7 @@
     trouble_rng: StdRng,
     /// Draws the limits of servers, for the same reason.
     limit_rng: StdRng,
+    drills: Drills,
     history: Vec<String>,
     /// Version of the last configuration that was written.
     version: u64,
@@ -53,6 +54,7 @@
             rng: StdRng::seed_from_u64(seed),
             trouble_rng: StdRng::seed_from_u64(!seed),
             limit_rng: StdRng::seed_from_u64(seed.rotate_left(32)),
+            drills: Drills::new(seed),
             history: Vec::new(),
             version: 1,
             paused: Vec::new(),
@@ -89,6 +91,9 @@
                 let description = self.change_limit(environment);
                 self.history.push(format!("{:?} {description}", start.elapsed()));
             }
+            if let Some(description) = self.drills.step(environment).await {
+                self.history.push(format!("{:?} {description}", start.elapsed()));
+            }
         }
     }
 
@@ -247,6 +252,7 @@
         for proxy in &environment.store_proxies {
             proxy.set_fault(ConnectionFault::None);
         }
+        self.drills.end(environment);
         environment.store.remove(RAW_SERVER_KEY);
         self.raw_server = None;
         for server in &environment.servers {
--- a/crates/edge/tests/soak/main.rs
+++ b/crates/edge/tests/soak/main.rs
@@ -6,6 +6,7 @@
 
 mod callers;
 mod departure;
+mod drills;
 mod faults;
 
 use std::{sync::Arc, time::Duration};
@@ -73,7 +74,10 @@
     injector.inject(&mut environment, &request_log, FAULT_DURATION).await;
     injector.end(&mut environment).await;
     check_recovery(seed, &environment).await;
+    environment.store.take_copy();
     let departure = departure::after_lapse(seed, &mut environment, &request_log).await;
+    drills::restore_with_change(seed, &environment).await;
+    drills::check_versions(seed, &environment);
     for caller in callers {
         caller.abort();
     }
@@ -109,7 +113,8 @@
 }
 
 /// Fails if random overlapping faults make a host run a request twice that must run at most once,
-/// report a wrong status, leave callers without a response or not recover.
+/// report a wrong status, leave callers without a response, not recover, return to an older
+/// configuration or be late with one when the store comes back from an older copy.
 #[test_case(1; "seed 1")]
 #[test_case(2; "seed 2")]
 #[test_case(3; "seed 3")]
