Daemon: keep following the root record when the store comes back older

Operators changed the declaration right after the store had come back from an older copy, and no host put it in force. Cause: hosts ignore a root record whose number is not above their own, and the restored store gives the numbers out again; a lost record was written by nobody again. Such a read also counted as a proof that the record in force is the newest. Change: a record tells from which writes it was derived. Hosts write their own again over a record from which it was derived, and give any other record a number above the lost one; neither is a proof. Evidence: changes_take_effect_after_the_store_came_back_older failed before with 'the added key is not in force' and passes now, 3 runs of 3; config and fleet tests of the core pass.

--- a/crates/core/src/config/root.rs
+++ b/crates/core/src/config/root.rs
@@ -151,6 +151,32 @@
         self.recent.iter().find(|w| w.write_id == write_id).map(|w| w.revision)
     }
 
+    /// Whether this record is `other` or was derived from it; `None` if that was too long ago to tell.
+    pub fn includes(&self, other: &Root) -> Option<bool> {
+        if self.find_write(&other.write_id) == Some(other.revision) {
+            return Some(true);
+        }
+        let oldest_known = self.recent.first().map_or(self.revision, |w| w.revision);
+        (other.revision >= oldest_known).then_some(false)
+    }
+
+    /// The next root record after this one, with a revision above the one of `lost`. The store has
+    /// lost that record before this one was written, but hosts still use it.
+    pub fn raised_above(&self, lost: &Root, write_id: &str) -> Root {
+        let mut next = self.next(write_id);
+        next.revision = lost.revision + 1;
+        next.declared = next.revision;
+        if lost.seat_counts != self.seat_counts {
+            next.seat_counts_before = lost.seat_counts.clone();
+        }
+        next.authority_before = self.longest_authority().max(lost.longest_authority());
+        if lost.limits.digest != self.limits.digest {
+            next.limits.since = next.revision;
+            next.limits.before = lost.limits.since;
+        }
+        next
+    }
+
     /// Longest time for which a partitioned host may serve by this record or an earlier one.
     pub fn longest_authority(&self) -> Duration {
         self.authority.max(self.authority_before)
--- a/crates/core/src/control/configuration.rs
+++ b/crates/core/src/control/configuration.rs
@@ -72,11 +72,29 @@
         effects: &mut Vec<Effect>,
     ) {
         self.set_store_available(true, effects);
+        let own = &self.config.root;
+        if root.revision <= own.revision && root.write_id != own.write_id {
+            match own.includes(root) {
+                Some(true) => effects.push(Effect::RestoreRoot(Arc::clone(&self.config))),
+                Some(false) => return self.raise_root(root, effects),
+                None => {}
+            }
+        }
         self.unapplied_read = Some((root.revision, read_started));
         self.handle_root(now, root, None, effects);
         self.prove_by_read(now, effects);
     }
 
+    /// Gives a record a revision that hosts do not ignore. It was written after the store had been
+    /// restored from a copy that lacked the record in force.
+    fn raise_root(&self, root: &Root, effects: &mut Vec<Effect>) {
+        let own = &self.config.root;
+        let text = format!("revision {} instead of {}", root.revision, own.revision);
+        self.log(Kind::RevisionRaised, text, effects);
+        let write_id = format!("{}-raise-{}", self.me.incarnation, root.write_id);
+        effects.push(Effect::SwapRoot(Box::new(root.raised_above(own, &write_id))));
+    }
+
     /// Requests a newer revision from a host that has it in force.
     pub(super) fn request_newer_revision(
         &mut self,
--- a/crates/core/src/control/mod.rs
+++ b/crates/core/src/control/mod.rs
@@ -119,6 +119,9 @@
     FetchChunks(Vec<ChunkHash>),
     /// Replace the root record by this one if the store still has its predecessor; then read it.
     SwapRoot(Box<Root>),
+    /// Write this root record and its chunks again if the store still has an earlier record from which
+    /// it was derived; then read it.
+    RestoreRoot(Arc<LocalConfig>),
     /// Write the acknowledgement of this host's failure domain.
     WriteAck(DomainAck),
     /// Pass a new view to the traffic threads.
--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -68,6 +68,9 @@
     AuthorityEnded = 26, Warn;
     /// The authority for keyed routes is valid again on this host.
     AuthorityHolds = 27, Info;
+    /// The store holds another root record than the one in force with a lower revision, because it was
+    /// restored from a copy; the record gets a higher one.
+    RevisionRaised = 28, Warn;
     /// The platform's store does not answer.
     StoreUnavailable = 30, Warn;
     /// The platform's store answers again.
--- a/crates/daemon/src/control.rs
+++ b/crates/daemon/src/control.rs
@@ -233,6 +233,9 @@
             Effect::SwapRoot(next) => {
                 tokio::spawn(async move { platform::swap_root(&store, &next, &tx).await });
             }
+            Effect::RestoreRoot(config) => {
+                tokio::spawn(async move { platform::restore_root(&store, &config, &tx).await });
+            }
             Effect::WriteAck(ack) => {
                 tokio::spawn(platform::write_ack(
                     store,
--- a/crates/daemon/src/platform.rs
+++ b/crates/daemon/src/platform.rs
@@ -1,9 +1,9 @@
 //! Reads from and writes to the platform's store, for the control thread.
 
-use std::{sync::Arc, time::Duration};
+use std::{collections::BTreeSet, sync::Arc, time::Duration};
 
 use jasminestage_core::{
-    config::{ChunkHash, DomainAck, Root},
+    config::{ChunkHash, DomainAck, LocalConfig, Root, chunk::read_index},
     host::HostInfo,
 };
 use jasminestage_store::{Client, ClientOptions, Observer, StoreError, Versioned};
@@ -100,6 +100,36 @@
     read_root(store, tx).await;
 }
 
+/// Writes a root record and its chunks again if the store has returned to a record from which it was
+/// derived, then reads the root record.
+pub async fn restore_root(store: &Client, config: &LocalConfig, tx: &ControlSender) {
+    if let Ok(Some(stored)) = store.root().await
+        && stored.value.revision < config.root.revision
+        && config.root.includes(&stored.value) == Some(true)
+        && put_chunks_since(store, &stored.value, config).await.is_ok()
+    {
+        let _ = store.compare_and_swap_root(stored.version, &config.root).await;
+    }
+    read_root(store, tx).await;
+}
+
+/// Writes the chunks of a configuration that an earlier record does not list.
+async fn put_chunks_since(
+    store: &Client,
+    earlier: &Root,
+    config: &LocalConfig,
+) -> Result<(), StoreError> {
+    let mut stored: BTreeSet<ChunkHash> = earlier.index.iter().copied().collect();
+    for hash in &earlier.index {
+        let index = store.chunk(*hash).await?;
+        stored.extend(read_index(&index.body).into_iter().map(|entry| entry.hash));
+    }
+    for (_, body) in config.chunks.iter().filter(|(hash, _)| !stored.contains(hash)) {
+        store.put_chunk(body).await?;
+    }
+    Ok(())
+}
+
 /// Releases the seat of this host, and repeats the write after conflicts with other writers of the
 /// root record. The host must not use the seat afterwards, whether or not the write succeeds.
 pub async fn release_seat(store: &Client, own_info: &HostInfo) {
--- a/crates/standins/examples/capacity_control.rs
+++ b/crates/standins/examples/capacity_control.rs
@@ -209,6 +209,8 @@
                 }
                 Event::Root(self.store.root.clone())
             }
+            // The store is never restored from a copy.
+            Effect::RestoreRoot(_) => return,
             Effect::WriteAck(ack) => {
                 self.store.calls += 1;
                 self.store.acks.insert(self.infos[n].domain.clone(), ack);
--- a/crates/standins/tests/config.rs
+++ b/crates/standins/tests/config.rs
@@ -15,6 +15,9 @@
 const REMAINING_KEY: &str = "a key that remains";
 const SECOND: Duration = Duration::from_secs(1);
 
+/// Exit code of `apply` if the declaration has changed in the meantime.
+const EXIT_CONFLICT: i32 = 4;
+
 /// Three failure domains with two seats each, a keyed and an open route, and one workspace.
 fn declaration(keys: &[&str]) -> String {
     let mut text = "[region r]\n".to_owned();
@@ -309,3 +312,51 @@
     });
     assert!(is_recovered.await, "the host serves again");
 }
+
+struct RestoreCase {
+    name: &'static str,
+    /// Time from the return of the store to the next change.
+    pause: Duration,
+}
+
+const RESTORE_CASES: &[RestoreCase] = &[
+    RestoreCase { name: "a change right after the restore", pause: Duration::ZERO },
+    RestoreCase { name: "a change some seconds later", pause: Duration::from_secs(4) },
+];
+
+/// Guards against hosts that ignore all changes after the store has come back from an older copy, since
+/// they hold a higher revision, and against a return to the older declaration.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn changes_take_effect_after_the_store_came_back_older() {
+    for case in RESTORE_CASES {
+        let dir = tempfile::tempdir().expect("a temporary directory is created");
+        let fleet = start_fleet(&dir, false).await;
+        let http = reqwest::Client::new();
+        fleet.platform.take_copy();
+        let withdrawn = with_keys(&fleet, &[REMAINING_KEY]);
+        let (code, _, err) = apply(&fleet, "w.ini", &withdrawn, &["--wait"]);
+        assert_eq!(code, 0, "{}: {err}", case.name);
+        fleet.platform.set_fault(Fault::ClosesConnections);
+        tokio::time::sleep(SECOND / 2).await;
+        fleet.platform.restore_copy();
+        fleet.platform.set_fault(Fault::None);
+        let back_at = Instant::now();
+        while back_at.elapsed() < case.pause {
+            let codes = codes(&http, &fleet.hosts, "keyed", WITHDRAWN_KEY).await;
+            assert_eq!(codes, ["105"; 6], "{}", case.name);
+        }
+        let added = with_keys(&fleet, &[REMAINING_KEY, "an added key"]);
+        let (mut code, _, mut err) = apply(&fleet, "a.ini", &added, &[]);
+        if code == EXIT_CONFLICT {
+            // The hosts have written the lost declaration again in the meantime.
+            (code, _, err) = apply(&fleet, "a.ini", &added, &[]);
+        }
+        assert_eq!(code, 0, "{}: {err}", case.name);
+        let is_in_force = eventually(4 * SECOND, async || {
+            codes(&http, &fleet.hosts, "keyed", "an added key").await == ["0"; 6]
+        });
+        assert!(is_in_force.await, "{}: the added key is not in force", case.name);
+        let codes = codes(&http, &fleet.hosts, "keyed", WITHDRAWN_KEY).await;
+        assert_eq!(codes, ["105"; 6], "{}", case.name);
+    }
+}
