Give retention and the log of changes modules of their own, and test frozen readers

Cause: mirror.rs and context.rs had grown; no test froze both readers of a region at the moment of a change. Change: retention.rs and change_log.rs hold what they decide and write; no change of logic. A test with real processes: both readers stand still when a change is confirmed.

--- a/crates/core/src/steer/mirror.rs
+++ b/crates/core/src/steer/mirror.rs
@@ -1,14 +1,14 @@
 //! A local copy of the store's items under one key prefix.
 
-use std::{
-    collections::{BTreeMap, BTreeSet, HashMap, HashSet},
-    time::Duration,
-};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 
 use serde::{Deserialize, Serialize};
-use serde_with::{DurationMilliSeconds, serde_as};
 
-use super::{position::StorePosition, stable_hash};
+use super::{
+    position::StorePosition,
+    retention::{RetainedItem, RetentionPolicy},
+    stable_hash,
+};
 use crate::time::Instant;
 
 /// Number of removals above which the older half is forgotten.
@@ -57,23 +57,6 @@
     }
 }
 
-/// State of an item from before the store was restored, which the restored store lacks.
-#[serde_as]
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct RetainedItem {
-    /// Key in the store.
-    pub key: String,
-    /// The value; `None` if the item had been removed.
-    pub value: Option<Vec<u8>>,
-    /// Position of the change that the store has lost.
-    pub position: StorePosition,
-    /// Revision of the restored item that this state hides; 0 if the restored store has none.
-    pub restored_revision: u64,
-    /// Time for which the state is still retained.
-    #[serde_as(as = "DurationMilliSeconds<u64>")]
-    pub remaining: Duration,
-}
-
 /// All items under one prefix, read from the store or received from another host.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Snapshot {
@@ -119,32 +102,7 @@
     }
 }
 
-/// Decides which states of items a copy retains when the store is restored from an older copy and
-/// they differ. What was lost is usually written again soon.
-#[derive(Clone, Copy, Debug)]
-pub struct RetentionPolicy {
-    /// Whether an item of this host is newer than the restored one.
-    pub is_newer: fn(own: &Item, restored: &Item) -> bool,
-    /// Whether an item is retained that the restored store lacks.
-    pub retains_missing: bool,
-    /// Whether the item with this key stays removed if the restored store has it.
-    pub retains_removal: fn(key: &str) -> bool,
-    /// Time after which the restored state counts if nothing was written again.
-    pub duration: Duration,
-}
-
-impl Default for RetentionPolicy {
-    /// Takes the restored state at once.
-    fn default() -> Self {
-        RetentionPolicy {
-            is_newer: |_, _| false,
-            retains_missing: false,
-            retains_removal: |_| false,
-            duration: Duration::ZERO,
-        }
-    }
-}
-
+/// State from an earlier era that counts instead of the store's.
 #[derive(Clone, Debug, PartialEq, Eq)]
 struct Retained {
     value: Option<Vec<u8>>,
--- a/crates/core/src/steer/mod.rs
+++ b/crates/core/src/steer/mod.rs
@@ -22,6 +22,7 @@
 pub mod refusal;
 pub mod region_summaries;
 pub mod regions;
+pub mod retention;
 pub mod retry;
 pub mod rollout;
 pub mod server;
--- a/crates/core/tests/steer/restored_store.rs
+++ b/crates/core/tests/steer/restored_store.rs
@@ -3,8 +3,9 @@
 use std::{collections::BTreeMap, time::Duration};
 
 use jasminestage_core::steer::{
-    mirror::{Item, ItemChange, Mirror, RetentionPolicy, Snapshot},
+    mirror::{Item, ItemChange, Mirror, Snapshot},
     position::StorePosition,
+    retention::RetentionPolicy,
 };
 use rand::{RngExt, SeedableRng, rngs::StdRng};
 use test_case::test_case;
--- a/crates/edge/src/control/context.rs
+++ b/crates/edge/src/control/context.rs
@@ -28,7 +28,7 @@
 use jasminestage_platform::store_items;
 use tokio::sync::Notify;
 
-use super::{registry::OwnAnnouncement, store_gate::StoreGate};
+use super::{change_log, registry::OwnAnnouncement, store_gate::StoreGate};
 use crate::shared::Shared;
 
 /// Smallest change of a new version's share that is logged, as a fraction of the share.
@@ -160,7 +160,7 @@
     /// Logs decoded changes and applies them to the control state.
     fn apply_decoded(&self, changes: Vec<KeyedChange>) {
         let changes: Vec<Change> = changes.into_iter().map(|(_, _, change)| change).collect();
-        self.log(&changes);
+        change_log::write(&self.control.borrow(), self.position(ItemKind::Orders), &changes);
         self.control.borrow_mut().apply(clock::now(), changes);
     }
 
@@ -262,102 +262,6 @@
         }
     }
 
-    fn log(&self, changes: &[Change]) {
-        let (control, now) = (self.control.borrow(), clock::now());
-        for change in changes {
-            match change {
-                Change::Configured(catalog) => {
-                    let (version, before) = (catalog.version, control.view().catalog.version);
-                    let StorePosition { era, revision } = self.position(ItemKind::Orders);
-                    if version > before {
-                        tracing::info!(
-                            event = 330,
-                            version,
-                            before,
-                            era,
-                            revision,
-                            "A configuration is in force."
-                        );
-                    } else if version < before {
-                        tracing::warn!(
-                            event = 345,
-                            version,
-                            before,
-                            era,
-                            revision,
-                            "An older configuration is ignored."
-                        );
-                    }
-                }
-                Change::RolloutOrdered(order) if control.is_repeated_order(now, order) => {
-                    tracing::info!(
-                        event = 349,
-                        service = order.service,
-                        era = order.position.era,
-                        revision = order.position.revision,
-                        "A rollout order was restored or written again; the rollout goes on."
-                    );
-                }
-                Change::RolloutOrdered(order) => tracing::info!(
-                    event = 331,
-                    service = order.service,
-                    version = order.version,
-                    era = order.position.era,
-                    revision = order.position.revision,
-                    "A rollout was ordered."
-                ),
-                Change::RolloutWithdrawn(service) => {
-                    tracing::info!(event = 332, service, "A rollout order was withdrawn.");
-                }
-                Change::RolloutRecorded(record) => tracing::info!(
-                    event = 333,
-                    service = record.service,
-                    version = record.version,
-                    state = ?record.state,
-                    "The state of a rollout was recorded."
-                ),
-                Change::Evacuated(domain) => {
-                    tracing::info!(event = 334, domain, "A failure domain was evacuated.");
-                }
-                Change::Reopened(domain) => {
-                    tracing::info!(
-                        event = 335,
-                        domain,
-                        "The evacuation of a failure domain has ended."
-                    );
-                }
-                Change::ServerAnnounced(entry) => {
-                    let known = control.view().servers.get(&entry.id);
-                    let is_changed = known.is_none_or(|k| {
-                        k.draining != entry.draining || k.started_unix_ms != entry.started_unix_ms
-                    });
-                    if is_changed {
-                        tracing::info!(
-                            event = 336,
-                            server = entry.id,
-                            service = entry.service,
-                            draining = entry.draining,
-                            "A server announced itself, restarted or changed its draining state."
-                        );
-                    }
-                }
-                Change::ServerRemoved(server) => {
-                    tracing::info!(
-                        event = 337,
-                        server,
-                        "The announcement of a server was removed."
-                    );
-                }
-                Change::HostAnnounced(host) => {
-                    tracing::info!(event = 338, host = host.name, "A host announced itself.");
-                }
-                Change::HostRemoved(host) => {
-                    tracing::info!(event = 339, host, "The store no longer lists a host.");
-                }
-            }
-        }
-    }
-
     /// Applies the digest of another host of the region.
     pub fn receive_digest(&self, digest: Digest) {
         let is_urgent = self.shared.with_steering(|steering, now| {
--- a/crates/edge/src/control/mod.rs
+++ b/crates/edge/src/control/mod.rs
@@ -1,6 +1,7 @@
 //! The control thread: copies the state of the store and of the other hosts and publishes it as
 //! views.
 
+mod change_log;
 mod context;
 mod gossip;
 mod operator_data;
--- a/crates/edge/tests/processes/restored_store.rs
+++ b/crates/edge/tests/processes/restored_store.rs
@@ -118,6 +118,16 @@
     });
 }
 
+/// Sends a request to each host, which must be served, and pauses for a moment.
+async fn assert_all_serve(environment: &Environment, round: u32) {
+    for host in &environment.hosts {
+        let id = format!("{}-{round}", host.name);
+        let answer = request_once(host.caller_address, "/read/x", &id, API_KEY).await;
+        assert!(answer.is_some_and(|a| a.is_complete(&id)), "{}, round {round}", host.name);
+    }
+    tokio::time::sleep(Duration::from_millis(20)).await;
+}
+
 struct DepartureCase {
     zones: &'static [&'static str],
     leave: fn(&Environment),
@@ -146,13 +156,8 @@
                 environment.store.write_lost_items();
                 is_rewritten = true;
             }
-            for host in &environment.hosts {
-                n += 1;
-                let id = format!("r{n}");
-                let answer = request_once(host.caller_address, "/read/x", &id, API_KEY).await;
-                assert!(answer.is_some_and(|a| a.is_complete(&id)), "{} at {n}", host.name);
-            }
-            tokio::time::sleep(Duration::from_millis(20)).await;
+            n += 1;
+            assert_all_serve(&environment, n).await;
         }
         let after = environment.servers[0].executed_requests().len();
         assert_eq!(after, before, "the leaving server got requests");
@@ -180,13 +185,8 @@
         if back_at.elapsed() > REWRITE_DELAY {
             environment.store.write_lost_items();
         }
-        for host in &environment.hosts {
-            n += 1;
-            let id = format!("r{n}");
-            let answer = request_once(host.caller_address, "/read/x", &id, API_KEY).await;
-            assert!(answer.is_some_and(|a| a.is_complete(&id)), "{} at {n}", host.name);
-        }
-        tokio::time::sleep(Duration::from_millis(20)).await;
+        n += 1;
+        assert_all_serve(&environment, n).await;
     }
 }
 
--- a/crates/edge/tests/processes/store.rs
+++ b/crates/edge/tests/processes/store.rs
@@ -9,6 +9,7 @@
     proxy::{ConnectionFault, Proxy},
     store::{Fault, Store},
 };
+use rustix::process::Signal;
 use serde_json::json;
 use test_case::test_case;
 
@@ -153,6 +154,38 @@
     });
 }
 
+/// Fails if a change is late because both hosts that read the store for a region freeze at that moment.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_change_is_in_force_in_time_while_the_readers_are_frozen() {
+    let mut environment = Environment::start(&[]).await;
+    let address = environment.store.address;
+    let hosts = [("small-1", "a1", 0.5), ("small-2", "a2", 0.5), ("host-1", "a1", 1.0)];
+    for (name, zone, cores) in hosts.into_iter().chain([("host-2", "a2", 1.0)]) {
+        let setup = HostSetup { cores, ..HostSetup::default() };
+        environment.hosts.push(Host::start_with(BINARY, name, zone, address, &setup));
+    }
+    for host in &environment.hosts {
+        host.wait_until_ready().await;
+    }
+    // The hosts know each other and which of them read the store.
+    tokio::time::sleep(Duration::from_secs(4)).await;
+    let (small_hosts, readers) = environment.hosts.split_at(2);
+    for reader in readers {
+        reader.send_signal(Signal::STOP);
+    }
+    environment.store.put("op/config", &fleet::sample_config(2, &["other"]));
+    tokio::time::sleep(PROPAGATION_LIMIT).await;
+    let mut late = Vec::new();
+    for host in small_hosts {
+        let answer = request_once(host.caller_address, "/read/x", "r", API_KEY).await;
+        late.extend(answer.filter(|a| a.status != 401).map(|_| host.log_lines()));
+    }
+    for reader in readers {
+        reader.send_signal(Signal::CONT);
+    }
+    assert!(late.is_empty(), "{late:?}");
+}
+
 /// Fails if a host that alone loses its connection to the store does not copy changes from the
 /// other hosts of its region.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
