Learn the expected latency of requests by route

Cause: a service had one expected latency for all its requests. Change: while requests of two or more routes make up at least 5 in 100 of a service's requests each, each route has a base latency of its own, and the wait behind queued requests follows the mean slot time of the service. A service with one such route decides as before.

--- a/crates/core/src/steer/catalog.rs
+++ b/crates/core/src/steer/catalog.rs
@@ -1,6 +1,10 @@
 //! The operators' configuration, indexed for lookups: routes, services, workspaces and limits.
 
-use std::{collections::HashMap, sync::Arc, time::Duration};
+use std::{
+    collections::{HashMap, HashSet},
+    sync::Arc,
+    time::Duration,
+};
 
 use crate::declaration::{KeyDigest, Repeat, key_digest};
 
@@ -121,6 +125,7 @@
     /// Services by name.
     pub services: HashMap<String, Service>,
     routes_by_host_name: HashMap<String, Vec<Arc<Route>>>,
+    route_names: HashSet<String>,
     workspaces: Vec<Arc<Workspace>>,
     workspace_by_key: HashMap<KeyDigest, usize>,
 }
@@ -134,6 +139,7 @@
         workspaces: Vec<Workspace>,
         limits: Limits,
     ) -> Self {
+        let route_names = routes.iter().map(|r| r.name.clone()).collect();
         let mut by_host_name: HashMap<String, Vec<Arc<Route>>> = HashMap::new();
         for route in routes {
             by_host_name.entry(route.host_name.clone()).or_default().push(Arc::new(route));
@@ -151,6 +157,7 @@
             limits,
             services: services.into_iter().map(|s| (s.name.clone(), s)).collect(),
             routes_by_host_name: by_host_name,
+            route_names,
             workspaces: workspaces.into_iter().map(Arc::new).collect(),
             workspace_by_key,
         }
@@ -169,6 +176,11 @@
             .find(|r| path.starts_with(r.path_prefix.as_str()))
     }
 
+    /// Whether a route with this name is configured.
+    pub fn has_route(&self, name: &str) -> bool {
+        self.route_names.contains(name)
+    }
+
     /// Whether any workspace is configured; if so, requests on routes that are not public need a
     /// key.
     pub fn has_workspaces(&self) -> bool {
--- /dev/null
+++ b/crates/core/src/steer/cost.rs
@@ -0,0 +1,109 @@
+//! Expected latencies of requests, learned from the answers of servers.
+//!
+//! Requests of one service may need very different amounts of work: an export takes three times as long
+//! as a declaration that runs on the same servers. While the requests of a service come from several
+//! routes, each route therefore has an expected latency of its own.
+
+use std::collections::HashMap;
+
+use super::catalog::Route;
+
+/// Step of the base latency towards a sample, as a fraction of the base latency.
+const BASE_LATENCY_STEP: f64 = 0.06;
+/// Quantile of the latencies that is the base latency. Most slower answers had to fetch the object.
+const BASE_LATENCY_QUANTILE: f64 = 0.4;
+/// Smallest base latency, in seconds.
+const MIN_BASE_LATENCY_S: f64 = 0.002;
+/// Base latency that is assumed before the first answer, as a fraction of the route's objective.
+const ASSUMED_LATENCY_FRACTION: f64 = 0.4;
+/// Share of a service's requests from which a route counts as one of its sources. Routes that only
+/// test which configuration is in force stay below it.
+const MIN_ROUTE_SHARE: f64 = 0.05;
+/// Factor by which the weight of a request in the shares falls with each planning period.
+const SHARE_DECAY: f64 = 0.9;
+
+/// Latency of an idle server that has the object cached.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct BaseLatency {
+    seconds: Option<f64>,
+}
+
+impl BaseLatency {
+    /// Returns the latency in seconds; before the first answer one that follows from the objective.
+    pub fn seconds(&self, objective_s: f64) -> f64 {
+        self.seconds.unwrap_or(objective_s * ASSUMED_LATENCY_FRACTION)
+    }
+
+    /// Moves the latency towards a quantile of the samples.
+    pub fn observe(&mut self, objective_s: f64, sample_s: f64) {
+        let known_s = self.seconds(objective_s);
+        let direction =
+            if sample_s > known_s { BASE_LATENCY_QUANTILE } else { BASE_LATENCY_QUANTILE - 1.0 };
+        let new_s = known_s * (1.0 + BASE_LATENCY_STEP * direction);
+        self.seconds = Some(new_s.max(MIN_BASE_LATENCY_S));
+    }
+}
+
+/// What this host knows of the requests of one route at one service.
+#[derive(Clone, Copy, Debug, Default)]
+struct RouteCost {
+    base_latency: BaseLatency,
+    /// Number of recent requests, with a weight that decays.
+    recent_requests: f64,
+}
+
+/// Latencies of a service and of each route whose requests it runs.
+#[derive(Clone, Debug, Default)]
+pub struct ServiceCosts {
+    base_latency: BaseLatency,
+    routes: HashMap<String, RouteCost>,
+}
+
+impl ServiceCosts {
+    /// Counts a request that was admitted.
+    pub fn count_request(&mut self, route: &Route) {
+        match self.routes.get_mut(&route.name) {
+            Some(cost) => cost.recent_requests += 1.0,
+            None => {
+                let cost = RouteCost { recent_requests: 1.0, ..RouteCost::default() };
+                self.routes.insert(route.name.clone(), cost);
+            }
+        }
+    }
+
+    /// Lets the counts decay and forgets routes that `is_configured` no longer names.
+    pub fn decay(&mut self, is_configured: impl Fn(&str) -> bool) {
+        self.routes.retain(|name, _| is_configured(name));
+        self.routes.values_mut().for_each(|cost| cost.recent_requests *= SHARE_DECAY);
+    }
+
+    /// Whether requests of at least two routes make up a part of the service's requests.
+    pub fn is_mixed(&self) -> bool {
+        let total: f64 = self.routes.values().map(|cost| cost.recent_requests).sum();
+        let is_source = |cost: &&RouteCost| cost.recent_requests >= MIN_ROUTE_SHARE * total;
+        total > 0.0 && self.routes.values().filter(is_source).count() > 1
+    }
+
+    /// Base latency over all routes, in seconds.
+    pub fn service_latency_s(&self, route: &Route) -> f64 {
+        self.base_latency.seconds(route.latency_objective.as_secs_f64())
+    }
+
+    /// Base latency of a request of this route, in seconds.
+    pub fn latency_s(&self, route: &Route) -> f64 {
+        if !self.is_mixed() {
+            return self.service_latency_s(route);
+        }
+        let base_latency = self.routes.get(&route.name).map(|cost| cost.base_latency);
+        base_latency.unwrap_or_default().seconds(route.latency_objective.as_secs_f64())
+    }
+
+    /// Records the latency of an answer, without the time that was due to queueing or fetching.
+    pub fn observe(&mut self, route: &Route, sample_s: f64) {
+        let objective_s = route.latency_objective.as_secs_f64();
+        if let Some(cost) = self.routes.get_mut(&route.name) {
+            cost.base_latency.observe(objective_s, sample_s);
+        }
+        self.base_latency.observe(objective_s, sample_s);
+    }
+}
--- a/crates/core/src/steer/mod.rs
+++ b/crates/core/src/steer/mod.rs
@@ -7,6 +7,7 @@
 pub mod bounds;
 pub mod catalog;
 pub mod control;
+pub mod cost;
 pub mod crash;
 pub mod deferred_removals;
 pub mod digest;
--- a/crates/core/src/steer/pick.rs
+++ b/crates/core/src/steer/pick.rs
@@ -27,12 +27,30 @@
     pub object: Option<u64>,
     /// Failure domain of this host.
     pub zone: &'a str,
-    /// Latency of an idle server that has the object cached, in seconds.
+    /// Latency of the request at an idle server that has the object cached, in seconds.
     pub base_latency_s: f64,
+    /// The same over all requests of the service, by which the latencies of servers are compared.
+    pub service_latency_s: f64,
+    /// Mean time for which a request ahead in a server's queue occupies a slot, in seconds; `None` if
+    /// it is taken to need as long as this request.
+    pub queued_latency_s: Option<f64>,
     /// Cost factor of a server that has to fetch the object; above 1 when few slots are free.
     pub fetch_cost_factor: f64,
 }
 
+impl Default for Criteria<'_> {
+    fn default() -> Self {
+        Criteria {
+            object: None,
+            zone: "",
+            base_latency_s: 0.0,
+            service_latency_s: 0.0,
+            queued_latency_s: None,
+            fetch_cost_factor: 1.0,
+        }
+    }
+}
+
 /// A server with its expected latency.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Estimate {
@@ -126,9 +144,10 @@
 ) -> Estimate {
     let slots = f64::from(server.entry.slots.max(1));
     let queued_per_slot = (server.load(now) + 1.0 - slots).max(0.0) / slots;
-    let latency_ratio = server.latency_ratio(now, criteria.base_latency_s);
+    let latency_ratio = server.latency_ratio(now, criteria.service_latency_s);
     let slow_factor = if latency_ratio > SLOW_RATIO { latency_ratio } else { 1.0 };
-    let queue_factor = 1.0 + queued_per_slot;
+    let run_s = criteria.base_latency_s * cache_factor;
+    let queue_factor = 1.0 + queued_per_slot * criteria.queued_latency_s.map_or(1.0, |s| s / run_s);
     let latency_multiple = cache_factor * queue_factor;
     let latency_s = criteria.base_latency_s * slow_factor * latency_multiple;
     let zone_factor = if server.entry.zone == criteria.zone { 1.0 } else { OTHER_ZONE_FACTOR };
--- a/crates/core/src/steer/steering/choose.rs
+++ b/crates/core/src/steer/steering/choose.rs
@@ -3,7 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use super::{
-    ASSUMED_LATENCY_FRACTION, Dispatch, PendingRequest, RequestHead, Steering,
+    Dispatch, PendingRequest, RequestHead, Steering,
     request::Attempt,
     version_filter::{VersionFilter, VersionPreference},
 };
@@ -76,6 +76,7 @@
         };
         let state = self.services.entry(request.service.clone()).or_default();
         state.requests_since_plan += 1;
+        state.costs.count_request(&request.route);
         state.first_request_at.get_or_insert(now);
         state.retry_budget.deposit(&view.bounds, view.host_count());
         Ok(request)
@@ -83,16 +84,18 @@
 
     /// Charges a request to the quota of its workspace.
     pub fn charge_quota(&mut self, now: Instant, request: &PendingRequest) -> Result<(), Refusal> {
-        let Some(workspace) = &request.workspace else { return Ok(()) };
-        let view = Arc::clone(&self.view);
-        let mut quotas = std::mem::take(&mut self.quotas);
-        let remote = || self.remote_usage(now, &workspace.name);
-        let admitted = quotas.try_admit(now, &view.bounds, workspace, remote);
-        self.quotas = quotas;
-        admitted.map_err(|wait| Refusal {
-            retry_after: Some(wait),
-            ..Refusal::from(RefusalReason::OverQuota)
-        })
+        if let Some(workspace) = &request.workspace {
+            let view = Arc::clone(&self.view);
+            let mut quotas = std::mem::take(&mut self.quotas);
+            let remote = || self.remote_usage(now, &workspace.name);
+            let admitted = quotas.try_admit(now, &view.bounds, workspace, remote);
+            self.quotas = quotas;
+            admitted.map_err(|wait| Refusal {
+                retry_after: Some(wait),
+                ..Refusal::from(RefusalReason::OverQuota)
+            })?;
+        }
+        Ok(())
     }
 
     /// State of a workspace's quota on which the last decision was based.
@@ -133,13 +136,16 @@
         let version_filters = VersionPreference::for_request(&view, request, new_version_share);
         let objective_s = request.route.latency_objective.as_secs_f64();
         let state = self.services.entry(request.service.clone()).or_default();
-        let base_latency_s = state.base_latency_s.unwrap_or(objective_s * ASSUMED_LATENCY_FRACTION);
+        let base_latency_s = state.costs.latency_s(&request.route);
+        let queued_latency_s = state.costs.is_mixed().then_some(state.slot_time_s).flatten();
         let shares = state.region_shares.clone();
         let fetch_cost_factor = state.fetch_cost_factor();
         let criteria = Criteria {
             object: request.object,
             zone: &view.local_host.zone,
             base_latency_s,
+            service_latency_s: state.costs.service_latency_s(&request.route),
+            queued_latency_s,
             fetch_cost_factor,
         };
         let region = self.region_for(&view, request, &shares);
--- a/crates/core/src/steer/steering/mod.rs
+++ b/crates/core/src/steer/steering/mod.rs
@@ -23,6 +23,7 @@
     rollouts::RolloutStatus,
 };
 use super::{
+    cost::ServiceCosts,
     crash::CrashTracker,
     digest::CanaryStats,
     leaving::{LeavingServers, incarnation_hash},
@@ -38,8 +39,6 @@
 };
 use crate::time::Instant;
 
-/// Base latency that is assumed before the first answer, as a fraction of the route's objective.
-const ASSUMED_LATENCY_FRACTION: f64 = 0.4;
 /// Utilization of a service's slots up to which a fetch has no extra cost.
 const FREE_FETCH_UTILIZATION: f64 = 0.35;
 /// Increase of the fetch cost factor per unit of utilization above [`FREE_FETCH_UTILIZATION`].
@@ -48,8 +47,8 @@
 /// Measurements of this host for one service.
 #[derive(Clone, Debug, Default)]
 struct ServiceState {
-    /// Latency of an idle server that has the object cached, in seconds.
-    base_latency_s: Option<f64>,
+    /// Latencies of idle servers that have the object cached.
+    costs: ServiceCosts,
     /// Mean time for which a request occupies a slot, in seconds.
     slot_time_s: Option<f64>,
     retry_budget: RetryBudget,
--- a/crates/core/src/steer/steering/outcome.rs
+++ b/crates/core/src/steer/steering/outcome.rs
@@ -2,7 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use super::{ASSUMED_LATENCY_FRACTION, NextAction, PendingRequest, Steering, request::Attempt};
+use super::{NextAction, PendingRequest, Steering, request::Attempt};
 use crate::{
     declaration::Repeat,
     steer::{
@@ -13,17 +13,11 @@
     time::Instant,
 };
 
-/// Step of the base latency towards a sample, as a fraction of the base latency.
-const BASE_LATENCY_STEP: f64 = 0.06;
 /// Weight of the newest sample in the mean slot time.
 const SLOT_TIME_WEIGHT: f64 = 0.05;
-/// Quantile of the latencies that is the base latency. Most slower answers had to fetch the object.
-const BASE_LATENCY_QUANTILE: f64 = 0.4;
 /// Multiple of the base latency above which an answer indicates that the server had to fetch the
 /// object.
 const CACHE_MISS_RATIO: f64 = 2.0;
-/// Smallest base latency of a service, in seconds.
-const MIN_BASE_LATENCY_S: f64 = 0.002;
 /// Number of failed connections after which a request is refused.
 const MAX_CONNECT_FAILURES: usize = 4;
 /// Multiple of the base latency above which an answer counts as a failure during a rollout. The
@@ -121,11 +115,15 @@
         if let Some(report) = report.filter(|_| is_own_report) {
             self.observe_limit(now, attempt.sent_at, attempt.incarnation, report.limit);
         }
+        let state = self.services.entry(request.service.clone()).or_default();
+        // A server's latency is compared with that of its service, whichever route the request has.
+        let route_factor =
+            state.costs.service_latency_s(&request.route) / state.costs.latency_s(&request.route);
         let Some(server) = self.servers.get_mut(attempt.server) else { return };
         let normalize = |took: Duration| took.div_f64(attempt.latency_multiple.max(1.0));
         let normalized = match outcome {
             AttemptOutcome::Answered { status, took } => {
-                AttemptOutcome::Answered { status, took: normalize(took) }
+                AttemptOutcome::Answered { status, took: normalize(took).mul_f64(route_factor) }
             }
             other => other,
         };
@@ -148,8 +146,7 @@
         }
         let objective_s = request.route.latency_objective.as_secs_f64();
         let timeout_s = request.route.timeout.as_secs_f64();
-        let state = self.services.entry(request.service.clone()).or_default();
-        let base_latency_s = state.base_latency_s.unwrap_or(objective_s * ASSUMED_LATENCY_FRACTION);
+        let base_latency_s = state.costs.latency_s(&request.route);
         let took = now.saturating_since(attempt.sent_at);
         if let AttemptOutcome::Answered { status, took } = outcome
             && status < 500
@@ -160,13 +157,7 @@
             state.slot_time_s =
                 Some(mean_slot_time_s + SLOT_TIME_WEIGHT * (slot_time_sample_s - mean_slot_time_s));
             let latency_sample_s = normalize(took).as_secs_f64();
-            let step = if latency_sample_s > base_latency_s {
-                BASE_LATENCY_QUANTILE
-            } else {
-                BASE_LATENCY_QUANTILE - 1.0
-            };
-            state.base_latency_s =
-                Some((base_latency_s * (1.0 + BASE_LATENCY_STEP * step)).max(MIN_BASE_LATENCY_S));
+            state.costs.observe(&request.route, latency_sample_s);
             if let Some(object) =
                 request.object.filter(|_| latency_sample_s > base_latency_s * CACHE_MISS_RATIO)
                 && attempt.is_warm
--- a/crates/core/src/steer/steering/plan.rs
+++ b/crates/core/src/steer/steering/plan.rs
@@ -48,6 +48,7 @@
             let mut region_loads: Vec<RegionLoad> =
                 region_slots.iter().map(|s| RegionLoad { demand: 0.0, slots: *s }).collect();
             let state = self.services.entry(name.clone()).or_default();
+            state.costs.decay(|route| view.catalog.has_route(route));
             let measured_rate =
                 f64::from(std::mem::take(&mut state.requests_since_plan)) / elapsed_s.max(0.1);
             state.request_rate += REQUEST_RATE_WEIGHT * (measured_rate - state.request_rate);
--- a/crates/core/tests/steer/main.rs
+++ b/crates/core/tests/steer/main.rs
@@ -2,6 +2,7 @@
 
 mod common;
 mod control;
+mod cost;
 mod crash;
 mod deferred_removals;
 mod directory;
--- a/crates/core/tests/steer/pick.rs
+++ b/crates/core/tests/steer/pick.rs
@@ -76,7 +76,7 @@
     }
     let list: Vec<(ServerKey, &Server)> = servers.iter().collect();
     let criteria =
-        Criteria { object: None, zone: "a1", base_latency_s: 0.1, fetch_cost_factor: 1.0 };
+        Criteria { zone: "a1", base_latency_s: 0.1, service_latency_s: 0.1, ..Criteria::default() };
     let chosen = lowest_cost_server(NOW, &criteria, &list).map(|e| e.server);
     assert_eq!(chosen, Some(list[case.chosen].0));
 }
@@ -96,7 +96,8 @@
             object: Some(object),
             zone: "a1",
             base_latency_s: 0.1,
-            fetch_cost_factor: 1.0,
+            service_latency_s: 0.1,
+            ..Criteria::default()
         };
         lowest_cost_server(NOW, &criteria, &list).map(|e| e.server)
     };
@@ -127,7 +128,9 @@
         object: Some(1),
         zone: "a1",
         base_latency_s: 0.1,
+        service_latency_s: 0.1,
         fetch_cost_factor: case.fetch_cost_factor,
+        ..Criteria::default()
     };
     let choose = |servers: &SlotMap<ServerKey, Server>| {
         let list: Vec<(ServerKey, &Server)> = servers.iter().collect();
@@ -150,7 +153,7 @@
     servers.insert(server);
     let list: Vec<(ServerKey, &Server)> = servers.iter().collect();
     let criteria =
-        Criteria { object: None, zone: "a1", base_latency_s: 0.1, fetch_cost_factor: 1.0 };
+        Criteria { zone: "a1", base_latency_s: 0.1, service_latency_s: 0.1, ..Criteria::default() };
     let expected_latency_s =
         |millis| lowest_cost_server(at(millis), &criteria, &list).map_or(0.0, |e| e.latency_s);
     assert!(expected_latency_s(10_000) > 0.9, "the slow answer is recent");
--- a/crates/edge/src/front/trace.rs
+++ b/crates/edge/src/front/trace.rs
@@ -140,6 +140,7 @@
             workspace = self.workspace,
             configuration,
             server = self.server(),
+            domain = dispatch.map_or("", |d| d.server.zone.as_str()),
             expected_ms = expected_latency.map_or(0, |e| e.as_millis() as u64),
             load = dispatch.map_or(0.0, |d| d.load),
             load_age_ms = dispatch.and_then(|d| d.load_age).map(|age| age.as_millis() as u64),
