Count only requests within the quota as demand

Cause: requests that a quota refuses counted towards the demand of a service. Change: a request counts once its quota has been charged. The new test fails on the code before (measured rate of all requests sent).

--- a/crates/core/src/steer/steering/choose.rs
+++ b/crates/core/src/steer/steering/choose.rs
@@ -75,8 +75,6 @@
             current_attempt: None,
         };
         let state = self.services.entry(request.service.clone()).or_default();
-        state.requests_since_plan += 1;
-        state.costs.count_request(&request.route);
         state.first_request_at.get_or_insert(now);
         state.retry_budget.deposit(&view.bounds, view.host_count());
         Ok(request)
@@ -95,9 +93,18 @@
                 ..Refusal::from(RefusalReason::OverQuota)
             })?;
         }
+        self.count_demand(request);
         Ok(())
     }
 
+    /// Counts a request that servers are asked to run. Requests over a quota do not count: a workspace
+    /// that sent several times its rate made all regions look overloaded.
+    fn count_demand(&mut self, request: &PendingRequest) {
+        let state = self.services.entry(request.service.clone()).or_default();
+        state.requests_since_plan += 1;
+        state.costs.count_request(&request.route);
+    }
+
     /// State of a workspace's quota on which the last decision was based.
     pub fn quota_state(&self, workspace: &str) -> QuotaState {
         self.quotas.state(workspace)
--- a/crates/core/tests/steer/quota.rs
+++ b/crates/core/tests/steer/quota.rs
@@ -1,14 +1,22 @@
 //! Workspace quotas over all hosts: the bound, and the share of requests admitted within it.
 
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 
-use jasminestage_core::steer::{
-    quota::{Quotas, RemoteUsage},
-    stable_hash, unit_interval,
+use jasminestage_core::{
+    declaration::Repeat,
+    steer::{
+        catalog::{Catalog, Limits},
+        digest::name_hash,
+        quota::{Quotas, RemoteUsage},
+        stable_hash,
+        steering::{RequestHead, Steering},
+        unit_interval,
+        view::View,
+    },
 };
 use test_case::test_case;
 
-use crate::common::{at, bounds, workspace};
+use crate::common::{at, bounds, entry, route, service, view, workspace};
 
 struct Case {
     hosts: usize,
@@ -223,3 +231,40 @@
     let wait = refused.expect("a burst of a thousand is over the quota");
     assert!(wait > Duration::ZERO && wait <= Duration::from_secs(5));
 }
+
+/// Fails if requests over a quota count as demand: a workspace that sends several times its rate then
+/// makes all regions look overloaded, and their shares and cache decisions follow it.
+#[test]
+fn requests_over_a_quota_are_no_demand() {
+    let servers = [entry("s1", "lookup", "a1")];
+    let catalog = Catalog::new(
+        1,
+        vec![route("read", "lookup", Repeat::Idempotent)],
+        vec![service("lookup")],
+        vec![workspace("w", 2.0)],
+        Limits::default(),
+    );
+    let mut steering = Steering::new(Arc::new(View { servers: Arc::default(), ..view(&servers) }));
+    steering.install_view(at(0), Arc::new(View { catalog: Arc::new(catalog), ..view(&servers) }));
+    let (mut sent, mut within_quota) = (0, 0);
+    for millis in (0..10_000).step_by(10) {
+        let id = format!("r{millis}");
+        let head = RequestHead {
+            id: &id,
+            host: "example",
+            path: "/read/x",
+            key: Some("key-w"),
+            object: None,
+            caller_timeout: None,
+        };
+        let request = steering.admit(at(millis), &head).expect("the configuration allows it");
+        sent += 1;
+        within_quota += u32::from(steering.charge_quota(at(millis), &request).is_ok());
+        steering.tick(at(millis));
+    }
+    assert!(within_quota * 5 < sent, "most requests are over the quota");
+    let rates = steering.local_traffic_stats().request_rates;
+    let rate = rates.get(&name_hash("lookup")).copied().unwrap_or_default();
+    let mean_rate = within_quota as f32 / 10.0;
+    assert!(rate < 2.0 * mean_rate, "{rate} requests a second instead of {mean_rate}");
+}
