--- a/crates/core/tests/steer/quota.rs
+++ b/crates/core/tests/steer/quota.rs
@@ -155,16 +155,40 @@
 fn the_bound_holds_in_every_window(case: &Case) {
     let (mut offered, mut admitted) = (0, 0);
     for seed in SEEDS {
-        let (seed_offered, seed_admitted) = simulate(case, seed);
+        let (seed_offered, admission_times_ms) = simulate(case, seed);
         offered += seed_offered;
-        admitted += seed_admitted;
+        admitted += admission_times_ms.len() as u32;
     }
     let share = f64::from(admitted) / f64::from(offered);
     assert!(share >= case.min_admitted_share, "{share} of the requests were admitted");
 }
 
-/// Returns the number of offered and of admitted requests.
-fn simulate(case: &Case, seed: u64) -> (u32, u32) {
+struct FloodCase {
+    flood: &'static Case,
+    /// Smallest share of the rate that must be admitted in every two seconds.
+    min_share_of_rate: f64,
+}
+
+/// Fails if a workspace that exceeds its rate uses up the window within a second, so that its callers are
+/// refused for seconds after that, also those within the rate.
+#[test_case(&FloodCase { flood: &FLOOD, min_share_of_rate: 0.8 }; "eight times the rate")]
+#[test_case(&FloodCase { flood: &FLOOD_CUT_OFF, min_share_of_rate: 0.6 }; "while hosts are cut off")]
+#[test_case(&FloodCase { flood: &FOLLOWERS_FLOOD, min_share_of_rate: 0.5 }; "counts that arrive through relays")]
+fn a_flooding_workspace_keeps_its_rate(case: &FloodCase) {
+    for seed in SEEDS {
+        let (_, admission_times_ms) = simulate(case.flood, seed);
+        // The burst is used up by then.
+        for start_ms in (8000..18_000_u64).step_by(500) {
+            let window = start_ms..start_ms + 2000_u64;
+            let admitted = admission_times_ms.iter().filter(|t| window.contains(*t)).count();
+            let share = admitted as f64 / (2.0 * case.flood.rate);
+            assert!(share >= case.min_share_of_rate, "seed {seed}: {share} from {start_ms} ms on");
+        }
+    }
+}
+
+/// Returns the number of offered requests and the times at which requests were admitted, in milliseconds.
+fn simulate(case: &Case, seed: u64) -> (u32, Vec<u64>) {
     let (bounds, workspace) = (bounds(), workspace("w", case.rate));
     let mut hosts: Vec<Quotas> = vec![Quotas::default(); case.hosts];
     let mut published_counts = vec![0.0; case.hosts];
@@ -211,7 +235,7 @@
         let count = admission_times_ms[n..].iter().take_while(|t| **t < start + window_ms).count();
         assert!(count as f64 <= bound, "seed {seed}: {count} in a window, the bound is {bound}");
     }
-    (offered, admission_times_ms.len() as u32)
+    (offered, admission_times_ms)
 }
 
 #[test]
