Add the duty to report usage to the core

Cause: one host at a time has to report per window how many requests servers began, and four rules about these calls must hold whatever the network, the clocks, the store and suspensions do. Change: core/src/steer/usage has the filtered clock of the windows, this host's counts, the copies of other hosts' counts and the state machine of the duty (lease, token, takeover wait, record before call, era checks).

--- a/crates/core/src/steer/mod.rs
+++ b/crates/core/src/steer/mod.rs
@@ -30,6 +30,7 @@
 pub mod server_table;
 pub mod steering;
 pub mod store_reads;
+pub mod usage;
 pub mod view;
 
 /// Computes a stable 64-bit hash of a name or key, identical on all hosts.
--- a/crates/core/tests/steer/main.rs
+++ b/crates/core/tests/steer/main.rs
@@ -20,4 +20,5 @@
 mod server_table;
 mod steering;
 mod store_reads;
+mod usage;
 mod verdict;
--- /dev/null
+++ b/crates/core/tests/steer/usage.rs
@@ -0,0 +1,231 @@
+//! Usage reports: counting, the clock of the windows, and the duty under failures.
+
+mod world;
+
+use std::time::Duration;
+
+use jasminestage_core::{
+    host::Incarnation,
+    steer::{
+        position::StorePosition,
+        usage::{
+            HostCounts, WindowCounts,
+            clock::{ClockChange, WindowClock},
+            copies::UsageCopies,
+            counter::UsageCounter,
+            duty::{Action, Duty, DutyConfig, DutyItem, Record, Renewal},
+        },
+    },
+};
+use test_case::test_case;
+
+use self::world::{Fault, World};
+use crate::common::at;
+
+const WINDOW: Duration = Duration::from_secs(5);
+/// Time of day of the tests at the start of the boot-time clock, at the start of a window.
+const UNIX_MS: u64 = 1_767_000_000_000;
+
+struct ClockCase {
+    /// Seconds, and milliseconds by which the time of day is ahead from then on.
+    steps: &'static [(u64, i64)],
+    /// Milliseconds by which the filtered time of day is ahead after 60 s.
+    ahead_ms: i64,
+    adopted: usize,
+}
+
+/// Fails if a clock that jumps and jumps back moves the windows, or a lasting step is not followed.
+#[test_case(&ClockCase { steps: &[], ahead_ms: 0, adopted: 0 }; "steady")]
+#[test_case(&ClockCase { steps: &[(5, 400)], ahead_ms: 400, adopted: 0 }; "small step")]
+#[test_case(&ClockCase { steps: &[(5, 7000), (20, 0)], ahead_ms: 0, adopted: 0 }; "jumps ahead and back")]
+#[test_case(&ClockCase { steps: &[(5, -7000), (30, 0)], ahead_ms: 0, adopted: 0 }; "jumps behind and back")]
+#[test_case(&ClockCase { steps: &[(5, 7000), (20, -7000), (40, 7000)], ahead_ms: 0, adopted: 0 }; "jumps to different times")]
+#[test_case(&ClockCase { steps: &[(5, 7000)], ahead_ms: 7000, adopted: 1 }; "a step that lasts")]
+fn the_clock_follows_lasting_steps_only(case: &ClockCase) {
+    let mut clock = WindowClock::new(WINDOW);
+    let mut adopted = 0;
+    for second in 0..=60 {
+        let step = case.steps.iter().rev().find(|(from, _)| *from <= second);
+        let unix_ms = (UNIX_MS + second * 1000).saturating_add_signed(step.map_or(0, |s| s.1));
+        let change = clock.observe(at(second * 1000), unix_ms);
+        adopted += usize::from(matches!(change, ClockChange::StepAdopted(_)));
+    }
+    let expected = (UNIX_MS + 60_000).saturating_add_signed(case.ahead_ms);
+    assert_eq!((clock.unix_at(at(60_000)), adopted), (Some(expected), case.adopted));
+}
+
+fn counts_of(counts: &HostCounts, window: u64) -> u64 {
+    let found = counts.windows.iter().find(|w| w.window == window);
+    found.and_then(|w| w.counts.get("w")).copied().unwrap_or_default()
+}
+
+/// Fails if an attempt is counted in a wrong window, a removed one stays counted, or old windows are
+/// kept for ever.
+#[test]
+fn attempts_are_counted_in_the_window_of_their_begin() {
+    let mut counter = UsageCounter::new(WINDOW);
+    counter.observe_time(at(0), UNIX_MS);
+    let first = counter.count(at(4990), "w").expect("the time is known");
+    let second = counter.count(at(5010), "w").expect("the time is known");
+    counter.count(at(5020), "w");
+    assert_eq!(second, first + 1);
+    counter.discount(second, "w");
+    let message = counter.changed_counts(at(5100), Incarnation(1));
+    assert_eq!((counts_of(&message, first), counts_of(&message, second)), (1, 1));
+    // Only a change brings an old window into a message again.
+    let message = counter.changed_counts(at(11_000), Incarnation(1));
+    assert_eq!(message.windows.iter().map(|w| w.window).collect::<Vec<_>>(), [second]);
+    counter.observe_time(at(26_000), UNIX_MS + 26_000);
+    assert!(counter.all_counts(Incarnation(1)).windows.is_empty());
+}
+
+/// Fails if late, repeated or reordered messages are added up, or the counts of an ended host are lost.
+#[test]
+fn the_newest_counts_of_each_host_are_added_up() {
+    let message = |incarnation, sequence, count| HostCounts {
+        incarnation: Incarnation(incarnation),
+        sequence,
+        windows: vec![WindowCounts { window: 100, counts: [("w".to_owned(), count)].into() }],
+    };
+    let mut copies = UsageCopies::default();
+    for received in [message(1, 1, 3), message(1, 3, 8), message(1, 2, 5), message(2, 1, 4)] {
+        copies.receive(&received);
+    }
+    let mut merged = UsageCopies::default();
+    for received in copies.of_window(100).iter().chain(&[message(1, 2, 5)]) {
+        merged.receive(received);
+    }
+    merged.expire(103, WINDOW);
+    assert_eq!(merged.total(100)["w"], 12);
+    merged.expire(104, WINDOW);
+    assert!(merged.total(100).is_empty());
+}
+
+/// Fails if a window that a holder may have recorded before a restore of the store is forgotten.
+#[test]
+fn queries_of_another_era_are_remembered() {
+    let mut copies = UsageCopies::default();
+    assert!(!copies.record_query(100, 1) && !copies.record_query(100, 1));
+    copies.expire(5000, WINDOW);
+    assert!(copies.record_query(100, 2) && copies.record_query(100, 1));
+    assert!(!copies.record_query(101, 2));
+}
+
+struct FailureCase {
+    faults: &'static [(u64, Fault)],
+    /// Windows that may be missing of those that end between 10 and 100 s.
+    max_missing: usize,
+}
+
+const CALM: &[(u64, Fault)] = &[];
+
+/// Fails if a failure breaks one of the rules, or costs more reports than the time without a holder
+/// explains. The fleet has four hosts; host 0 gets the duty first.
+#[test_case(&FailureCase { faults: CALM, max_missing: 0 }; "calm")]
+#[test_case(&FailureCase { faults: &[(40_100, Fault::KillHolder)], max_missing: 1 }; "holder killed before the call")]
+#[test_case(&FailureCase { faults: &[(42_600, Fault::KillHolder)], max_missing: 1 }; "holder killed after the call")]
+#[test_case(&FailureCase { faults: &[(40_000, Fault::SuspendHolder(6000))], max_missing: 1 }; "holder suspended past its lease")]
+#[test_case(&FailureCase { faults: &[(40_000, Fault::CutHolderFromStore(20_000))], max_missing: 1 }; "holder cut off from the store")]
+#[test_case(&FailureCase { faults: &[(40_000, Fault::StoreDown(12_000))], max_missing: 4 }; "store down during a window")]
+#[test_case(&FailureCase { faults: &[(0, Fault::LoseWriteReplies(8000))], max_missing: 0 }; "response to the acquiring write lost")]
+#[test_case(&FailureCase { faults: &[(40_000, Fault::LoseCallReplies(4000))], max_missing: 0 }; "response to the call lost")]
+#[test_case(&FailureCase { faults: &[(40_000, Fault::LimitCalls(4000))], max_missing: 0 }; "too many calls")]
+#[test_case(&FailureCase { faults: &[(40_000, Fault::PlatformDown(5000))], max_missing: 0 }; "platform down")]
+#[test_case(&FailureCase { faults: &[(40_000, Fault::CutHolderFromPlatform(60_000))], max_missing: 8 }; "holder cut off from the platform")]
+#[test_case(&FailureCase { faults: &[(30_000, Fault::StepClockOfHolder(7000, 20_000))], max_missing: 0 }; "clock of the holder ahead for a while")]
+#[test_case(&FailureCase { faults: &[(20_000, Fault::StepClockOfHolder(-60_000, 60_000))], max_missing: 6 }; "clock of the holder behind")]
+#[test_case(&FailureCase { faults: &[(45_100, Fault::KillAll)], max_missing: 4 }; "all hosts killed at the end of a window")]
+#[test_case(&FailureCase { faults: &[(40_000, Fault::CopyStore), (46_000, Fault::RestoreStore)], max_missing: 4 }; "store restored from an older copy")]
+#[test_case(&FailureCase { faults: &[(500, Fault::CopyStore), (46_000, Fault::RestoreStore)], max_missing: 4 }; "store restored from a copy without the duty")]
+fn failures_break_no_rule_and_cost_few_reports(case: &FailureCase) {
+    let mut world = World::new(1, 4);
+    for (at_ms, fault) in case.faults {
+        world.schedule(*at_ms, *fault);
+    }
+    world.run(120_000);
+    let missing = world.missing_windows(10_000, 100_000);
+    assert!(world.violations.is_empty(), "{:?}\n{}", world.violations, world.log());
+    assert!(missing.len() <= case.max_missing, "missing {missing:?}\n{}", world.log());
+}
+
+/// Fails if any order of failures breaks one of the four rules.
+#[test]
+fn random_failures_break_no_rule() {
+    let seeds = std::env::var("USAGE_SEEDS").ok().and_then(|n| n.parse().ok()).unwrap_or(300);
+    let (mut accepted, mut holders) = (0, 0);
+    for seed in 0..seeds {
+        let mut world = World::new(seed, 4);
+        world.schedule_random_faults(180_000);
+        world.run(180_000);
+        assert!(
+            world.violations.is_empty(),
+            "seed {seed}: {:?}\n{}",
+            world.violations,
+            world.log()
+        );
+        accepted += world.accepted_windows();
+        holders += world.holder_changes();
+    }
+    println!("{seeds} runs: {accepted} windows accepted, {holders} changes of the holder");
+    // The failures must leave enough calls to judge.
+    assert!(accepted > seeds as usize * 5 && holders > seeds as usize);
+}
+
+/// Fails if a host whose renewal was answered under a lease or an item of somebody else goes on calling.
+#[test_case(Renewal::LeaseEnded, false; "lease ended")]
+#[test_case(Renewal::Done { era: 1, item: None }, false; "item removed")]
+#[test_case(Renewal::Done { era: 1, item: Some(item(1, 12, 1)) }, false; "item created again")]
+#[test_case(Renewal::Done { era: 1, item: Some(item(2, 11, 1)) }, false; "item of another host")]
+#[test_case(Renewal::Done { era: 2, item: Some(item(1, 11, 2)) }, false; "same revision in another era")]
+#[test_case(Renewal::Failed, true; "no response")]
+#[test_case(Renewal::Done { era: 1, item: Some(item(1, 11, 1)) }, true; "renewed")]
+fn a_renewal_proves_the_duty_only_with_the_own_item(renewal: Renewal, is_held: bool) {
+    let mut duty = Duty::new(DutyConfig::default(), Incarnation(1));
+    duty.duty_read(at(0), false, Some((1, Some(item(1, 11, 1)))), 0.0);
+    let actions = duty.actions(at(10), UNIX_MS, true, false);
+    assert!(actions.contains(&Action::Renew { lease: 70 }), "{actions:?}");
+    duty.renewed(at(30), at(10), renewal);
+    assert_eq!(duty.is_held(), is_held);
+}
+
+fn item(holder: u64, revision: u64, era: u64) -> DutyItem {
+    let position = StorePosition::new(era, revision);
+    DutyItem { holder: Incarnation(holder), written_era: era, position, lease: 70 }
+}
+
+/// Fails if a record that was written for an earlier era of the store is sent: another one may have
+/// been lost when the store was restored.
+#[test_case(2, true; "written in this era")]
+#[test_case(1, false; "written before the restore")]
+fn only_records_of_the_present_era_are_sent(written_era: u64, is_sent: bool) {
+    let mut duty = Duty::new(DutyConfig::default(), Incarnation(1));
+    let (mut now_ms, mut is_called) = (0, false);
+    let window = UNIX_MS / 5000;
+    duty.duty_read(at(0), false, Some((2, Some(item(1, 11, 2)))), 0.0);
+    while now_ms < 12_000 {
+        let now = at(now_ms);
+        for action in duty.actions(now, UNIX_MS + now_ms, true, false) {
+            match action {
+                Action::Renew { .. } => {
+                    let renewal = Renewal::Done { era: 2, item: Some(item(1, 11, 2)) };
+                    duty.renewed(now, now, renewal);
+                }
+                Action::ReadRecords => {
+                    let record = Record { written_era, report: b"{}".as_slice().into() };
+                    duty.records_read(now, Some((2, vec![(window, Some(record))])), 0.0);
+                }
+                Action::Call { window: called, .. } => is_called |= called == window,
+                _ => {}
+            }
+        }
+        now_ms += 50;
+    }
+    assert_eq!(is_called, is_sent);
+}
+
+/// Fails if tokens do not rise with the era and the revision, or a number in JSON cannot hold them.
+#[test]
+fn tokens_rise_with_era_and_revision() {
+    let tokens = [item(1, 11, 1), item(1, 12, 1), item(1, 5, 2)].map(|i| i.token());
+    assert!(tokens.is_sorted() && tokens[2] < 1 << 53, "{tokens:?}");
+}
