--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -1,5 +1,6 @@
 //! Clocks and outgoing connections for all programs.
 
+pub mod bounded;
 pub mod clock;
 pub mod connection;
 
