Count the attempts that servers began

Cause: usage reports state how many requests of each workspace servers began in a window. Change: an attempt is counted when it is sent, removed if no server began it, and moved to a later window if it waited in the server's queue; only where counting is enabled. ControlState names the candidates for the duty and the relays of all failure domains.

--- a/crates/core/src/steer/control/mod.rs
+++ b/crates/core/src/steer/control/mod.rs
@@ -3,6 +3,7 @@
 mod peers;
 mod relays;
 mod rollouts;
+mod usage;
 
 use std::{collections::HashMap, sync::Arc};
 
@@ -11,6 +12,7 @@
     peers::{DigestParts, StoreStatus},
     relays::{DueDigests, UrgentState},
     rollouts::DueRecord,
+    usage::UsageDomain,
 };
 use super::{
     bounds::Bounds,
--- a/crates/core/src/steer/control/relays.rs
+++ b/crates/core/src/steer/control/relays.rs
@@ -19,7 +19,7 @@
 };
 
 /// Number of relays of a failure domain.
-const RELAYS: usize = 3;
+pub(super) const RELAYS: usize = 3;
 /// Number of further unreachable hosts of a failure domain that a relay contacts in each turn, in
 /// rotation.
 const ROTATING_CONTACTS: usize = 8;
@@ -166,7 +166,7 @@
     }
 
     /// Returns the relays of a failure domain of this region among the hosts that are reachable.
-    fn relays_of<'a>(&'a self, now: Instant, zone: &'a str) -> Vec<&'a Announcement> {
+    pub(super) fn relays_of<'a>(&'a self, now: Instant, zone: &'a str) -> Vec<&'a Announcement> {
         let local = (self.view.local_host.zone == zone)
             .then_some((&self.view.local_host, self.view.is_ready()));
         let reachable = self.hosts_of(zone).filter(|p| p.is_reachable(now));
--- a/crates/core/src/steer/steering/mod.rs
+++ b/crates/core/src/steer/steering/mod.rs
@@ -8,6 +8,7 @@
 mod received;
 mod request;
 mod rollouts;
+mod usage;
 mod version_filter;
 
 use std::{
@@ -34,6 +35,7 @@
     rollout::{RolloutOrder, VersionComparison},
     server::Server,
     server_table::ServerTable,
+    usage::counter::UsageCounter,
     view::View,
 };
 use crate::time::Instant;
@@ -92,6 +94,8 @@
     limits: ServerLimits,
     /// Changes of limits that have not been logged yet.
     limit_changes: Vec<LimitChange>,
+    /// Counts for the usage reports; `None` if there are none.
+    usage: Option<UsageCounter>,
     last_plan_at: Instant,
     last_tick_at: Instant,
 }
@@ -111,6 +115,7 @@
             leaving: LeavingServers::default(),
             limits: ServerLimits::default(),
             limit_changes: Vec::new(),
+            usage: None,
             last_plan_at: Instant::ZERO,
             last_tick_at: Instant::ZERO,
         }
--- a/crates/core/src/steer/steering/outcome.rs
+++ b/crates/core/src/steer/steering/outcome.rs
@@ -46,6 +46,7 @@
         let Some(attempt) = request.current_attempt.take() else {
             return NextAction::Refuse(RefusalReason::BadAnswer.into());
         };
+        self.correct_usage(request, &attempt, outcome);
         self.record_outcome(now, request, &attempt, outcome, report);
         let is_idempotent = request.route.repeat == Repeat::Idempotent;
         let unknown_reason = match outcome {
--- a/crates/core/src/steer/steering/request.rs
+++ b/crates/core/src/steer/steering/request.rs
@@ -8,6 +8,7 @@
         leaving::IncarnationHash,
         refusal::{Refusal, RefusalReason},
         server::{ServerEntry, ServerKey},
+        usage::WindowId,
     },
     time::Instant,
 };
@@ -42,6 +43,8 @@
     pub(super) queue_factor: f64,
     pub(super) is_warm: bool,
     pub(super) version: String,
+    /// Window in which the attempt is counted for the usage reports.
+    pub(super) usage_window: Option<WindowId>,
 }
 
 /// A request that has been admitted and not answered yet.
