Report usage on hosts whose settings have the duty

Cause: the platform bills workspaces by usage and needs one report for each window. Without an address, the duty or a window there is no message and no call; with them, announcements are read below jasminestage/hosts/, so that records are not read by all hosts.

--- a/crates/core/src/steer/digest.rs
+++ b/crates/core/src/steer/digest.rs
@@ -23,6 +23,7 @@
     position::StorePosition,
     rollout::RolloutState,
     stable_hash,
+    usage::HostCounts,
 };
 use crate::host::Incarnation;
 
@@ -256,4 +257,7 @@
     Host(Box<Digest>),
     /// Sent between regions.
     Region(Box<RegionSummary>),
+    /// Sent to the relays of a failure domain. Only where usage is reported, since hosts of earlier
+    /// releases cannot decode it.
+    Usage(HostCounts),
 }
--- a/crates/edge/src/control/context.rs
+++ b/crates/edge/src/control/context.rs
@@ -11,7 +11,7 @@
 use jasminestage_core::{
     steer::{
         bounds::Bounds,
-        control::{Change, ControlState, DueRecord, StoreStatus},
+        control::{Change, ControlState, DueRecord, StoreStatus, UsageDomain},
         deferred_removals::{DeferredRemovals, KeyedChange},
         digest::{Digest, Message, RegionSummary, StoreProgress},
         exchange::{self, OutgoingMessage, StoreState},
@@ -21,8 +21,9 @@
         server_changes::{ServerChangeLog, ServerUpdate},
         steering::{LimitChange, RolloutStatus},
         store_reads::StoreReads,
+        usage::{Counts, HostCounts, WindowId, clock::ClockChange, copies::UsageCopies},
     },
-    time::Instant,
+    time::{Instant, UnixMillis},
 };
 use jasminestage_net::clock;
 use jasminestage_platform::store_items;
@@ -63,6 +64,7 @@
     deferred_removals: RefCell<DeferredRemovals>,
     server_changes: RefCell<ServerChangeLog>,
     store_reads: RefCell<StoreReads>,
+    usage_copies: RefCell<UsageCopies>,
     /// Notified when a turn should not wait for its time.
     pub urgent: Notify,
     /// Lets the reads that follow the store's changes pass.
@@ -87,6 +89,7 @@
             deferred_removals: RefCell::default(),
             server_changes: RefCell::default(),
             store_reads: RefCell::default(),
+            usage_copies: RefCell::default(),
             urgent: Notify::new(),
             store_gate: StoreGate::default(),
             logged_rollouts: RefCell::default(),
@@ -414,6 +417,82 @@
         self.publish();
     }
 
+    /// Applies the time of day to the windows of the usage reports and removes old counts.
+    pub fn observe_time(&self) -> ClockChange {
+        let unix_ms = clock::unix_millis();
+        let (change, current_ms) = self.shared.with_steering(|steering, now| {
+            (steering.observe_time(now, unix_ms), steering.unix_at(now))
+        });
+        if let (Some((_, cfg)), Some(current_ms)) = (self.shared.cfg.usage.duty(), current_ms) {
+            let current = current_ms / cfg.window.as_millis() as u64;
+            self.usage_copies.borrow_mut().expire(current, cfg.window);
+        }
+        change.unwrap_or(ClockChange::None)
+    }
+
+    /// Filtered time of day; `None` if usage is not reported.
+    pub fn unix_millis(&self) -> Option<UnixMillis> {
+        self.shared.with_steering(|steering, now| steering.unix_at(now))
+    }
+
+    /// Returns this host's counts and the relays that get them.
+    pub fn due_usage(&self) -> Option<OutgoingMessage> {
+        let own = self.shared.announcement.incarnation;
+        let counts = self.shared.with_steering(|steering, now| steering.changed_usage(now, own))?;
+        Some((Message::Usage(counts), self.control.borrow().usage_receivers(clock::now())))
+    }
+
+    /// Keeps the counts of another host.
+    pub fn receive_usage(&self, counts: &HostCounts) {
+        // Without reports, nothing removes old counts.
+        if self.shared.cfg.usage.duty().is_some() {
+            self.usage_copies.borrow_mut().receive(counts);
+        }
+    }
+
+    /// Returns the counts of a window that this host has, its own included, and its time of day; `None`
+    /// if usage is not reported.
+    pub fn usage_of_window(&self, window: WindowId) -> Option<(UnixMillis, Vec<HostCounts>)> {
+        self.add_own_usage();
+        Some((self.unix_millis()?, self.usage_copies.borrow().of_window(window)))
+    }
+
+    /// Remembers that a window is about to be recorded in an era of the store; returns whether one was
+    /// in another era.
+    pub fn record_usage_query(&self, window: WindowId, era: u64) -> bool {
+        self.usage_copies.borrow_mut().record_query(window, era)
+    }
+
+    /// Adds up the counts of a window that this host has, its own included.
+    pub fn usage_total(&self, window: WindowId) -> Counts {
+        self.add_own_usage();
+        self.usage_copies.borrow().total(window)
+    }
+
+    fn add_own_usage(&self) {
+        let own = self.shared.announcement.incarnation;
+        if let Some(counts) = self.shared.with_steering(|steering, _| steering.all_usage(own)) {
+            self.usage_copies.borrow_mut().receive(&counts);
+        }
+    }
+
+    /// Whether this host tries to get the duty to report usage.
+    pub fn is_usage_candidate(&self) -> bool {
+        self.control.borrow().is_usage_candidate()
+    }
+
+    /// Returns the failure domains whose relays have the counts.
+    pub fn usage_domains(&self) -> Vec<UsageDomain> {
+        self.control.borrow().usage_domains(clock::now())
+    }
+
+    /// Newest era of the store in any copy; `None` before the first one.
+    pub fn store_era(&self) -> Option<u64> {
+        let kinds = [ItemKind::Orders, ItemKind::Servers, ItemKind::Internal];
+        let positions = kinds.map(|kind| self.position(kind));
+        positions.into_iter().filter(|p| *p != StorePosition::default()).map(|p| p.era).max()
+    }
+
     fn publish(&self) {
         let view = self.control.borrow_mut().take_view();
         if let Some(view) = view {
--- a/crates/edge/src/control/gossip.rs
+++ b/crates/edge/src/control/gossip.rs
@@ -82,6 +82,7 @@
                 }
             }
             Message::Region(summary) => context.receive_region_summary(*summary),
+            Message::Usage(counts) => context.receive_usage(&counts),
         }
     }
 }
@@ -110,7 +111,8 @@
     }
 }
 
-fn send(udp: &UdpSocket, message: &Message, to: &[SocketAddr]) {
+/// Encodes a message and sends it to all addresses.
+pub fn send(udp: &UdpSocket, message: &Message, to: &[SocketAddr]) {
     let bytes = match postcard::to_stdvec(message) {
         Ok(bytes) if bytes.len() <= MAX_MESSAGE_BYTES => bytes,
         Ok(bytes) => {
--- a/crates/edge/src/control/mod.rs
+++ b/crates/edge/src/control/mod.rs
@@ -10,6 +10,7 @@
 mod servers;
 mod snapshots;
 mod store_gate;
+mod usage;
 
 use std::{
     rc::Rc,
@@ -69,6 +70,13 @@
         tokio::task::spawn_local(gossip::broadcast(Rc::clone(&context), Rc::clone(&sockets.udp)));
         tokio::task::spawn_local(snapshots::serve(Rc::clone(&context), sockets.tcp));
         tokio::task::spawn_local(snapshots::pull(Rc::clone(&context)));
+        if let Some((address, cfg)) = shared.cfg.usage.duty() {
+            shared.with_steering(|steering, _| steering.enable_usage(cfg.window));
+            context.observe_time();
+            let udp = Rc::clone(&sockets.udp);
+            tokio::task::spawn_local(usage::send_counts(Rc::clone(&context), udp));
+            tokio::task::spawn_local(usage::report(Rc::clone(&context), address, cfg));
+        }
         tokio::task::spawn_local(follow_bounds(Rc::clone(&context)));
         let mut phase = shared.phase();
         while *phase.borrow_and_update() < Phase::Ended {
--- a/crates/edge/src/control/registry.rs
+++ b/crates/edge/src/control/registry.rs
@@ -80,7 +80,10 @@
         context.own_announcement.set(Some(result?));
     }
     let Some(freshness) = read else { return Ok(()) };
-    let internal = store.range(keys::PROJECT_PREFIX, freshness).await;
+    // The records of usage reports below the same prefix are not needed here.
+    let has_usage = context.shared.cfg.usage.duty().is_some();
+    let prefix = if has_usage { keys::HOST_PREFIX } else { keys::PROJECT_PREFIX };
+    let internal = store.range(prefix, freshness).await;
     metrics.count_store_call("range own", internal.is_ok());
     context.replace(ItemKind::Internal, internal?);
     if context.has_rollouts() {
--- a/crates/edge/src/control/snapshots.rs
+++ b/crates/edge/src/control/snapshots.rs
@@ -10,8 +10,9 @@
         mirror::{CopyState, ItemChange, Snapshot},
         position::StorePosition,
         server_changes::ServerUpdate,
+        usage::{HostCounts, WindowId},
     },
-    time::Instant,
+    time::{Instant, UnixMillis},
 };
 use jasminestage_net::clock;
 use serde::{Deserialize, Serialize};
@@ -42,6 +43,14 @@
     Orders,
     /// The relevant changes of servers after this position; all servers if it is the default.
     Servers(StorePosition),
+    /// The counts of one window, for the usage report. A host of an earlier release closes the
+    /// connection.
+    Usage {
+        /// The window.
+        window: WindowId,
+        /// Era of the store in which the window is to be recorded.
+        era: u64,
+    },
 }
 
 /// Response to a [`CopyRequest`].
@@ -65,6 +74,19 @@
         /// Time for which the sender still defers removals.
         removal_delay: Duration,
     },
+    /// Counts of a window.
+    Usage(UsageCounts),
+}
+
+/// Counts of a window that a host has received, its own included.
+#[derive(Debug, Serialize, Deserialize)]
+pub struct UsageCounts {
+    /// Filtered time of day of the host.
+    pub unix_ms: UnixMillis,
+    /// Counts by host.
+    pub hosts: Vec<HostCounts>,
+    /// Whether the window was queried in another era of the store.
+    pub is_repeated: bool,
 }
 
 type Frames = Framed<TcpStream, LengthDelimitedCodec>;
@@ -100,25 +122,35 @@
     }
 }
 
-type ExchangeError = Box<dyn std::error::Error>;
+/// Error of a request to another host.
+pub type ExchangeError = Box<dyn std::error::Error>;
 
 async fn respond(context: &ControlContext, stream: TcpStream) -> Result<(), ExchangeError> {
     let mut frames = frames(stream, MAX_REQUEST_BYTES);
     let Some(frame) = next_frame(&mut frames).await? else { return Ok(()) };
     let request: CopyRequest = postcard::from_bytes(&frame)?;
-    let response = Bytes::from(postcard::to_stdvec(&build_response(context, request))?);
+    let Some(response) = build_response(context, request) else { return Ok(()) };
+    let response = Bytes::from(postcard::to_stdvec(&response)?);
     frames.codec_mut().set_max_frame_length(MAX_RESPONSE_BYTES);
     frames.send(response).await?;
     Ok(())
 }
 
-fn build_response(context: &ControlContext, request: CopyRequest) -> CopyResponse {
+/// Builds the response; `None` if this host does not count usage.
+fn build_response(context: &ControlContext, request: CopyRequest) -> Option<CopyResponse> {
     let after = match request {
-        CopyRequest::Orders => return CopyResponse::Orders(context.snapshot(ItemKind::Orders)),
+        CopyRequest::Orders => {
+            return Some(CopyResponse::Orders(context.snapshot(ItemKind::Orders)));
+        }
         CopyRequest::Servers(after) => after,
+        CopyRequest::Usage { window, era } => {
+            let (unix_ms, hosts) = context.usage_of_window(window)?;
+            let is_repeated = context.record_usage_query(window, era);
+            return Some(CopyResponse::Usage(UsageCounts { unix_ms, hosts, is_repeated }));
+        }
     };
     let removal_delay = context.removal_delay();
-    match context.server_update(after) {
+    Some(match context.server_update(after) {
         ServerUpdate::Changes(changes) => {
             CopyResponse::Servers { changes, state: context.servers_state(), removal_delay }
         }
@@ -126,7 +158,7 @@
             let snapshot = context.snapshot(ItemKind::Servers);
             CopyResponse::AllServers { snapshot, removal_delay }
         }
-    }
+    })
 }
 
 async fn next_frame(frames: &mut Frames) -> Result<Option<bytes::BytesMut>, std::io::Error> {
@@ -191,7 +223,7 @@
 ) -> Option<CopyState> {
     let own = match request {
         CopyRequest::Orders => context.position(ItemKind::Orders),
-        CopyRequest::Servers(_) => context.position(ItemKind::Servers),
+        CopyRequest::Servers(_) | CopyRequest::Usage { .. } => context.position(ItemKind::Servers),
     };
     match timeout(EXCHANGE_TIMEOUT, exchange(peer, request)).await {
         Ok(Ok(CopyResponse::Orders(snapshot))) => {
@@ -239,6 +271,8 @@
             context.apply(ItemKind::Servers, changes, state.position);
             return Some(state);
         }
+        // Counts are fetched by `fetch_usage` only.
+        Ok(Ok(CopyResponse::Usage(_))) => {}
         Ok(Err(e)) => {
             tracing::info!(
                 event = 354,
@@ -258,6 +292,23 @@
     None
 }
 
+/// Fetches the counts of a window from another host.
+///
+/// # Errors
+///
+/// Fails if the host does not answer within `limit`, or does not count usage.
+pub async fn fetch_usage(
+    peer: SocketAddr,
+    window: WindowId,
+    era: u64,
+    limit: Duration,
+) -> Result<UsageCounts, ExchangeError> {
+    match timeout(limit, exchange(peer, CopyRequest::Usage { window, era })).await?? {
+        CopyResponse::Usage(counts) => Ok(counts),
+        _ => Err("the response has other items".into()),
+    }
+}
+
 async fn exchange(peer: SocketAddr, request: CopyRequest) -> Result<CopyResponse, ExchangeError> {
     let mut frames = frames(TcpStream::connect(peer).await?, MAX_RESPONSE_BYTES);
     frames.send(Bytes::from(postcard::to_stdvec(&request)?)).await?;
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -36,6 +36,8 @@
     hosts: Gauge<u64>,
     servers: Gauge<u64>,
     server_records: Gauge<u64>,
+    usage_reports: Counter<u64>,
+    usage_token: Gauge<u64>,
 }
 
 impl Metrics {
@@ -98,6 +100,14 @@
                 "jasminestage.servers.records",
                 "Servers of which the request path has a record, announced or finishing requests.",
             ),
+            usage_reports: counter(
+                "jasminestage.usage.reports",
+                "Calls with usage reports by outcome, and skipped windows.",
+            ),
+            usage_token: gauge(
+                "jasminestage.usage.token",
+                "Token of the duty to report usage; 0 while another host has it.",
+            ),
             registry,
             _provider: provider,
         })
@@ -164,6 +174,16 @@
         self.server_records.record(records as u64, &[]);
     }
 
+    /// Counts a call with a usage report, or a window that is not reported, by outcome.
+    pub fn count_usage_report(&self, outcome: &'static str) {
+        self.usage_reports.add(1, &[KeyValue::new("outcome", outcome)]);
+    }
+
+    /// Records the token of the duty to report usage; 0 while another host has it.
+    pub fn record_usage_token(&self, token: u64) {
+        self.usage_token.record(token, &[]);
+    }
+
     /// Records the gauges of a new view.
     pub fn record_view(&self, configuration: u64, hosts: usize, servers: usize) {
         self.configuration.record(configuration, &[]);
--- a/crates/edge/src/options.rs
+++ b/crates/edge/src/options.rs
@@ -11,8 +11,9 @@
 use jasminestage_core::{
     declaration::fields,
     ini::{self, Section},
-    steer::bounds::Bounds,
+    steer::{bounds::Bounds, usage::duty::DutyConfig},
 };
+use jasminestage_platform::usage::DUTY_NAME;
 
 use crate::error::EdgeError;
 
@@ -49,6 +50,53 @@
     pub domains: HashMap<String, String>,
     /// Bounds of the deployment.
     pub bounds: Bounds,
+    /// Usage reports.
+    pub usage: UsageOptions,
+}
+
+/// Settings of the usage reports, which are off without an address, the duty or a window length.
+#[derive(Clone, Debug, PartialEq)]
+pub struct UsageOptions {
+    /// Address of the platform's API.
+    pub address: Option<SocketAddr>,
+    /// Duties that the platform assigns to the hosts.
+    pub duties: Vec<String>,
+    /// Length of a window.
+    pub window: Option<Duration>,
+    /// Time after the end of a window at which its report is due.
+    pub due_after: Duration,
+    /// Largest error of a correct count, as a fraction. Operators compare reports with it.
+    pub tolerance: f64,
+    /// Time after which the duty is free unless it is renewed.
+    pub lease: Duration,
+    /// Calls per second that the platform accepts from all hosts together.
+    pub calls_per_second: f64,
+}
+
+impl Default for UsageOptions {
+    fn default() -> Self {
+        let DutyConfig { due_after, lease, calls_per_second, .. } = DutyConfig::default();
+        UsageOptions {
+            address: None,
+            duties: Vec::new(),
+            window: None,
+            due_after,
+            tolerance: 0.05,
+            lease,
+            calls_per_second,
+        }
+    }
+}
+
+impl UsageOptions {
+    /// Returns the address of the platform's API and the settings of the duty; `None` if the reports
+    /// are off.
+    pub fn duty(&self) -> Option<(SocketAddr, DutyConfig)> {
+        let (address, window) = (self.address?, self.window?);
+        let UsageOptions { due_after, lease, calls_per_second, .. } = *self;
+        let is_assigned = self.duties.iter().any(|duty| duty == DUTY_NAME);
+        is_assigned.then_some((address, DutyConfig { window, due_after, lease, calls_per_second }))
+    }
 }
 
 impl Default for Options {
@@ -70,6 +118,7 @@
             store: local(8382),
             domains: HashMap::new(),
             bounds: Bounds::default(),
+            usage: UsageOptions::default(),
         }
     }
 }
@@ -128,6 +177,23 @@
     Setting("bounds", "max_shift", false, |o, t| {
         assign(&mut o.bounds.max_shift, parse_positive(t))
     }),
+    Setting("usage", "address", false, |o, t| {
+        assign(&mut o.usage.address, parse_address(t).map(Some))
+    }),
+    Setting("usage", "duties", false, |o, t| {
+        assign(&mut o.usage.duties, Ok(t.split(',').map(|duty| duty.trim().to_owned()).collect()))
+    }),
+    Setting("usage", "window", false, |o, t| {
+        assign(&mut o.usage.window, parse_long_duration(t).map(Some))
+    }),
+    Setting("usage", "due_after", false, |o, t| assign_duration(&mut o.usage.due_after, t)),
+    Setting("usage", "tolerance", false, |o, t| {
+        assign(&mut o.usage.tolerance, parse_non_negative(t))
+    }),
+    Setting("usage", "lease", false, |o, t| assign(&mut o.usage.lease, parse_long_duration(t))),
+    Setting("usage", "calls_per_second", false, |o, t| {
+        assign(&mut o.usage.calls_per_second, parse_positive(t))
+    }),
 ];
 
 /// Fraction of the host's memory that the bodies of responses may use.
@@ -226,6 +292,14 @@
     assign(target, fields::duration(text))
 }
 
+/// Parses a duration of at least 1 s. The reports of shorter windows could not be collected in time, and
+/// a shorter lease ends between two renewals.
+fn parse_long_duration(text: &str) -> Result<Duration, String> {
+    let duration = fields::duration(text)?;
+    let is_long = duration >= Duration::from_secs(1);
+    is_long.then_some(duration).ok_or_else(|| "a duration of at least 1 s is allowed".to_owned())
+}
+
 fn parse_address(text: &str) -> Result<SocketAddr, String> {
     fields::typed("an IP address with a port is allowed")(text)
 }
