--- a/crates/edge/tests/processes/main.rs
+++ b/crates/edge/tests/processes/main.rs
@@ -9,6 +9,7 @@
 mod stop;
 mod store;
 mod uploads;
+mod usage;
 
 use std::time::Duration;
 
