Strengthen the randomized check of the usage duty

Change: refused calls are repeated in long storms, restores come soon after copies and while the holder is cut off, calls are up to 0.4 s on their way. Further tests cover the read back of a record and the wait of a host that gets the duty again; the wait after the host's own call is now checked at the call, since a call in progress may end after the duty was acquired again.

--- a/crates/core/src/steer/usage/duty.rs
+++ b/crates/core/src/steer/usage/duty.rs
@@ -86,6 +86,11 @@
         self.lease / 6
     }
 
+    /// Time for which a new holder waits before its first call.
+    fn takeover_wait(&self) -> Duration {
+        self.lease + self.margin()
+    }
+
     fn renewal_period(&self) -> Duration {
         self.lease / 4
     }
@@ -551,24 +556,16 @@
     }
 
     fn hold(&mut self, now: Instant, item: DutyItem) {
-        let wait = self.cfg.lease + self.cfg.margin();
-        let mut first_call_at = now + wait;
-        // Another host may have called meanwhile.
-        if let Some((at, token)) = self.last_call
-            && token != item.token()
-        {
-            first_call_at = first_call_at.max(at + wait);
-        }
+        let wait = self.cfg.takeover_wait();
         self.held = Some(Held {
             item,
-            first_call_at,
+            first_call_at: now + wait,
             valid_until: Instant::ZERO,
             renew_at: now,
             has_records: false,
         });
         self.records_at = now;
         self.unanswered_reports = 0;
-        let wait = first_call_at.saturating_since(now);
         self.notices.push(Notice::Acquired { token: item.token(), wait });
     }
 
@@ -871,6 +868,11 @@
             return None;
         }
         let token = held.item.token();
+        // A call under an earlier token may have ended after this host got the duty again.
+        let wait = self.cfg.takeover_wait();
+        if self.last_call.is_some_and(|(at, earlier)| earlier != token && now < at + wait) {
+            return None;
+        }
         let next = self.next_window?;
         let (window, report) = self
             .reports
--- a/crates/core/tests/steer/usage.rs
+++ b/crates/core/tests/steer/usage.rs
@@ -13,7 +13,7 @@
             clock::{ClockChange, WindowClock},
             copies::UsageCopies,
             counter::UsageCounter,
-            duty::{Action, Duty, DutyConfig, DutyItem, Record, Renewal},
+            duty::{Action, CallOutcome, Collected, Duty, DutyConfig, DutyItem, Record, Renewal},
         },
     },
 };
@@ -223,6 +223,119 @@
     assert_eq!(is_called, is_sent);
 }
 
+struct ReadBackCase {
+    /// Report that the store has after the write; `None` if the write was not executed.
+    stored: Option<&'static str>,
+    /// Report that the platform gets first.
+    sent: Option<&'static str>,
+    /// Number of times that the record is written.
+    writes: usize,
+}
+
+/// Fails if a holder sends the bytes that it tried to record instead of those that the store has.
+#[test_case(&ReadBackCase { stored: Some("another"), sent: Some("another"), writes: 1 }; "another host was first")]
+#[test_case(&ReadBackCase { stored: None, sent: None, writes: 2 }; "the write was not executed")]
+fn only_recorded_bytes_are_sent(case: &ReadBackCase) {
+    let mut duty = Duty::new(DutyConfig::default(), Incarnation(1));
+    duty.observe_era(at(0), 1);
+    duty.duty_read(at(0), false, Some((1, Some(item(1, 11, 1)))), 0.0);
+    let (mut sent, mut writes) = (None, 0);
+    let mut now_ms = 0;
+    while now_ms < 9000 && writes < 2 && sent.is_none() {
+        let now = at(now_ms);
+        for action in duty.actions(now, UNIX_MS + now_ms, true, false) {
+            match action {
+                Action::Renew { .. } => {
+                    let renewal = Renewal::Done { era: 1, item: Some(item(1, 11, 1)) };
+                    duty.renewed(now, now, renewal);
+                }
+                Action::ReadRecords => duty.records_read(now, Some((1, Vec::new())), 0.0),
+                Action::Collect { window, .. } => {
+                    let answers = vec![("a1".to_owned(), 0)];
+                    let counts = [("w".to_owned(), 7)].into();
+                    let collected =
+                        Collected { answers, domains: 1, counts, ..Collected::default() };
+                    duty.collected(now, UNIX_MS + now_ms, window, collected);
+                }
+                Action::CreateRecord { window, .. } => {
+                    writes += 1;
+                    duty.record_created(now, window, true, 0.0);
+                }
+                Action::ReadRecord { window } => {
+                    let record = case.stored.map(|text| {
+                        Some(Record { written_era: 1, report: text.as_bytes().into() })
+                    });
+                    duty.record_read(now, window, Some((1, record)), 0.0);
+                }
+                Action::Call { report, .. } => sent = Some(report),
+                _ => {}
+            }
+        }
+        now_ms += 50;
+    }
+    let sent = sent.as_ref().map(|report| std::str::from_utf8(report).expect("text"));
+    assert_eq!((sent, writes), (case.sent, case.writes));
+}
+
+struct AgainCase {
+    /// Time at which the host has the duty again, after its first call at 3500 ms.
+    again_at_ms: u64,
+    /// Time after that at which the call in progress ends.
+    call_end_ms: u64,
+    first_call_ms: std::ops::RangeInclusive<u64>,
+}
+
+/// Fails if a host that gets the duty again calls within the lease after its own last call, also if
+/// that call ends later: another host may have called between.
+#[test_case(&AgainCase { again_at_ms: 3700, call_end_ms: 0, first_call_ms: 7100..=7300 }; "at once")]
+#[test_case(&AgainCase { again_at_ms: 9000, call_end_ms: 0, first_call_ms: 12_500..=12_600 }; "later")]
+#[test_case(&AgainCase { again_at_ms: 3700, call_end_ms: 900, first_call_ms: 8100..=8200 }; "a call in progress")]
+fn a_new_duty_begins_with_a_wait(case: &AgainCase) {
+    let mut duty = Duty::new(DutyConfig::default(), Incarnation(1));
+    duty.duty_read(at(0), false, Some((1, Some(item(1, 11, 1)))), 0.0);
+    let (mut calls, mut era, mut in_progress) = (Vec::new(), 1, None);
+    let window = UNIX_MS / 5000 + 1;
+    for now_ms in (0..14_000).step_by(50) {
+        let now = at(now_ms);
+        if now_ms == case.again_at_ms {
+            era = 2;
+            duty.observe_era(now, 2);
+            duty.duty_read(now, false, Some((2, Some(item(1, 11, 2)))), 0.0);
+        }
+        let end_ms = case.again_at_ms + case.call_end_ms;
+        let rejected = CallOutcome::Rejected(503);
+        if let Some((window, token)) = in_progress.take_if(|_| now_ms >= end_ms) {
+            duty.called(now, window, token, rejected, 0.0);
+        }
+        for action in duty.actions(now, UNIX_MS + now_ms, true, false) {
+            match action {
+                Action::Renew { .. } => {
+                    let renewal = Renewal::Done { era, item: Some(item(1, 11, era)) };
+                    duty.renewed(now, now, renewal);
+                }
+                Action::ReadRecords => {
+                    let report = b"{}".as_slice();
+                    let record = Record { written_era: era, report: report.into() };
+                    duty.records_read(now, Some((era, vec![(window, Some(record))])), 0.0);
+                }
+                Action::Call { window, token, .. } => {
+                    calls.push((now_ms, token >> 40));
+                    if now_ms < end_ms && calls.len() == 1 && case.call_end_ms > 0 {
+                        in_progress = Some((window, token));
+                    } else {
+                        duty.called(now, window, token, rejected, 0.0);
+                    }
+                }
+                _ => {}
+            }
+        }
+    }
+    let first_of = |era| calls.iter().find(|(_, e)| *e == era).map(|(at_ms, _)| *at_ms);
+    assert_eq!(first_of(1), Some(3500), "{calls:?}");
+    let again = first_of(2).expect("a call under the new duty");
+    assert!(case.first_call_ms.contains(&again), "{calls:?}");
+}
+
 /// Fails if tokens do not rise with the era and the revision, or a number in JSON cannot hold them.
 #[test]
 fn tokens_rise_with_era_and_revision() {
--- a/crates/core/tests/steer/usage/world.rs
+++ b/crates/core/tests/steer/usage/world.rs
@@ -35,6 +35,8 @@
 const DUTY_KEY: &str = "duty";
 /// Largest time that a message is on its way.
 const MAX_DELAY_MS: u64 = 30;
+/// Largest time that the bytes of a call are on their way after they were sent.
+const MAX_CALL_DELAY_MS: u64 = 400;
 /// Largest time after which a request whose response was lost is executed by the store.
 const MAX_LATE_MS: u64 = 5000;
 /// Largest age of the state that a stale read returns.
@@ -201,7 +203,6 @@
     host: usize,
     token: u64,
     window: WindowId,
-    report: Arc<[u8]>,
     is_accepted: bool,
 }
 
@@ -222,6 +223,10 @@
     platform_down_until: u64,
     hosts: Vec<Host>,
     received: Vec<Received>,
+    /// First report of each window, whether it was accepted or not.
+    reports: HashMap<WindowId, Arc<[u8]>>,
+    /// Host that used each token first.
+    token_hosts: BTreeMap<u64, usize>,
     lines: Vec<String>,
 }
 
@@ -244,6 +249,8 @@
             platform_down_until: 0,
             hosts: Vec::new(),
             received: Vec::new(),
+            reports: HashMap::new(),
+            token_hosts: BTreeMap::new(),
             lines: Vec::new(),
         };
         for host in 0..hosts {
@@ -277,7 +284,7 @@
             let host = self.rng.random_range(0..self.hosts.len());
             let length = [200, 1500, 3500, 9000][self.rng.random_range(0..4)];
             let step = self.rng.random_range(-90_000..90_000);
-            let fault = match self.rng.random_range(0..19) {
+            let fault = match self.rng.random_range(0..30) {
                 0 => Fault::KillHolder,
                 1 => Fault::Kill(host),
                 2 | 3 => Fault::SuspendHolder(length),
@@ -288,7 +295,8 @@
                 8 => Fault::StoreDown(length / 2),
                 9 | 10 => Fault::LoseWriteReplies(length),
                 11 => Fault::LoseCallReplies(length),
-                12 => Fault::LimitCalls(length / 2),
+                // Refused calls are repeated at once, so that calls of several holders come close together.
+                12 | 19..=21 => Fault::LimitCalls(length * 3),
                 13 => Fault::PlatformDown(length / 2),
                 // One clock at a time is wrong, also by the time after the step in which it may be adopted.
                 14 | 15 if host == wrong_clock || at_ms > wrong_until => {
@@ -298,8 +306,27 @@
                     let divisor = [1, 10, 40][self.rng.random_range(0..3)];
                     Fault::StepClock(host, step / divisor, length)
                 }
-                16 => Fault::CopyStore,
+                16 | 22..=24 => {
+                    let lost_ms = self.rng.random_range(200..8000);
+                    self.push(at_ms + lost_ms, Event::Fault(Fault::RestoreStore));
+                    if self.rng.random_bool(0.5) {
+                        let later_ms = lost_ms + self.rng.random_range(0..2000);
+                        self.push(at_ms + later_ms, Event::Fault(Fault::KillHolder));
+                    }
+                    Fault::CopyStore
+                }
                 17 => Fault::RestoreStore,
+                // The holder goes on calling and does not learn of one or two restores.
+                25..=28 => {
+                    let cut_ms = [1000, 4000, 9000][self.rng.random_range(0..3)];
+                    self.push(at_ms + 10, Event::Fault(Fault::CutHolderFromStore(cut_ms)));
+                    let mut restore_ms = at_ms + 20;
+                    for _ in 0..self.rng.random_range(0..3) {
+                        self.push(restore_ms, Event::Fault(Fault::RestoreStore));
+                        restore_ms += self.rng.random_range(100..8000);
+                    }
+                    Fault::LimitCalls(25_000)
+                }
                 _ => Fault::GrantOtherLease,
             };
             self.push(at_ms, Event::Fault(fault));
@@ -442,7 +469,8 @@
             }
             Event::Send { host, life, call } => {
                 if self.is_running(host, life, &event) && self.now() < call.until {
-                    let delay = self.delay();
+                    let is_late = self.rng.random_bool(0.1);
+                    let delay = if is_late { MAX_CALL_DELAY_MS } else { self.delay() };
                     self.push_after(delay, Event::Arrive { host, life, call });
                 }
             }
@@ -741,7 +769,7 @@
         if is_cut || self.platform_down_until > self.now_ms {
             return;
         }
-        let is_limited = self.limit_until > self.now_ms && self.rng.random_bool(0.7);
+        let is_limited = self.limit_until > self.now_ms && self.rng.random_bool(0.9);
         self.judge(host, &call, !is_limited);
         if self.lose_calls_until > self.now_ms {
             return;
@@ -755,16 +783,16 @@
     fn judge(&mut self, host: usize, call: &Call, is_accepted: bool) {
         let mut violations = Vec::new();
         let Call { window, token, .. } = *call;
-        for earlier in &self.received {
-            if earlier.window == window && earlier.report != call.report {
-                violations.push(format!("rule 1: window {window} with different counts"));
-            }
-            if earlier.token == token && earlier.host != host {
-                violations.push(format!("rule 2: token {token} from two hosts"));
-            }
-            if earlier.token > token {
-                violations.push(format!("rule 3: token {token} after {}", earlier.token));
-            }
+        let first = self.reports.entry(window).or_insert_with(|| Arc::clone(&call.report));
+        if *first != call.report {
+            violations.push(format!("rule 1: window {window} with different counts"));
+        }
+        let first_host = *self.token_hosts.entry(token).or_insert(host);
+        if first_host != host {
+            violations.push(format!("rule 2: token {token} from two hosts"));
+        }
+        if let Some((highest, _)) = self.token_hosts.last_key_value().filter(|(t, _)| **t > token) {
+            violations.push(format!("rule 3: token {token} after {highest}"));
         }
         let recent = self.received.iter().rev();
         let recent = recent.take_while(|r| r.at_ms + LEASE_MS > self.now_ms);
@@ -774,20 +802,14 @@
         {
             violations.push(format!("rule 4: host {host} acts again"));
         }
+        if is_accepted || !violations.is_empty() {
+            self.note(format_args!("host {host}: call for {window} with {token}, {is_accepted}"));
+        }
         for violation in violations {
             self.note(format_args!("{violation}"));
             self.violations.push(violation);
         }
-        self.note(format_args!("host {host}: call for {window} with {token}, {is_accepted}"));
-        let report = Arc::clone(&call.report);
-        self.received.push(Received {
-            at_ms: self.now_ms,
-            host,
-            token,
-            window,
-            report,
-            is_accepted,
-        });
+        self.received.push(Received { at_ms: self.now_ms, host, token, window, is_accepted });
     }
 }
 
