Keep windows that come again after the clock was set back

Cause: windows that were overdue by a clock that was ahead stayed marked as finished, so this host would not have reported them when they came.

--- a/crates/core/src/steer/usage/duty.rs
+++ b/crates/core/src/steer/usage/duty.rs
@@ -621,6 +621,8 @@
         }
         self.next_window = Some(window);
         let oldest_kept = current.saturating_sub(RETAINED_RECORDS);
+        // After the clock was set back, windows that were overdue by the earlier time are still to come.
+        self.finished.retain(|w| *w <= current);
         self.reports.retain(|w, _| *w >= oldest_kept);
         self.finished.retain(|w| *w >= oldest_kept);
         self.collections.retain(|w, _| *w >= window);
