Check the usage reports in the soak

Cause: the four rules should also hold under the random faults of the soak, on real processes and a store behind proxies. Change: in runs with an even seed the hosts report usage to the mock of the platform's API, whose faults change; at the end a report must be accepted and no rule broken. Runs with an odd seed are as before.

--- a/crates/edge/tests/soak/main.rs
+++ b/crates/edge/tests/soak/main.rs
@@ -8,13 +8,15 @@
 mod departure;
 mod drills;
 mod faults;
+mod usage;
 
 use std::{sync::Arc, time::Duration};
 
 use jasminestage_platform_standin::{
+    api::UsageApi,
     backend::Backend,
     caller::request_once,
-    fleet::{self, API_KEY, Host},
+    fleet::{self, API_KEY, Host, HostSetup},
     proxy::Proxy,
     store::Store,
 };
@@ -39,10 +41,12 @@
     pub hosts: Vec<Host>,
     /// Backend servers.
     pub servers: Vec<Backend>,
+    /// The platform's API, if the hosts report usage.
+    pub api: Option<UsageApi>,
 }
 
 impl Environment {
-    async fn start() -> Environment {
+    async fn start(reports_usage: bool) -> Environment {
         let store = Store::start().await;
         fleet::write_config(&store, 1);
         let mut servers = Vec::new();
@@ -52,21 +56,27 @@
                 servers.push(Backend::start(&store, &id, service, zone).await);
             }
         }
+        let api = if reports_usage { Some(UsageApi::start().await) } else { None };
+        let usage = api.as_ref().map(|api| (api.address, usage::WINDOW));
+        let setup = HostSetup { usage, ..HostSetup::default() };
         let (mut store_proxies, mut hosts) = (Vec::new(), Vec::new());
         for (n, zone) in ["a1", "a2", "b1"].iter().enumerate() {
             let proxy = Proxy::start(store.address).await;
-            hosts.push(Host::start(BINARY, &format!("host-{n}"), zone, proxy.address));
+            let name = format!("host-{n}");
+            hosts.push(Host::start_with(BINARY, &name, zone, proxy.address, &setup));
             store_proxies.push(proxy);
         }
         for host in &hosts {
             host.wait_until_ready().await;
         }
-        Environment { store, store_proxies, hosts, servers }
+        Environment { store, store_proxies, hosts, servers, api }
     }
 }
 
 async fn run_seed(seed: u64) {
-    let mut environment = Environment::start().await;
+    // Every other run has usage reports, so that the rest is also tried without them.
+    let mut environment = Environment::start(seed.is_multiple_of(2)).await;
+    let api_faults = environment.api.clone().map(|api| usage::start_faults(seed, api));
     let addresses: Vec<_> = environment.hosts.iter().map(|h| h.caller_address).collect();
     let request_log = Arc::new(RequestLog::default());
     let callers = callers::start(&addresses, &request_log);
@@ -78,6 +88,10 @@
     let departure = departure::after_lapse(seed, &mut environment, &request_log).await;
     drills::restore_with_change(seed, &environment).await;
     drills::check_versions(seed, &environment);
+    if let (Some(api), Some(faults)) = (&environment.api, api_faults) {
+        faults.abort();
+        usage::check(seed, api).await;
+    }
     for caller in callers {
         caller.abort();
     }
@@ -113,7 +127,7 @@
 }
 
 /// Fails if random overlapping faults make a host run a request twice that must run at most once,
-/// report a wrong status, leave callers without a response, not recover, return to an older
+/// break a rule of the usage reports, report a wrong status, leave callers without a response, not recover, return to an older
 /// configuration or be late with one when the store comes back from an older copy.
 #[test_case(1; "seed 1")]
 #[test_case(2; "seed 2")]
