Show that a restored root record counts as a proof

The store's client knows the era of each response, but the control state did not get it, so it could not tell a restored record from the newest one. The read of the root record now carries its era (not used so far), and the simulated fleet can restore its store from a copy.

The new test restores the store in eight situations.

--- a/crates/cli/src/commands/apply.rs
+++ b/crates/cli/src/commands/apply.rs
@@ -85,7 +85,7 @@
 
 async fn read_root(store: &Client) -> Result<Versioned<Root>, StoreError> {
     let current = store.root().await?;
-    Ok(current.unwrap_or(Versioned { value: Root::default(), version: 0 }))
+    Ok(current.unwrap_or(Versioned { value: Root::default(), version: 0, era: 0 }))
 }
 
 /// Writes an edited copy of the declaration in the store at revision `base_revision`.
--- a/crates/core/examples/config.rs
+++ b/crates/core/examples/config.rs
@@ -83,7 +83,7 @@
         let now = Instant::from_millis(1000 * (n as u64 + 1));
         let mut effects = Vec::new();
         let started = WallClock::now();
-        control.handle(now, Input::Root { root: &root, read_started: now }, &mut effects);
+        control.handle(now, Input::Root { root: &root, read_started: now, era: 1 }, &mut effects);
         control.handle(now, Input::Chunks(&new_chunks), &mut effects);
         let elapsed_ms = started.elapsed().as_millis();
         assert_eq!(control.config().root.revision, root.revision, "the revision is in force");
--- a/crates/core/src/control/mod.rs
+++ b/crates/core/src/control/mod.rs
@@ -65,6 +65,8 @@
         root: &'a Root,
         /// When the read started.
         read_started: Instant,
+        /// Era of the store in the response; it rises when the store is restored from a copy.
+        era: u64,
     },
     /// A call to the store failed.
     StoreFailed,
@@ -234,7 +236,7 @@
             }
             Input::Peer { msg: PeerMsg::Rollout(msg), .. } => self.handle_rollout_msg(msg),
             Input::Peer { .. } => {}
-            Input::Root { root, read_started } => {
+            Input::Root { root, read_started, era: _ } => {
                 self.handle_store_root(now, root, read_started, effects)
             }
             Input::StoreFailed => self.handle_store_failure(now, effects),
--- a/crates/core/tests/config_fleet.rs
+++ b/crates/core/tests/config_fleet.rs
@@ -156,6 +156,123 @@
     }
 }
 
+struct RestoreCase {
+    name: &'static str,
+    /// Withdrawals that the store loses; domain "b" misses them, and they are accepted without it.
+    lost: u8,
+    /// Further changes that the store loses and that every host has in force.
+    lost_everywhere: u8,
+    /// Injects faults at the restore.
+    inject: fn(&mut Net),
+    /// Time that passes after the restore.
+    duration: Duration,
+    /// Hosts that serve keyed routes afterwards.
+    serving: &'static [usize],
+}
+
+/// Connects domain "b" to the store only, and the other domains to each other only.
+fn separate(net: &mut Net) {
+    net.cut_off_from_hosts.push("b".into());
+    net.cut_off_from_store.extend(["a".into(), "c".into()]);
+}
+
+const RESTORE_CASES: &[RestoreCase] = &[
+    RestoreCase {
+        name: "nothing was lost: every host keeps serving",
+        lost: 0,
+        lost_everywhere: 0,
+        inject: |_| {},
+        duration: Duration::from_secs(60),
+        serving: &[0, 1, 2, 3, 4, 5],
+    },
+    RestoreCase {
+        name: "a change that every host has in force was lost: every host keeps serving",
+        lost: 0,
+        lost_everywhere: 2,
+        inject: |_| {},
+        duration: Duration::from_secs(60),
+        serving: &[0, 1, 2, 3, 4, 5],
+    },
+    RestoreCase {
+        name: "a domain missed a withdrawal, and the store holds its own record: it does not serve",
+        lost: 1,
+        lost_everywhere: 0,
+        inject: separate,
+        duration: Duration::from_secs(60),
+        serving: &[0, 1, 4, 5],
+    },
+    RestoreCase {
+        name: "a domain missed a withdrawal, and its record was derived from the one in the store: it \
+               does not serve",
+        lost: 1,
+        lost_everywhere: 2,
+        inject: separate,
+        duration: Duration::from_secs(60),
+        serving: &[0, 1, 4, 5],
+    },
+    RestoreCase {
+        name: "a domain missed a withdrawal and is connected again: every host serves",
+        lost: 1,
+        lost_everywhere: 0,
+        inject: |_| {},
+        duration: Duration::from_secs(5),
+        serving: &[0, 1, 2, 3, 4, 5],
+    },
+    RestoreCase {
+        name: "one domain is down: the others keep serving",
+        lost: 0,
+        lost_everywhere: 1,
+        inject: |net| (0..2).for_each(|n| net.kill(n, false)),
+        duration: Duration::from_secs(60),
+        serving: &[2, 3, 4, 5],
+    },
+    RestoreCase {
+        name: "one host of each domain is restarted: every host serves again",
+        lost: 0,
+        lost_everywhere: 1,
+        inject: |net| [0, 2, 4].into_iter().for_each(|n| net.kill(n, true)),
+        duration: Duration::from_secs(12),
+        serving: &[0, 1, 2, 3, 4, 5],
+    },
+    RestoreCase {
+        name: "all hosts are restarted: every host serves again",
+        lost: 0,
+        lost_everywhere: 1,
+        inject: |net| (0..6).for_each(|n| net.kill(n, true)),
+        duration: Duration::from_secs(12),
+        serving: &[0, 1, 2, 3, 4, 5],
+    },
+];
+
+/// Guards against a host that takes a read of a restored root record for a proof, and so serves by a
+/// revision that the store has lost the successor of (the fleet checks this after each event). Also
+/// against hosts that do not serve again after a restore although nobody changes the configuration.
+#[test]
+fn a_restored_root_record_proves_nothing() {
+    for case in RESTORE_CASES {
+        println!("{}", case.name);
+        let mut net = serving_fleet(7, Faults::default());
+        let copy = net.store.clone();
+        for key in 0..case.lost_everywhere {
+            net.apply(&declaration_text(DECLARED, "3 s", 100 + key));
+            net.run(2 * SECOND);
+        }
+        if case.lost > 0 {
+            net.partitioned.push("b".into());
+        }
+        for key in 0..case.lost {
+            let revision = net.apply(&declaration_text(DECLARED, "3 s", 200 + key));
+            net.run(5 * SECOND);
+            assert_eq!(net.accepted, revision, "{}: the withdrawal is accepted", case.name);
+        }
+        net.partitioned.clear();
+        (case.inject)(&mut net);
+        net.restore_store(copy);
+        net.run(case.duration);
+        assert_eq!(net.serving(), case.serving, "{}", case.name);
+    }
+}
+
 /// Failure domains of the hosts in randomised runs; two domains have one host more than seats.
 const DOMAINS_WITH_SPARES: &[&str] = &["a", "a", "a", "b", "b", "b", "c", "c"];
 /// Number of seats in all failure domains.
--- a/crates/core/tests/config_net/mod.rs
+++ b/crates/core/tests/config_net/mod.rs
@@ -59,7 +59,7 @@
     Peer(SocketAddr, PeerMsg),
     Call(usize, PeerCall),
     Reply(SocketAddr, PeerReply),
-    Root(Root, Instant),
+    Root(Root, Instant, u64),
     Acks(Root, Acks),
     Chunks(Vec<Chunk>),
     StoreFailed,
@@ -76,6 +76,8 @@
     pub chunks: BTreeMap<ChunkHash, String>,
     /// Acknowledgements.
     pub acks: Acks,
+    /// Era of the store; it rises when the store is restored from a copy.
+    pub era: u64,
     /// Whether every call fails.
     pub is_down: bool,
     /// Number of calls so far.
@@ -113,6 +115,8 @@
     pub faults: Faults,
     /// Names of hosts or failure domains that are cut off from all others and from the store.
     pub partitioned: Vec<String>,
+    /// Names of failure domains that cannot reach the hosts of others, but the store.
+    pub cut_off_from_hosts: Vec<String>,
     /// Names of failure domains that cannot reach the store.
     pub cut_off_from_store: Vec<String>,
     /// Source of all randomness.
@@ -158,6 +162,7 @@
             store: Store::default(),
             faults,
             partitioned: Vec::new(),
+            cut_off_from_hosts: Vec::new(),
             cut_off_from_store: Vec::new(),
             rng: ChaCha8Rng::seed_from_u64(seed),
             accepted: 0,
@@ -229,7 +234,7 @@
     }
 
     fn set_root(&mut self, root: Root) {
-        assert_eq!(root.revision, self.store.root.revision + 1);
+        assert!(root.revision > self.store.root.revision, "the revisions of the store rise");
         self.store.root = root;
         for n in 0..self.hosts.len() {
             if self.hosts[n].watching && self.reaches_store(n) {
@@ -239,6 +244,11 @@
         }
     }
 
+    /// Replaces what the store has by a copy, and raises its era.
+    pub fn restore_store(&mut self, copy: Store) {
+        self.store = Store { era: self.store.era + 1, calls: self.store.calls, ..copy };
+    }
+
     /// Kills a host; with `restart`, a new incarnation starts at once.
     pub fn kill(&mut self, n: usize, restart: bool) {
         let domain = self.hosts[n].info.domain.clone();
@@ -351,10 +361,10 @@
             Event::Reply(from, reply) => {
                 control.handle(now, Input::PeerReply { from: *from, reply }, &mut effects);
             }
-            Event::Root(root, read_started) => {
+            Event::Root(root, read_started, era) => {
                 control.handle(
                     now,
-                    Input::Root { root, read_started: *read_started },
+                    Input::Root { root, read_started: *read_started, era: *era },
                     &mut effects,
                 );
             }
@@ -424,7 +434,7 @@
         }
         let read_started = self.clock(n);
         let lost = self.rng.random_bool(self.faults.lost_replies);
-        let root = |net: &Net| Event::Root(net.store.root.clone(), read_started);
+        let root = |net: &Net| Event::Root(net.store.root.clone(), read_started, net.store.era);
         let event = match call {
             Effect::ReadRoot if self.store.root.revision == 0 => return,
             Effect::ReadRoot => root(self),
@@ -444,6 +454,17 @@
                 }
                 root(self)
             }
+            Effect::RestoreRoot(config) => {
+                let current = &self.store.root;
+                if current.revision < config.root.revision
+                    && config.root.includes(current) == Some(true)
+                {
+                    let chunks = config.chunks.iter().map(|(h, body)| (*h, body.to_string()));
+                    self.store.chunks.extend(chunks);
+                    self.set_root(config.root.clone());
+                }
+                root(self)
+            }
             Effect::WriteAck(ack) => {
                 let domain = self.hosts[n].info.domain.clone();
                 self.store.acks.insert(domain, ack);
@@ -476,7 +497,9 @@
         let is_partitioned = |n: usize| {
             let info = &self.hosts[n].info;
             self.partitioned.contains(&info.name)
-                || (!is_same_domain && self.partitioned.contains(&info.domain))
+                || (!is_same_domain
+                    && (self.partitioned.contains(&info.domain)
+                        || self.cut_off_from_hosts.contains(&info.domain)))
         };
         !is_partitioned(a) && !is_partitioned(b)
     }
--- a/crates/daemon/src/control.rs
+++ b/crates/daemon/src/control.rs
@@ -41,8 +41,15 @@
 pub enum ControlEvent {
     /// A message from another host.
     Peer(SocketAddr, PeerMsg),
-    /// The root record was read; the instant is the start of the read.
-    Root(Root, Instant),
+    /// The root record was read.
+    Root {
+        /// The record.
+        root: Root,
+        /// Start of the read.
+        read_started: Instant,
+        /// Era of the store in which it was read.
+        era: u64,
+    },
     /// A call to the store failed.
     StoreFailed,
     /// Chunks were fetched from the store.
@@ -183,7 +190,9 @@
 fn to_input(event: &ControlEvent) -> Input<'_> {
     match event {
         ControlEvent::Peer(from, msg) => Input::Peer { from: *from, msg },
-        ControlEvent::Root(root, read_started) => Input::Root { root, read_started: *read_started },
+        ControlEvent::Root { root, read_started, era } => {
+            Input::Root { root, read_started: *read_started, era: *era }
+        }
         ControlEvent::StoreFailed => Input::StoreFailed,
         ControlEvent::Chunks(chunks) => Input::Chunks(chunks),
         ControlEvent::PeerReply(from, reply) => Input::PeerReply { from: *from, reply },
--- a/crates/daemon/src/platform.rs
+++ b/crates/daemon/src/platform.rs
@@ -57,7 +57,9 @@
 pub async fn read_root(store: &Client, tx: &ControlSender) {
     let read_started = clock::now();
     match store.root().await {
-        Ok(Some(found)) => tx.send(ControlEvent::Root(found.value, read_started)).await,
+        Ok(Some(Versioned { value: root, era, .. })) => {
+            tx.send(ControlEvent::Root { root, read_started, era }).await;
+        }
         Ok(None) => {}
         Err(_) => tx.send(ControlEvent::StoreFailed).await,
     }
--- a/crates/standins/examples/capacity_control.rs
+++ b/crates/standins/examples/capacity_control.rs
@@ -163,7 +163,9 @@
             match &event {
                 Event::Peer(from, msg) => self.step(n, Input::Peer { from: *from, msg }),
                 Event::Reply(from, reply) => self.step(n, Input::PeerReply { from: *from, reply }),
-                Event::Root(root) => self.step(n, Input::Root { root, read_started: self.now }),
+                Event::Root(root) => {
+                    self.step(n, Input::Root { root, read_started: self.now, era: 1 })
+                }
                 Event::Acks(root, acks) => self.step(n, Input::Acks { root, acks }),
                 Event::Chunks(chunks) => self.step(n, Input::Chunks(chunks)),
             }
--- a/crates/store/src/client.rs
+++ b/crates/store/src/client.rs
@@ -92,6 +92,8 @@
     pub value: T,
     /// Version of the value in the store.
     pub version: u64,
+    /// Era of the store in which the value was read; it rises when the store is restored from a copy.
+    pub era: u64,
 }
 
 /// Client of the platform's key-value service; clones share one connection, except for watches.
@@ -116,8 +118,10 @@
     /// Reads the value of one key.
     pub async fn get(&self, key: &str) -> Result<Option<Versioned<Vec<u8>>>, StoreError> {
         let found = self.call("get", async |store| store.get(key).await).await?;
-        let versioned =
-            |item: Item| Versioned { value: item.value, version: item.position.revision };
+        let versioned = |item: Item| {
+            let StorePosition { era, revision } = item.position;
+            Versioned { value: item.value, version: revision, era }
+        };
         Ok(found.map(versioned))
     }
 
@@ -176,7 +180,7 @@
     pub async fn root(&self) -> Result<Option<Versioned<Root>>, StoreError> {
         let Some(found) = self.get(ROOT_KEY).await? else { return Ok(None) };
         let value = serde_json::from_slice(&found.value).map_err(StoreError::InvalidRoot)?;
-        Ok(Some(Versioned { value, version: found.version }))
+        Ok(Some(Versioned { value, version: found.version, era: found.era }))
     }
 
     /// Replaces the root record if its version is still `version`; returns whether it was replaced.
