Let reads of a restored root record prove nothing

A host that missed a change which the store has lost took the restored record for the newest one, as it equalled its own or its own was derived from it, and served keyed routes by it for as long as it could read.

From the first response of a later era on, a read now proves nothing until a majority of the seats has proved at an instant within that era. Echoes prove meanwhile as in an outage of the store. The first era that a host reads from counts as before, and without eras nothing changes.

--- a/crates/core/src/control/authority.rs
+++ b/crates/core/src/control/authority.rs
@@ -3,7 +3,7 @@
 //! A proof is an instant on this host's clock at which no majority had acknowledged a newer
 //! revision. It is one of these:
 //!
-//! - the start of a read of the root record that returned no newer revision;
+//! - the start of a read of the root record that returned no newer revision, see [`StoreEra`];
 //! - a timestamp that the holders of a majority of the declared seats have echoed;
 //! - a timestamp that another host had received by the instant of its own proof.
 
@@ -19,6 +19,21 @@
 /// Smallest advance of a proof that is passed to the traffic threads.
 const MIN_PROOF_ADVANCE: Duration = Duration::from_millis(100);
 
+/// An era of the store, which begins when the store is restored from a copy.
+///
+/// The copy lacks the last changes, which a majority may have acknowledged and this host may have
+/// missed. So a read proves nothing until this host has a proof by a majority at an instant within the
+/// era: any two majorities share a host, so no lost change that was acknowledged is newer than the
+/// revision in force then. Later changes are in the store, so later reads find them.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct StoreEra {
+    number: u64,
+    /// When this host received the first response of the era.
+    first_read_at: Instant,
+    /// Whether a read of the root record in this era is a proof.
+    are_reads_proofs: bool,
+}
+
 impl Control {
     /// The latest proof.
     pub fn proof(&self) -> Option<Instant> {
@@ -40,6 +55,29 @@
         }
     }
 
+    /// Whether a read of the root record in `era` is a proof. The first era that a host reads from
+    /// counts: a host that has just started has no earlier record that a restore could bring back.
+    pub(super) fn is_read_proof(&mut self, now: Instant, era: u64) -> bool {
+        match &self.store_era {
+            Some(known) if known.number > era => false,
+            Some(known) if known.number == era => known.are_reads_proofs,
+            known => {
+                let are_reads_proofs = known.is_none();
+                self.store_era =
+                    Some(StoreEra { number: era, first_read_at: now, are_reads_proofs });
+                are_reads_proofs
+            }
+        }
+    }
+
+    /// Lets reads in the present era of the store prove again if a majority proved at an instant
+    /// within it.
+    fn confirm_store_era(&mut self, proven_by_majority: Instant) {
+        if let Some(era) = &mut self.store_era {
+            era.are_reads_proofs |= proven_by_majority >= era.first_read_at;
+        }
+    }
+
     /// Proves by a read of the root record, once the revision that it returned is in force.
     pub(super) fn prove_by_read(&mut self, now: Instant, effects: &mut Vec<Effect>) {
         if let Some((revision, read_started)) = self.unapplied_read
@@ -83,7 +121,12 @@
             .collect();
         // A host that holds a majority of the seats by itself needs no echoes.
         timestamps.push(now);
-        timestamps.retain(|at| Some(*at) > self.proof && *at <= now);
+        // Another host's proof may be later than all echoes; the era is confirmed nevertheless.
+        let confirms_era = |at: Instant| {
+            let unconfirmed = self.store_era.filter(|era| !era.are_reads_proofs);
+            unconfirmed.is_some_and(|era| at >= era.first_read_at)
+        };
+        timestamps.retain(|at| *at <= now && (Some(*at) > self.proof || confirms_era(*at)));
         timestamps.sort_unstable();
         timestamps.dedup();
         let has_majority = |at: &Instant| {
@@ -92,6 +135,7 @@
             })
         };
         if let Some(at) = timestamps.into_iter().rev().find(has_majority) {
+            self.confirm_store_era(at);
             self.prove(now, at, effects);
         }
     }
--- a/crates/core/src/control/configuration.rs
+++ b/crates/core/src/control/configuration.rs
@@ -69,9 +69,11 @@
         now: Instant,
         root: &Root,
         read_started: Instant,
+        era: u64,
         effects: &mut Vec<Effect>,
     ) {
         self.set_store_available(true, effects);
+        let is_proof = self.is_read_proof(now, era);
         let own = &self.config.root;
         if root.revision <= own.revision && root.write_id != own.write_id {
             match own.includes(root) {
@@ -80,7 +82,9 @@
                 None => {}
             }
         }
-        self.unapplied_read = Some((root.revision, read_started));
+        if is_proof {
+            self.unapplied_read = Some((root.revision, read_started));
+        }
         self.handle_root(now, root, None, effects);
         self.prove_by_read(now, effects);
     }
--- a/crates/core/src/control/mod.rs
+++ b/crates/core/src/control/mod.rs
@@ -11,7 +11,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use self::{acks::AckState, configuration::Pending, seats::SeatState};
+use self::{acks::AckState, authority::StoreEra, configuration::Pending, seats::SeatState};
 use crate::{
     config::{
         Acks, ChunkHash, Chunks, DomainAck, LocalConfig, Revision, Root, chunk::Chunk, root::Seats,
@@ -165,6 +165,8 @@
     /// The last revision read from the store and the start of the read, until it proves that the
     /// configuration in force is the newest.
     unapplied_read: Option<(Revision, Instant)>,
+    /// The latest era of the store from which this host has read the root record.
+    store_era: Option<StoreEra>,
     seat_state: SeatState,
     ack_state: AckState,
     /// The highest revision recorded as accepted.
@@ -205,6 +207,7 @@
             proof: None,
             published_proof: None,
             unapplied_read: None,
+            store_era: None,
             seat_state: SeatState::default(),
             ack_state: AckState::default(),
             accepted: 0,
@@ -236,8 +239,8 @@
             }
             Input::Peer { msg: PeerMsg::Rollout(msg), .. } => self.handle_rollout_msg(msg),
             Input::Peer { .. } => {}
-            Input::Root { root, read_started, era: _ } => {
-                self.handle_store_root(now, root, read_started, effects)
+            Input::Root { root, read_started, era } => {
+                self.handle_store_root(now, root, read_started, era, effects)
             }
             Input::StoreFailed => self.handle_store_failure(now, effects),
             Input::Chunks(chunks) => {
--- a/crates/core/tests/config_fleet.rs
+++ b/crates/core/tests/config_fleet.rs
@@ -273,6 +273,19 @@
     }
 }
 
+/// Guards against a host whose reads never count again after a restore: once other domains are down, it
+/// would stop serving keyed routes.
+#[test]
+fn reads_prove_again_after_a_majority_has_proved() {
+    let mut net = serving_fleet(8, Faults::default());
+    let copy = net.store.clone();
+    net.restore_store(copy);
+    net.run(5 * SECOND);
+    (0..4).for_each(|n| net.kill(n, false));
+    net.run(60 * SECOND);
+    assert_eq!(net.serving(), [4, 5]);
+}
+
 /// Failure domains of the hosts in randomised runs; two domains have one host more than seats.
 const DOMAINS_WITH_SPARES: &[&str] = &["a", "a", "a", "b", "b", "b", "c", "c"];
 /// Number of seats in all failure domains.
