--- a/crates/daemon/src/options/load.rs
+++ b/crates/daemon/src/options/load.rs
@@ -12,6 +12,8 @@
 use super::Options;
 use crate::error::DaemonError;
 
+/// Shortest timeout of a transfer: a second covers a lost packet that is sent again.
+const MIN_TIMEOUT: Duration = Duration::from_secs(1);
 /// Minimum length of the secret of a fleet, in characters.
 const MIN_SECRET_CHARS: usize = 16;
 
@@ -105,6 +107,42 @@
         |o, t| assign(&mut o.traffic.stop_delay, parse_stop_delay(t)),
         |o| format_millis(o.traffic.stop_delay),
     ),
+    setting(
+        "limits",
+        "memory_mb",
+        |o, t| assign(&mut o.limits.memory_mb, parse_size(t, 16, 1024 * 1024)),
+        |o| o.limits.memory_mb.to_string(),
+    ),
+    setting(
+        "limits",
+        "max_descriptors",
+        |o, t| assign(&mut o.limits.max_descriptors, parse_size(t, 64, 1024 * 1024).map(Some)),
+        |o| o.limits.max_descriptors.map(|n| n.to_string()).unwrap_or_default(),
+    ),
+    setting(
+        "limits",
+        "max_header_bytes",
+        |o, t| assign(&mut o.limits.max_header_bytes, parse_size(t, 8192, 1024 * 1024)),
+        |o| o.limits.max_header_bytes.to_string(),
+    ),
+    setting(
+        "limits",
+        "header_timeout",
+        |o, t| assign(&mut o.limits.header_timeout, parse_timeout(t)),
+        |o| format_millis(o.limits.header_timeout),
+    ),
+    setting(
+        "limits",
+        "transfer_grace",
+        |o, t| assign(&mut o.limits.transfer_grace, parse_timeout(t)),
+        |o| format_millis(o.limits.transfer_grace),
+    ),
+    setting(
+        "limits",
+        "min_transfer_rate",
+        |o, t| assign(&mut o.limits.min_transfer_rate, parse_size(t, 1, 1024 * 1024)),
+        |o| o.limits.min_transfer_rate.to_string(),
+    ),
     setting(
         "log",
         "format",
@@ -260,6 +298,14 @@
     }
 }
 
+fn parse_timeout(text: &str) -> Result<Duration, String> {
+    let timeout = fields::duration(text)?;
+    if timeout < MIN_TIMEOUT {
+        return Err(format!("a time of at least {} is allowed", format_millis(MIN_TIMEOUT)));
+    }
+    Ok(timeout)
+}
+
 fn parse_size(text: &str, min: u64, max: u64) -> Result<usize, String> {
     fields::number(min, max)(text).map(|n| n as usize)
 }
--- a/crates/daemon/src/options/mod.rs
+++ b/crates/daemon/src/options/mod.rs
@@ -31,6 +31,8 @@
     pub platform: PlatformOptions,
     /// Settings of the request path.
     pub traffic: TrafficOptions,
+    /// Limits that protect the process from misbehaving clients.
+    pub limits: LimitOptions,
     /// Settings of the log output.
     pub log: LogOptions,
 }
@@ -49,6 +51,7 @@
             seeds: Vec::new(),
             platform: PlatformOptions::default(),
             traffic: TrafficOptions::default(),
+            limits: LimitOptions::default(),
             log: LogOptions::default(),
         }
     }
@@ -103,6 +106,36 @@
     }
 }
 
+/// Limits that protect the process from misbehaving clients.
+#[derive(Clone, Debug)]
+pub struct LimitOptions {
+    /// Memory that the process may use, in MB; parts of it are for bodies, responses and frames.
+    pub memory_mb: usize,
+    /// Descriptors that the process may use, if fewer than the operating system allows.
+    pub max_descriptors: Option<usize>,
+    /// Largest head of a request, in bytes.
+    pub max_header_bytes: usize,
+    /// Longest time for the head of a request, also for the next one on an idle connection.
+    pub header_timeout: Duration,
+    /// Time for a body, response or frame before the lowest transfer rate applies.
+    pub transfer_grace: Duration,
+    /// Lowest transfer rate of a body, response or frame, in bytes per second.
+    pub min_transfer_rate: usize,
+}
+
+impl Default for LimitOptions {
+    fn default() -> Self {
+        LimitOptions {
+            memory_mb: 512,
+            max_descriptors: None,
+            max_header_bytes: 64 * 1024,
+            header_timeout: Duration::from_secs(30),
+            transfer_grace: Duration::from_secs(30),
+            min_transfer_rate: 1000,
+        }
+    }
+}
+
 /// Settings of the log output.
 #[derive(Clone, Debug)]
 pub struct LogOptions {
