Decide in the core which connections of a port are closed

A port needs a rule for what to close when a crowd of clients uses up its connections or memory. core/connections holds it without I/O: idle connections first, then the slowest, among equals one of the address with the most connections, authenticated ones last, and never one on which a request runs; the slowest head and the slowest reader when heads or unread responses need too much; readers below the lowest rate; bodies that have stalled for a second. Nothing uses it so far.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod burn;
 pub mod config;
+pub mod connections;
 pub mod control;
 pub mod crash;
 pub mod declaration;
