Bound what clients may use at the daemon's ports

The daemon accepted connections without a bound on all its ports, held the bodies of all requests and the frames of unauthenticated hosts without a common one, and waited for slow bodies and slow readers without an end. A lack of descriptors made the loop that accepts hosts spin.

Each port now has its part of the descriptors and of the memory in the section [limits]. Bodies, incomplete heads, unread responses and frames count towards their memory; transfers have a lowest rate for each stretch of transfer_grace. The default of memory_mb is 1024, since it bounds connections too. Limits are counted (jasminestage.clients.limited) and logged as event 55, once a second for each port.

--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -85,6 +85,8 @@
     DomainHeard = 43, Info;
     /// A message from another host was rejected.
     MessageRejected = 50, Warn;
+    /// A client was refused or cut because a limit on connections, memory or transfer rates was reached.
+    ClientLimited = 55, Warn;
     /// An answer of a backend server belongs to another try and was dropped.
     CrossedAnswer = 65, Warn;
     /// A failing backend server was ejected and temporarily receives no requests.
--- a/crates/daemon/src/front/mod.rs
+++ b/crates/daemon/src/front/mod.rs
@@ -2,6 +2,7 @@
 
 mod admin;
 pub mod backend;
+mod body;
 mod headers;
 mod lookup;
 mod measure;
@@ -13,14 +14,21 @@
 
 use jasminestage_core::result::Code;
 use salvo::{
-    Listener, Router, Server,
+    Listener, Router, Server, Service,
     conn::TcpListener,
     http::{HeaderValue, Response, StatusCode},
 };
 use tokio::sync::oneshot;
 
 use self::measure::MeasureRequests;
-use crate::{control::ControlSender, error::DaemonError, peer, shared::Shared};
+use crate::{
+    control::ControlSender,
+    error::DaemonError,
+    intake::{Port, PortPolicy, TrackRequests, connection_limits},
+    peer,
+    shared::Shared,
+    timer::Timers,
+};
 
 /// Serves callers until a stop is requested, then stops gracefully. Without the control thread the
 /// configuration and the view become outdated, so serving ends when the control thread ends.
@@ -47,18 +55,43 @@
     let callers = bind_listener(shared.cfg.caller_address).await?;
     let admin = bind_listener(shared.cfg.admin_address).await?;
     peer::stream::serve(Arc::clone(shared)).await?;
-    let server = Server::new(callers);
+    let timers = Timers::start();
+    let caller_port = http_port(shared, "callers", shared.budget.caller_connections);
+    let admin_port = http_port(shared, "operators", shared.budget.admin_connections);
+    for port in [&caller_port, &admin_port] {
+        tokio::spawn(Arc::clone(port).check_transfers(timers.clone()));
+    }
+    let server = limited_server(shared, callers, &caller_port);
     let handle = server.handle();
-    let admin_server = Server::new(admin);
-    tokio::spawn(admin_server.serve(admin::router(shared)));
+    let admin_server = limited_server(shared, admin, &admin_port);
+    let admin_service = Service::new(admin::router(shared)).hoop(TrackRequests(admin_port));
+    tokio::spawn(admin_server.serve(admin_service));
     tokio::spawn(stop::stop_on_signal(Arc::clone(shared), control.clone(), handle));
-    server.serve(caller_router(shared)).await;
+    let caller_service = Service::new(caller_router(shared, &caller_port));
+    server.serve(caller_service.hoop(TrackRequests(caller_port))).await;
     Ok(())
 }
 
-fn caller_router(shared: &Arc<Shared>) -> Router {
+fn http_port(shared: &Shared, name: &'static str, max_connections: usize) -> Arc<Port> {
+    let limits = &shared.cfg.limits;
+    let connection_limits = connection_limits(limits, &shared.budget, max_connections);
+    Port::new(name, connection_limits, limits.header_timeout, Arc::clone(&shared.metrics))
+}
+
+/// A server whose connections are limited.
+fn limited_server<A: salvo::conn::Acceptor + Send>(
+    shared: &Shared,
+    acceptor: A,
+    port: &Arc<Port>,
+) -> Server<A> {
+    let mut server = Server::new(acceptor).fuse_policy(PortPolicy(Arc::clone(port)));
+    server.http1_mut().max_buf_size(shared.cfg.limits.max_header_bytes);
+    server
+}
+
+fn caller_router(shared: &Arc<Shared>, port: &Arc<Port>) -> Router {
     let look_up = lookup::LookUpHandler { shared: Arc::clone(shared) };
-    let request = request::RequestHandler { shared: Arc::clone(shared) };
+    let request = request::RequestHandler { shared: Arc::clone(shared), port: Arc::clone(port) };
     let close = stop::CloseConnections { shared: Arc::clone(shared) };
     let measured_path = |path: &'static str| {
         Router::with_path(path.trim_start_matches('/')).hoop(MeasureRequests::new(shared, path))
--- a/crates/daemon/src/front/request.rs
+++ b/crates/daemon/src/front/request.rs
@@ -19,10 +19,11 @@
 
 use super::{
     backend::BackendCall,
+    body::read_body,
     headers, refuse, set_result_headers,
     steps::{self, RequestResult},
 };
-use crate::shared::Shared;
+use crate::{intake::Port, shared::Shared};
 
 /// Length limit of a header value that is parsed as a number or id, in bytes.
 const MAX_VALUE_BYTES: usize = 256;
@@ -31,6 +32,8 @@
 pub struct RequestHandler {
     /// State of the process.
     pub shared: Arc<Shared>,
+    /// The port of the callers.
+    pub port: Arc<Port>,
 }
 
 impl RequestHandler {
@@ -42,10 +45,19 @@
         if let Some(code) = refusal {
             return code.into();
         }
-        let max = self.shared.cfg.traffic.max_body_bytes;
-        let Ok(body) = req.payload_with_max_size(max).await.cloned() else {
-            return Code::TooLarge.into();
+        let client = req.remote_addr().clone().into_std();
+        let body = match read_body(&self.shared, &self.port, req.take_body()).await {
+            Ok(body) => body,
+            Err(e) => {
+                if let (Some(limit), Some(client)) = (e.limit(), client) {
+                    self.port.report(limit, client);
+                }
+                return e.code().into();
+            }
         };
+        if let Some(client) = client {
+            self.port.begin_work(client);
+        }
         let Ok(deadline) = deadline_header(req.headers()) else { return Code::Malformed.into() };
         let call = BackendCall {
             method: req.method().clone(),
--- a/crates/daemon/src/metrics/mod.rs
+++ b/crates/daemon/src/metrics/mod.rs
@@ -57,6 +57,7 @@
     refusals: Counter<u64>,
     frames: Counter<u64>,
     rejected_frames: Counter<u64>,
+    limited_clients: Counter<u64>,
     frame_bytes: Counter<u64>,
     store_calls: Histogram<f64>,
     log_events: Counter<u64>,
@@ -110,6 +111,11 @@
                 "{message}",
                 "Frames that were rejected.",
             ),
+            limited_clients: count(
+                "jasminestage.clients.limited",
+                "{client}",
+                "Clients that were refused or cut by a limit, by port and limit.",
+            ),
             frame_bytes: count("jasminestage.peer.io", "By", "Bytes to and from hosts."),
             store_calls: seconds("db.client.operation.duration", "Duration of calls to the store."),
             log_events: count("jasminestage.log.events", "{event}", "Log events by number."),
@@ -176,6 +182,13 @@
         self.rejected_frames.add(1, &[]);
     }
 
+    /// Counts a client that was refused or cut by a limit.
+    pub fn count_limited_client(&self, port: &'static str, limit: &'static str) {
+        let labels =
+            [KeyValue::new("jasminestage.port", port), KeyValue::new("jasminestage.limit", limit)];
+        self.limited_clients.add(1, &labels);
+    }
+
     /// Records a call to the store.
     pub fn record_store_call(&self, operation: &'static str, is_ok: bool, took: Duration) {
         let mut labels = vec![
--- a/crates/daemon/src/options/mod.rs
+++ b/crates/daemon/src/options/mod.rs
@@ -126,7 +126,7 @@
 impl Default for LimitOptions {
     fn default() -> Self {
         LimitOptions {
-            memory_mb: 512,
+            memory_mb: 1024,
             max_descriptors: None,
             max_header_bytes: 64 * 1024,
             header_timeout: Duration::from_secs(30),
--- a/crates/daemon/src/peer/stream.rs
+++ b/crates/daemon/src/peer/stream.rs
@@ -28,7 +28,16 @@
 };
 
 use super::answer::answer;
-use crate::{clock, error::DaemonError, metrics::Transport, shared::Shared};
+use crate::{
+    clock,
+    error::DaemonError,
+    intake::{
+        MemoryExhausted, Port, PortConnection, Reserved, Transfer, TransferTooSlow,
+        connection_limits, transfer_rate,
+    },
+    metrics::Transport,
+    shared::Shared,
+};
 
 /// Largest frame on a connection, in bytes.
 const MAX_FRAME_BYTES: u32 = 72 * 1024 * 1024;
@@ -42,6 +51,12 @@
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(5);
 /// Idle connections kept for one host.
 const MAX_IDLE_PER_HOST: usize = 8;
+/// Pause after a failure to accept a connection, such as a lack of descriptors.
+const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
+/// Time between two tries to get memory after a stalled frame was closed.
+const MEMORY_RETRY_DELAY: Duration = Duration::from_millis(10);
+/// Size of the parts in which a call of another host is read, in bytes.
+const READ_PART_BYTES: usize = 16 * 1024;
 
 /// Why a call to another host failed.
 #[derive(Debug, Error)]
@@ -204,36 +219,131 @@
     let address = shared.cfg.peer_listen();
     let listener =
         TcpListener::bind(address).await.map_err(|source| DaemonError::Bind { address, source })?;
+    let limits = &shared.cfg.limits;
+    let connection_limits =
+        connection_limits(limits, &shared.budget, shared.budget.peer_connections);
+    let metrics = Arc::clone(&shared.metrics);
+    let port = Port::new("hosts", connection_limits, limits.header_timeout, metrics);
     tokio::spawn(async move {
         loop {
-            let Ok((stream, from)) = listener.accept().await else { continue };
+            let Ok((stream, from)) = listener.accept().await else {
+                tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
+                continue;
+            };
+            let Some(connection) = port.open(from).await else { continue };
+            let connection = Arc::new(connection);
             let shared = Arc::clone(&shared);
-            tokio::spawn(async move {
-                if let Err(e) = serve_connection(&shared, stream).await {
+            let served = Arc::clone(&connection);
+            let task = tokio::spawn(async move {
+                if let Err(e) = serve_connection(&shared, stream, &served).await {
                     shared.report_rejected_frame(from, &e);
                 }
             });
+            let task = task.abort_handle();
+            connection.set_close(move || task.abort());
         }
     });
     Ok(())
 }
 
-async fn serve_connection(shared: &Arc<Shared>, mut stream: TcpStream) -> Result<(), WireError> {
+async fn serve_connection(
+    shared: &Arc<Shared>,
+    mut stream: TcpStream,
+    connection: &PortConnection,
+) -> Result<(), WireError> {
     let nonce_exchange = tokio::time::timeout(CONNECT_TIMEOUT, exchange_nonces(&mut stream)).await;
     let Ok(Ok(nonces)) = nonce_exchange else { return Ok(()) };
+    let write_timeout = shared.cfg.limits.transfer_grace;
     for number in 1.. {
-        let read = tokio::time::timeout(IDLE_TIMEOUT, read_frame(&mut stream)).await;
-        let Ok(Ok(frame)) = read else { break };
-        let call: PeerCall = decode_message(shared, Purpose::StreamCall, nonces, number, &frame)?;
+        let frame = match read_call(shared, &mut stream, connection).await {
+            Ok(frame) => frame,
+            Err(e) => {
+                if let Some(limit) = e.limit() {
+                    connection.report(limit);
+                }
+                break;
+            }
+        };
+        let frame_bytes = frame.as_ref();
+        let call: PeerCall =
+            decode_message(shared, Purpose::StreamCall, nonces, number, frame_bytes)?;
+        drop(frame);
+        connection.begin_trusted_work();
         let reply = answer(shared, call).await;
         let header = frame_header(shared, nonces, number);
-        if write_frame(shared, &mut stream, Purpose::StreamReply, &header, &reply).await.is_err() {
+        let write = write_frame(shared, &mut stream, Purpose::StreamReply, &header, &reply);
+        // The reply is not counted as unsent: only hosts of the fleet get one.
+        if !matches!(tokio::time::timeout(write_timeout, write).await, Ok(Ok(()))) {
             break;
         }
+        connection.end_work();
     }
     Ok(())
 }
 
+/// Why the call of another host was not read.
+#[derive(Debug, Error)]
+enum ReadCallError {
+    /// No call arrived in time.
+    #[error("The connection was idle for too long.")]
+    Idle(#[from] tokio::time::error::Elapsed),
+    /// The connection has failed or ended.
+    #[error("The connection failed: {0}.")]
+    Connection(#[from] io::Error),
+    /// The frames of all hosts need too much memory.
+    #[error(transparent)]
+    MemoryExhausted(#[from] MemoryExhausted),
+    /// The frame arrives too slowly.
+    #[error(transparent)]
+    TooSlow(#[from] TransferTooSlow),
+}
+
+impl ReadCallError {
+    /// Label of the limit that was reached; `None` if none was.
+    fn limit(&self) -> Option<&'static str> {
+        match self {
+            ReadCallError::Idle(_) | ReadCallError::Connection(_) => None,
+            ReadCallError::MemoryExhausted(_) => Some("frame memory"),
+            ReadCallError::TooSlow(_) => Some("frame rate"),
+        }
+    }
+}
+
+/// Reads the frame of a call. The sender is not authenticated before the frame is complete, so its bytes
+/// count towards the memory for frames.
+async fn read_call(
+    shared: &Shared,
+    stream: &mut TcpStream,
+    connection: &PortConnection,
+) -> Result<Reserved, ReadCallError> {
+    let len = tokio::time::timeout(IDLE_TIMEOUT, stream.read_u32()).await??;
+    if len > MAX_FRAME_BYTES {
+        return Err(io::Error::other(WireError::FrameTooLarge(len as usize)).into());
+    }
+    let len = len as usize;
+    connection.begin_transfer();
+    let mut frame = Reserved::new(&shared.frame_memory);
+    let mut transfer = Transfer::start(transfer_rate(&shared.cfg.limits));
+    let mut part = vec![0; READ_PART_BYTES.min(len)];
+    while frame.len() < len {
+        let wanted = part.len().min(len - frame.len());
+        let read = transfer.next(stream.read(&mut part[..wanted])).await??;
+        if read == 0 {
+            return Err(io::Error::from(io::ErrorKind::UnexpectedEof).into());
+        }
+        transfer.record(read);
+        connection.record_received(read);
+        while let Err(e) = frame.append(&part[..read], len) {
+            if !connection.close_stalled() {
+                return Err(e.into());
+            }
+            // The memory is free once the task of the closed connection has ended.
+            tokio::time::sleep(MEMORY_RETRY_DELAY).await;
+        }
+    }
+    Ok(frame)
+}
+
 fn frame_header(shared: &Shared, nonces: Nonces, number: u64) -> Header {
     let (sender, nonce, echo) = (shared.own_info.incarnation, nonces.own, nonces.remote);
     Header { sender, sequence: number, nonce, echo }
--- a/crates/daemon/src/shared.rs
+++ b/crates/daemon/src/shared.rs
@@ -26,7 +26,12 @@
 use tokio::sync::{Notify, mpsc};
 
 use crate::{
-    clock, front::backend::BackendClient, log, metrics::Metrics, options::Options,
+    clock,
+    front::backend::BackendClient,
+    intake::{Budget, Memory},
+    log,
+    metrics::Metrics,
+    options::Options,
     peer::stream::PeerConnections,
 };
 
@@ -42,6 +47,12 @@
     pub peers: PeerConnections,
     /// Metrics.
     pub metrics: Arc<Metrics>,
+    /// Parts of the memory and of the descriptors of the process.
+    pub budget: Budget,
+    /// Memory for the bodies of requests.
+    pub body_memory: Arc<Memory>,
+    /// Memory for frames of other hosts.
+    pub frame_memory: Arc<Memory>,
     rejection_limiter: log::EventLimiter,
     burn: Mutex<BurnCounters>,
     usage: Mutex<Usage>,
@@ -75,7 +86,11 @@
         let mut traffic = Traffic::new(Arc::clone(&view));
         traffic.configure_once(id_secret.clone(), DedupLimits::default());
         traffic.set_clock(clock::now(), clock::unix_millis());
+        let budget = Budget::new(&cfg.limits, &cfg.traffic);
         Shared {
+            budget,
+            body_memory: Arc::new(Memory::new(budget.body_bytes)),
+            frame_memory: Arc::new(Memory::new(budget.frame_bytes)),
             cfg,
             own_info,
             view: ArcSwap::from(view),
--- a/crates/daemon/tests/hostile.rs
+++ b/crates/daemon/tests/hostile.rs
@@ -357,3 +357,58 @@
         assert!(fleet.hosts[0].exit_status().is_none(), "the host process runs");
     });
 }
+
+/// Fails if a limit keeps out a single request that is within the limits of the settings.
+#[test_case(&format!("content-length: {MAX_BODY_BYTES}\r\n"), MAX_BODY_BYTES, 65_536, 0; "the largest body")]
+#[test_case(&format!("x-long: {}\r\ncontent-length: 10\r\n", "y".repeat(15_900)), 10, 10, 0; "a long head")]
+#[test_case(&format!("{}content-length: 10\r\n", "a:b\r\n".repeat(90)), 10, 10, 0; "many fields")]
+#[test_case("content-length: 12000\r\n", 12_000, 1000, 400; "a body that takes longer than the grace")]
+fn a_single_request_within_the_limits_is_served(fields: &str, len: usize, part: usize, pause: u64) {
+    let _lock = ONE_AT_A_TIME.lock().unwrap_or_else(PoisonError::into_inner);
+    let runtime = tokio::runtime::Runtime::new().expect("a runtime starts");
+    runtime.block_on(async {
+        let dir = tempfile::tempdir().expect("a temporary directory is created");
+        let fleet = start(dir.path()).await;
+        let to = fleet.hosts[0].options.caller_address;
+        let mut stream = TcpStream::connect(to).await.expect("the host listens");
+        let head = format!("POST {ROUTE} HTTP/1.1\r\nhost: h\r\n{fields}\r\n");
+        stream.write_all(head.as_bytes()).await.expect("the head is sent");
+        for _ in 0..len / part {
+            stream.write_all(&vec![b'x'; part]).await.expect("the body is sent");
+            sleep(Duration::from_millis(pause)).await;
+        }
+        let mut status_line = [0; 12];
+        stream.read_exact(&mut status_line).await.expect("a response arrives");
+        assert_eq!(String::from_utf8_lossy(&status_line), "HTTP/1.1 200");
+    });
+}
+
+/// Fails if clients that a limit cuts are not counted, or if each of them writes a line to the log.
+#[test]
+fn limits_are_counted_and_logged_at_a_bounded_rate() {
+    let _lock = ONE_AT_A_TIME.lock().unwrap_or_else(PoisonError::into_inner);
+    let runtime = tokio::runtime::Runtime::new().expect("a runtime starts");
+    runtime.block_on(async {
+        let dir = tempfile::tempdir().expect("a temporary directory is created");
+        let fleet = start(dir.path()).await;
+        let options = fleet.hosts[0].options.clone();
+        let mut streams = Vec::new();
+        for _ in 0..CONNECTIONS {
+            streams.extend(TcpStream::connect(options.caller_address).await.ok());
+        }
+        let is_counted = eventually(CALLER_PATIENCE, async || {
+            let url = format!("http://{}/metrics", options.admin_address);
+            let Ok(page) = reqwest::get(url).await else { return false };
+            let text = page.text().await.unwrap_or_default();
+            text.lines().any(|l| {
+                l.starts_with("jasminestage_clients_limited_total")
+                    && l.contains("jasminestage_limit=\"connections\"")
+                    && l.contains("jasminestage_port=\"callers\"")
+            })
+        });
+        assert!(is_counted.await, "the metric counts the closed connections");
+        let log = fs::read_to_string(&fleet.hosts[0].log_path).expect("the host writes a log");
+        let lines = log.lines().filter(|l| l.contains("event=55")).count();
+        assert!((1..=20).contains(&lines), "{lines} lines:\n{log}");
+    });
+}
