Tell callers to come back soon after a server with room has shed their request

Cause: a refused request came back after 300 ms also when the server that shed it had free slots. With an objective of 400 or 500 ms it was then late in any case. Change: after a shed by a server that states free slots and no queue, Retry-After is 20 to 60 ms, spread over the requests.

--- a/crates/core/src/steer/steering/outcome.rs
+++ b/crates/core/src/steer/steering/outcome.rs
@@ -18,6 +18,8 @@
 /// Multiple of the base latency above which an answer indicates that the server had to fetch the
 /// object.
 const CACHE_MISS_RATIO: f64 = 2.0;
+/// Mean time after which a request may be sent again that a server with room has shed.
+const SHED_WITH_ROOM_WAIT: Duration = Duration::from_millis(40);
 /// Number of failed connections after which a request is refused.
 const MAX_CONNECT_FAILURES: usize = 4;
 /// Multiple of the base latency above which an answer counts as a failure during a rollout. The
@@ -28,6 +30,23 @@
 /// timeout.
 const CANARY_SLOW_TIMEOUT_FRACTION: f64 = 0.8;
 
+/// Tells the caller of a request that was shed to come back soon if the server had room: another one will
+/// most likely run it, and after the usual wait it would miss its objective. The waits of different
+/// requests are spread.
+fn with_shed_wait(
+    request: &PendingRequest,
+    report: Option<ServerReport>,
+    refusal: Refusal,
+) -> Refusal {
+    let has_room =
+        report.and_then(|r| r.load).is_some_and(|l| l.waiting == 0 && l.running < l.slots);
+    if !has_room || refusal.retry_after.is_none() {
+        return refusal;
+    }
+    let wait = SHED_WITH_ROOM_WAIT.mul_f64(0.5 + request.version_position);
+    Refusal { retry_after: Some(wait), ..refusal }
+}
+
 impl Steering {
     /// Records the outcome of an attempt and decides the next action.
     pub fn finish_attempt(
@@ -53,7 +72,8 @@
                 if self.reserve_retry(now, request) {
                     return NextAction::Retry;
                 }
-                return NextAction::Refuse(self.final_refusal(request, RefusalReason::Shed));
+                let refusal = self.final_refusal(request, RefusalReason::Shed);
+                return NextAction::Refuse(with_shed_wait(request, report, refusal));
             }
             AttemptOutcome::NotSent => {
                 request.tried_servers.pop();
--- a/crates/core/tests/steer/steering.rs
+++ b/crates/core/tests/steer/steering.rs
@@ -6,7 +6,7 @@
     steer::{
         refusal::RefusalReason,
         rollout::{Rollout, RolloutOrder, Verdict},
-        server::{AttemptOutcome, ServerEntry},
+        server::{AttemptOutcome, LoadReport, ServerEntry, ServerReport},
         steering::{NextAction, PendingRequest, RequestHead, Steering},
         view::View,
     },
@@ -334,3 +334,34 @@
     steering.install_view(at(14_000), Arc::new(view));
     assert_eq!(steering.rollout_verdict("lookup"), Verdict::Sound);
 }
+
+struct ShedCase {
+    /// Requests that run and wait at the server that shed the request, of three slots.
+    load: Option<(u32, u32)>,
+    /// Bounds of the wait in milliseconds.
+    wait_ms: (u128, u128),
+}
+
+// A server with room that sheds a share of its requests is tried again at once; with the wait for a full
+// one, requests with an objective of 400 ms came back too late to meet it.
+#[test_case(&ShedCase { load: Some((1, 0)), wait_ms: (20, 60) }; "a server with room")]
+#[test_case(&ShedCase { load: Some((3, 0)), wait_ms: (300, 300) }; "all slots are busy")]
+#[test_case(&ShedCase { load: Some((2, 4)), wait_ms: (300, 300) }; "requests wait")]
+#[test_case(&ShedCase { load: None, wait_ms: (300, 300) }; "the server states no load")]
+fn the_wait_after_a_shed_follows_the_room(case: &ShedCase) {
+    let mut steering = steering_with(view(&lookups(1)));
+    let load = case.load.map(|(running, waiting)| LoadReport { running, waiting, slots: 3 });
+    let report = ServerReport { load, ..ServerReport::default() };
+    let mut shed = || {
+        let mut request = admitted(&mut steering, "/read/x");
+        steering.choose_server(at(1000), &mut request).expect("a server is available");
+        match steering.finish_attempt(at(1010), &mut request, AttemptOutcome::Shed, Some(report)) {
+            NextAction::Refuse(refusal) => Some(refusal),
+            _ => None,
+        }
+    };
+    // The first requests may be tried again at once, until the retry budget is used up.
+    let refusal = (0..100).find_map(|_| shed()).expect("the budget ends");
+    let wait_ms = refusal.retry_after.map_or(0, |wait| wait.as_millis());
+    assert!((case.wait_ms.0..=case.wait_ms.1).contains(&wait_ms), "{wait_ms} ms");
+}
