Count an attempt only after its server was taken

Cause: an attempt was counted before it was certain that the chosen server still had a record; without one the request was refused, and the count stayed. Change: the attempt is counted when it is in progress; a table of outcomes tests what counts.

--- a/crates/core/src/steer/steering/choose.rs
+++ b/crates/core/src/steer/steering/choose.rs
@@ -168,7 +168,6 @@
             });
         }
         let bound = self.servers.get(best.server).and_then(|s| self.rate_bound(now, &view, s));
-        let usage_window = self.count_usage(now, request);
         let Some(server) = self.servers.get_mut(best.server) else {
             return Err(self.final_refusal(request, RefusalReason::NoServer));
         };
@@ -187,8 +186,9 @@
             queue_factor: best.queue_factor,
             is_warm: best.is_warm,
             version: entry.version.clone(),
-            usage_window,
+            usage_window: None,
         });
+        self.count_usage(now, request);
         self.count_canary_request(&request.service, &entry.version);
         let failover_after = Duration::from_secs_f64((best.latency_s * 4.0).max(objective_s * 1.2));
         Ok(Dispatch {
--- a/crates/core/src/steer/steering/usage.rs
+++ b/crates/core/src/steer/steering/usage.rs
@@ -7,7 +7,7 @@
     host::Incarnation,
     steer::{
         server::AttemptOutcome,
-        usage::{HostCounts, WindowId, clock::ClockChange, counter::UsageCounter},
+        usage::{HostCounts, clock::ClockChange, counter::UsageCounter},
     },
     time::{Instant, UnixMillis},
 };
@@ -40,13 +40,12 @@
 
     /// Counts an attempt when it is sent, so that those still running at the end of a window are
     /// included.
-    pub(super) fn count_usage(
-        &mut self,
-        now: Instant,
-        request: &PendingRequest,
-    ) -> Option<WindowId> {
-        let workspace = request.workspace.as_ref()?;
-        self.usage.as_mut()?.count(now, &workspace.name)
+    pub(super) fn count_usage(&mut self, now: Instant, request: &mut PendingRequest) {
+        if let (Some(usage), Some(workspace), Some(attempt)) =
+            (&mut self.usage, &request.workspace, &mut request.current_attempt)
+        {
+            attempt.usage_window = usage.count(now, &workspace.name);
+        }
     }
 
     /// Corrects the count of an attempt when its outcome is known: it is removed if no server began it,
--- a/crates/core/tests/steer/usage.rs
+++ b/crates/core/tests/steer/usage.rs
@@ -2,12 +2,14 @@
 
 mod world;
 
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 
 use jasminestage_core::{
     host::Incarnation,
     steer::{
         position::StorePosition,
+        server::AttemptOutcome,
+        steering::{RequestHead, Steering},
         usage::{
             HostCounts, WindowCounts,
             clock::{ClockChange, WindowClock},
@@ -20,7 +22,7 @@
 use test_case::test_case;
 
 use self::world::{Fault, World};
-use crate::common::at;
+use crate::common::{at, entry, view};
 
 const WINDOW: Duration = Duration::from_secs(5);
 /// Time of day of the tests at the start of the boot-time clock, at the start of a window.
@@ -79,6 +81,45 @@
     assert!(counter.all_counts(Incarnation(1)).windows.is_empty());
 }
 
+struct AttemptCase {
+    outcome: AttemptOutcome,
+    /// Count of the workspace after the attempt has ended.
+    count: u64,
+}
+
+/// Fails if an attempt that no server began is reported, or one that may have begun is not.
+#[test_case(&AttemptCase { outcome: AttemptOutcome::Answered { status: 200, took: Duration::from_millis(90) }, count: 1 }; "answered")]
+#[test_case(&AttemptCase { outcome: AttemptOutcome::Answered { status: 500, took: Duration::from_millis(90) }, count: 1 }; "failed")]
+#[test_case(&AttemptCase { outcome: AttemptOutcome::TimedOut, count: 1 }; "timed out")]
+#[test_case(&AttemptCase { outcome: AttemptOutcome::Lost, count: 1 }; "lost")]
+#[test_case(&AttemptCase { outcome: AttemptOutcome::Abandoned, count: 1 }; "abandoned")]
+#[test_case(&AttemptCase { outcome: AttemptOutcome::Shed, count: 0 }; "shed")]
+#[test_case(&AttemptCase { outcome: AttemptOutcome::WrongServer, count: 0 }; "wrong server")]
+#[test_case(&AttemptCase { outcome: AttemptOutcome::NotSent, count: 0 }; "not sent")]
+fn attempts_count_if_a_server_may_have_begun_them(case: &AttemptCase) {
+    let mut steering = Steering::new(Arc::new(view(&[])));
+    steering.install_view(at(0), Arc::new(view(&[entry("s1", "lookup", "a1")])));
+    steering.enable_usage(WINDOW);
+    steering.observe_time(at(0), UNIX_MS);
+    let head = RequestHead {
+        id: "r1",
+        host: "example",
+        path: "/read/x",
+        key: Some("key-w"),
+        object: None,
+        caller_timeout: Some(Duration::from_secs(3)),
+    };
+    let mut request = steering.admit(at(1000), &head).expect("the request is admitted");
+    steering.choose_server(at(1000), &mut request).expect("a server is available");
+    let window = UNIX_MS / 5000;
+    let mut counted =
+        || counts_of(&steering.all_usage(Incarnation(1)).expect("usage is counted"), window);
+    assert_eq!(counted(), 1, "a running attempt is not counted");
+    steering.finish_attempt(at(1100), &mut request, case.outcome, None);
+    let counts = steering.all_usage(Incarnation(1)).expect("usage is counted");
+    assert_eq!(counts_of(&counts, window), case.count);
+}
+
 /// Fails if late, repeated or reordered messages are added up, or the counts of an ended host are lost.
 #[test]
 fn the_newest_counts_of_each_host_are_added_up() {
