Plan the shares of the regions around requests that are bound to a region

Cause: requests that the configuration binds to a region run there whatever the shares are, but the plan counted them as movable demand of their callers' region. Change: hosts report the rates of bound requests by region, under keys that earlier releases ignore. The slots that bound requests need are taken from their region before the shares of the others are planned. Without bound requests the plan is the same.

--- a/crates/core/src/steer/steering/choose.rs
+++ b/crates/core/src/steer/steering/choose.rs
@@ -101,7 +101,7 @@
     /// that sent several times its rate made all regions look overloaded.
     fn count_demand(&mut self, request: &PendingRequest) {
         let state = self.services.entry(request.service.clone()).or_default();
-        state.requests_since_plan += 1;
+        state.demand.count(request);
         state.costs.count_request(&request.route, request.urgency());
     }
 
--- a/crates/core/src/steer/steering/mod.rs
+++ b/crates/core/src/steer/steering/mod.rs
@@ -1,6 +1,7 @@
 //! The request path: all decisions between the arrival of a request and its answer.
 
 mod choose;
+mod demand;
 mod limits;
 mod outcome;
 mod peers;
@@ -17,7 +18,7 @@
     time::Duration,
 };
 
-use self::received::ReceivedStates;
+use self::{demand::Demand, received::ReceivedStates};
 pub use self::{
     limits::LimitChange,
     request::{Dispatch, NextAction, PendingRequest, RequestHead},
@@ -54,9 +55,7 @@
     /// Mean time for which a request occupies a slot, in seconds.
     slot_time_s: Option<f64>,
     retry_budget: RetryBudget,
-    requests_since_plan: u32,
-    /// Mean number of requests per second at this host.
-    request_rate: f64,
+    demand: Demand,
     first_request_at: Option<Instant>,
     /// Share of each region in the requests of this host's region.
     region_shares: Vec<f64>,
--- a/crates/core/src/steer/steering/peers.rs
+++ b/crates/core/src/steer/steering/peers.rs
@@ -128,11 +128,9 @@
 
     /// Returns the traffic statistics of this host.
     pub fn local_traffic_stats(&self) -> TrafficStats {
-        let services = self.services.iter().filter(|(_, s)| s.request_rate > 0.05);
+        let rates = self.services.iter().flat_map(|(name, s)| s.demand.to_report(name));
         TrafficStats {
-            request_rates: services
-                .map(|(name, s)| (name_hash(name), s.request_rate as f32))
-                .collect(),
+            request_rates: rates.collect(),
             admitted: self
                 .quotas
                 .admitted_in_window()
--- a/crates/core/src/steer/steering/plan.rs
+++ b/crates/core/src/steer/steering/plan.rs
@@ -2,19 +2,14 @@
 
 use std::{collections::HashMap, sync::Arc, time::Duration};
 
-use super::Steering;
+use super::{Steering, demand::RegionalDemand};
 use crate::{
-    steer::{
-        digest::name_hash,
-        regions::{self, RegionLoad},
-    },
+    steer::regions::{self, RegionLoad},
     time::Instant,
 };
 
 /// Period between two updates of demand and shares.
 pub(super) const PLAN_PERIOD: Duration = Duration::from_millis(500);
-/// Weight of the newest period in the mean request rate of a service.
-const REQUEST_RATE_WEIGHT: f64 = 0.15;
 /// Difference between the shares and the plan below which the shares stay unchanged, against noise.
 const SHARE_DEADBAND: f64 = 0.06;
 /// Fraction of the permitted shift in two seconds that is used.
@@ -45,37 +40,21 @@
         }
         let step = view.bounds.max_shift * USED_SHIFT_FRACTION * elapsed_s / 2.0;
         for (name, region_slots) in slots_by_service {
-            let mut region_loads: Vec<RegionLoad> =
-                region_slots.iter().map(|s| RegionLoad { demand: 0.0, slots: *s }).collect();
             let state = self.services.entry(name.clone()).or_default();
             state.costs.decay(|route| view.catalog.has_route(route));
-            let measured_rate =
-                f64::from(std::mem::take(&mut state.requests_since_plan)) / elapsed_s.max(0.1);
-            state.request_rate += REQUEST_RATE_WEIGHT * (measured_rate - state.request_rate);
+            state.demand.end_period(elapsed_s);
             let slot_time_s = state.slot_time_s.unwrap_or(ASSUMED_SLOT_TIME_S);
             let is_measured =
                 state.first_request_at.is_some_and(|at| now.saturating_since(at) > DEMAND_WARM_UP);
-            if is_measured {
-                region_loads[home_region].demand += state.request_rate * slot_time_s;
-                let key = name_hash(&name);
-                for (_, received) in self.received.fresh(now) {
-                    let rate = received.sum.stats.request_rates.get(&key).copied().unwrap_or(0.0);
-                    region_loads[home_region].demand += f64::from(rate) * slot_time_s;
-                }
-                for summary in self.remote_regions.all(now) {
-                    let Some(region) = view.region_index(&summary.region) else { continue };
-                    let rate = summary.stats.request_rates.get(&key).copied().unwrap_or(0.0);
-                    region_loads[region].demand += f64::from(rate) * slot_time_s;
-                }
-            } else {
-                let slot_count: f64 = region_slots.iter().sum();
-                let demand = slot_count * ASSUMED_UTILIZATION / view.regions.len().max(1) as f64;
-                region_loads.iter_mut().for_each(|l| l.demand = demand);
-            }
             let total_slots: f64 = region_slots.iter().sum();
-            state.utilization =
-                region_loads.iter().map(|l| l.demand).sum::<f64>() / total_slots.max(1.0);
-            let plan = regions::plan_shares(&region_loads, home_region);
+            let demand = if is_measured {
+                self.regional_demand(now, &view, &name, &region_slots, slot_time_s)
+            } else {
+                assumed_demand(&region_slots)
+            };
+            let state = self.services.entry(name).or_default();
+            state.utilization = demand.total_slots_used / total_slots.max(1.0);
+            let plan = regions::plan_shares(&demand.loads, home_region);
             let has_lost_region = state
                 .region_shares
                 .iter()
@@ -95,3 +74,11 @@
         }
     }
 }
+
+/// Demand that is assumed until it has been measured: the same from each region.
+fn assumed_demand(region_slots: &[f64]) -> RegionalDemand {
+    let total_slots_used = region_slots.iter().sum::<f64>() * ASSUMED_UTILIZATION;
+    let demand = total_slots_used / region_slots.len().max(1) as f64;
+    let loads = region_slots.iter().map(|slots| RegionLoad { demand, slots: *slots }).collect();
+    RegionalDemand { loads, total_slots_used }
+}
--- a/crates/core/src/steer/steering/rollouts.rs
+++ b/crates/core/src/steer/steering/rollouts.rs
@@ -92,7 +92,7 @@
 
     fn exposure(&self, now: Instant, service: &str, counts: &CanaryStats) -> Exposure {
         let key = name_hash(service);
-        let local = self.services.get(service).map_or(0.0, |s| s.request_rate);
+        let local = self.services.get(service).map_or(0.0, |s| s.demand.total_per_s());
         let same_region = self.received.fresh(now).map(|(_, state)| &state.sum.stats);
         let summaries = self.remote_regions.all(now);
         let stats = same_region.chain(summaries.iter().map(|s| &s.stats));
