Add the setting max_descriptors

Cause: a host does not know how many descriptors it may open.

Change: [host] max_descriptors, 8192 by default.

--- a/crates/edge/src/options.rs
+++ b/crates/edge/src/options.rs
@@ -37,6 +37,8 @@
     pub millicores: u32,
     /// Memory that the host may use, in MB.
     pub memory_mb: u32,
+    /// Descriptors that the process may open, of which [`RESERVED_DESCRIPTORS`] are left for files.
+    pub max_descriptors: usize,
     /// Maximum size of the body of one response of a server.
     pub max_response_bytes: usize,
     /// Maximum number of requests of one connection that run at the same time.
@@ -64,6 +66,7 @@
             metrics: local(7461),
             millicores: 1000,
             memory_mb: 256,
+            max_descriptors: 8192,
             max_response_bytes: 4 * 1024 * 1024,
             max_pipelined_requests: 8,
             first_start: false,
@@ -94,6 +97,9 @@
     Setting("host", "memory_mb", false, |o, t| {
         assign(&mut o.memory_mb, parse_positive(t).map(|mb| mb as u32))
     }),
+    Setting("host", "max_descriptors", false, |o, t| {
+        assign(&mut o.max_descriptors, parse_descriptors(t))
+    }),
     Setting("answers", "max_bytes", false, |o, t| {
         assign(&mut o.max_response_bytes, parse_count(t))
     }),
@@ -130,6 +136,10 @@
     }),
 ];
 
+/// Descriptors that connections never use, because files need them.
+pub const RESERVED_DESCRIPTORS: usize = 200;
+/// Smallest limit on descriptors with which a host can serve callers.
+const MIN_DESCRIPTORS: usize = 300;
 /// Fraction of the host's memory that the bodies of responses may use.
 const RESPONSE_MEMORY_FRACTION: f64 = 0.25;
 /// Fraction of the host's memory that the bodies of callers' requests may use.
@@ -248,6 +258,13 @@
     }
 }
 
+fn parse_descriptors(text: &str) -> Result<usize, String> {
+    match text.parse() {
+        Ok(number) if number >= MIN_DESCRIPTORS => Ok(number),
+        _ => Err(format!("a whole number of at least {MIN_DESCRIPTORS} is allowed")),
+    }
+}
+
 fn parse_non_negative(text: &str) -> Result<f64, String> {
     match text.parse::<f64>() {
         Ok(number) if number >= 0.0 && number.is_finite() => Ok(number),
--- a/crates/edge/tests/processes/settings.rs
+++ b/crates/edge/tests/processes/settings.rs
@@ -29,6 +29,7 @@
 #[test_case(&Case { from: "2.5s", to: "soon", error: "'stop_grace' in [bounds]" }; "a bad time")]
 #[test_case(&Case { from: "name = h\n", to: "name = h\nmax_pipelined_requests = 0\n", error: "a whole number above 0" }; "no request at a time")]
 #[test_case(&Case { from: "name = h\n", to: "name = h\nmemory_mb = -5\n", error: "a number above 0" }; "negative memory")]
+#[test_case(&Case { from: "name = h\n", to: "name = h\nmax_descriptors = 100\n", error: "at least 300" }; "too few descriptors")]
 #[test_case(&Case { from: "[store]", to: "[answers]\nmax_bytes = much\n[store]", error: "'max_bytes' in [answers]" }; "a bad size")]
 #[test_case(&Case { from: "a1 = a\n", to: "b1 = b\n", error: "'domain' in [host]" }; "an unknown domain")]
 #[test_case(&Case { from: "stop_grace", to: "stop_mercy", error: "no such setting" }; "an unknown setting")]
