Decide in the core which connections of clients a host keeps

Change: core/src/intake has one table for each port. It closes idle connections first, then the slowest, then one of the address that uses most; one whose requests are being handled is never closed. Parts of the descriptors and the memory follow from the host's settings.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod explain;
 pub mod host;
 pub mod ini;
+pub mod intake;
 pub mod lookup;
 pub mod member;
 pub mod once;
