Keep clients that misbehave within the memory and descriptors of a host

Cause: connections were accepted without a bound on all ports, a client that did not read kept its responses for ever, a header section could take 15 s, and the system kept several MB for each client (818 MB in one test).

Change: each port has a table of its connections with parts of max_descriptors and memory_mb; the core says which one to close. Socket buffers are bounded. A test's message now says which part of the memory was in sockets; crowd and bounds are unchanged.

--- a/crates/core/src/intake/mod.rs
+++ b/crates/core/src/intake/mod.rs
@@ -8,6 +8,9 @@
 mod table;
 
 pub use self::{
-    limits::{IntakeLimits, PortShare},
+    limits::{
+        IntakeLimits, OpenConnections, PortShare, ServerConnection, grant_server_connection,
+        lent_to_servers,
+    },
     table::{Activity, CloseReason, ConnectionKey, Intake, SlowLimits},
 };
--- a/crates/core/src/intake/table.rs
+++ b/crates/core/src/intake/table.rs
@@ -4,13 +4,20 @@
 
 use slotmap::{SlotMap, new_key_type};
 
-use super::limits::IntakeLimits;
+use super::limits::{IntakeLimits, MIN_CONNECTIONS};
 use crate::time::Instant;
 
 /// Buffer of the HTTP library for a connection that has sent a request with a body.
 const LIBRARY_BUFFER_BYTES: usize = 8 * 1024;
+/// State of a request that is being handled, with the buffers of its connection to a server.
+const REQUEST_BYTES: usize = 8 * 1024;
 /// Bytes of a header section count twice, because a buffer doubles when it grows.
 const HEAD_FACTOR: usize = 2;
+/// Bytes that the system may keep for one direction of a connection, as a multiple of the buffer size
+/// that it was given.
+const SYSTEM_BUFFER_FACTOR: usize = 2;
+/// Bytes read ahead from which the host may stop to read, so that the rest stays in the socket.
+const READ_AHEAD_BYTES: usize = 8 * 1024;
 /// Age from which a connection that sends or reads can be called slow. Younger ones are closed only
 /// if no older one is left.
 const MIN_SLOW_AGE: Duration = Duration::from_secs(1);
@@ -135,15 +142,16 @@
     /// bodies, which have their own limits.
     fn bytes_held(&self, socket_buffer_bytes: usize) -> usize {
         let library = if self.uses_library { LIBRARY_BUFFER_BYTES } else { 0 };
+        let direction = SYSTEM_BUFFER_FACTOR * socket_buffer_bytes;
         let body = usize::try_from(self.body_bytes).unwrap_or(usize::MAX);
-        library
-            + self.queued_bytes
-            + self.head_bytes * HEAD_FACTOR
-            + match self.activity {
-                Activity::Idle | Activity::Head | Activity::Working => 0,
-                Activity::Body => body.min(socket_buffer_bytes),
-                Activity::Unread => 2 * socket_buffer_bytes,
-            }
+        let socket = match self.activity {
+            Activity::Unread => 2 * direction,
+            _ if self.head_bytes >= READ_AHEAD_BYTES => direction,
+            Activity::Body => body.min(direction),
+            Activity::Idle | Activity::Head | Activity::Working => 0,
+        };
+        let requests = usize::try_from(self.running).unwrap_or(usize::MAX) * REQUEST_BYTES;
+        library + requests + self.queued_bytes + self.head_bytes * HEAD_FACTOR + socket
     }
 
     /// Bytes per second that have arrived in the activity.
@@ -222,14 +230,15 @@
     }
 
     /// Adds a new connection, unless all others are in use for requests. The returned connection has
-    /// to be closed for it and no longer counts.
+    /// to be closed for it and no longer counts. `lent` connections are in use elsewhere.
     pub fn admit(
         &mut self,
         now: Instant,
         caller: IpAddr,
+        lent: usize,
     ) -> (Option<ConnectionKey>, Option<Closing>) {
         let mut closing = None;
-        if self.connections.len() >= self.limits.max_connections {
+        if !self.has_room(lent) {
             closing = self.close_one(now, |_| true);
             if closing.is_none() {
                 return (None, None);
@@ -254,12 +263,24 @@
         (Some(self.connections.insert(connection)), closing)
     }
 
+    /// Whether a new connection fits while `lent` ones are in use elsewhere.
+    pub fn has_room(&self, lent: usize) -> bool {
+        let max = self.limits.max_connections.saturating_sub(lent).max(MIN_CONNECTIONS);
+        self.connections.len() < max.min(self.limits.max_connections)
+    }
+
     /// Frees one descriptor, after the system has refused one. The returned connection has to be
     /// closed and no longer counts.
     pub fn free_descriptor(&mut self, now: Instant) -> Option<Closing> {
         self.close_one(now, |_| true)
     }
 
+    /// Closes an idle connection for the descriptor that a request needs. The returned connection has to
+    /// be closed and no longer counts.
+    pub fn free_idle(&mut self, now: Instant) -> Option<Closing> {
+        self.close_one(now, |c| c.activity == Activity::Idle)
+    }
+
     /// Removes a connection that has ended.
     pub fn remove(&mut self, key: ConnectionKey) {
         if let Some(connection) = self.connections.remove(key) {
@@ -392,7 +413,8 @@
     }
 
     /// Closes one of the connections that `frees` what is short: idle ones first, then the slowest,
-    /// then one of the address that uses most. Connections whose requests are being handled stay.
+    /// then one of the address that uses most. Connections whose requests are being handled stay, except
+    /// those that have sent many more requests ahead, if no other is left.
     fn close_one(&mut self, now: Instant, frees: impl Fn(&Connection) -> bool) -> Option<Closing> {
         let candidates = || {
             let all = self.connections.iter();
@@ -406,24 +428,29 @@
                 .filter(|(_, c)| now.saturating_since(c.since) >= MIN_SLOW_AGE)
                 .min_by_key(|(_, c)| (c.recent_rate(now), c.since))
         };
-        let expensive = || {
+        let expensive = |activity_matches: fn(&Connection) -> bool| {
             let mut uses: HashMap<IpAddr, (usize, usize)> = HashMap::new();
             for (_, c) in &self.connections {
                 let (bytes, connections) = uses.entry(c.caller).or_default();
                 *bytes += c.held_bytes;
                 *connections += 1;
             }
-            candidates().max_by_key(|(_, c)| {
+            let all = self.connections.iter().filter(|(_, c)| activity_matches(c) && frees(c));
+            let costliest = all.max_by_key(|(_, c)| {
                 let (bytes, connections) = uses.get(&c.caller).copied().unwrap_or_default();
                 (bytes, connections, Reverse(c.since))
-            })
+            });
+            costliest.map(|(key, _)| key)
         };
+        let is_not_working = |c: &Connection| c.activity != Activity::Working;
+        let sends_far_ahead = |c: &Connection| c.head_bytes >= READ_AHEAD_BYTES;
         let (key, reason) = if let Some((key, _)) = idle {
             (key, CloseReason::Idle)
         } else if let Some((key, _)) = slowest() {
             (key, CloseReason::Slowest)
         } else {
-            (expensive()?.0, CloseReason::Expensive)
+            let key = expensive(is_not_working).or_else(|| expensive(sends_far_ahead))?;
+            (key, CloseReason::Expensive)
         };
         self.remove(key);
         Some((key, reason))
--- a/crates/core/src/steer/refusal.rs
+++ b/crates/core/src/steer/refusal.rs
@@ -37,11 +37,13 @@
     Expired,
     /// The bodies of other requests use the memory that this one needs.
     MemoryExhausted,
+    /// All descriptors are in use for other requests.
+    DescriptorsExhausted,
 }
 
 impl RefusalReason {
     /// All reasons, in the order of their codes.
-    pub const ALL: [RefusalReason; 16] = [
+    pub const ALL: [RefusalReason; 17] = [
         RefusalReason::NoConfiguration,
         RefusalReason::NoRoute,
         RefusalReason::BadKey,
@@ -58,6 +60,7 @@
         RefusalReason::TimedOut,
         RefusalReason::Expired,
         RefusalReason::MemoryExhausted,
+        RefusalReason::DescriptorsExhausted,
     ];
 
     /// Code in the table of result codes.
@@ -82,7 +85,8 @@
             | RefusalReason::Stopping
             | RefusalReason::Shed
             | RefusalReason::Expired
-            | RefusalReason::MemoryExhausted => 503,
+            | RefusalReason::MemoryExhausted
+            | RefusalReason::DescriptorsExhausted => 503,
         }
     }
 
@@ -105,6 +109,9 @@
             RefusalReason::TimedOut => "No answer came in time.",
             RefusalReason::Expired => "No time was left to send the request.",
             RefusalReason::MemoryExhausted => "This host has no memory left for the body.",
+            RefusalReason::DescriptorsExhausted => {
+                "This host has no connection left for the request."
+            }
         }
     }
 }
--- a/crates/edge/src/body.rs
+++ b/crates/edge/src/body.rs
@@ -71,12 +71,19 @@
         self.total_bytes - self.small_bytes
     }
 
+    /// Whether a body of this announced length would be taken now.
+    pub fn has_room(&self, announced_len: usize) -> bool {
+        self.used_bytes() + announced_len <= self.available_bytes(announced_len)
+    }
+
+    fn available_bytes(&self, body_len: usize) -> usize {
+        if body_len <= SMALL_BODY_BYTES { self.total_bytes } else { self.max_body_bytes() }
+    }
+
     /// Reserves further bytes for a body that then has `body_len` bytes.
     fn reserve(&self, len: usize, body_len: usize) -> Result<(), ReadBodyError> {
-        let available =
-            if body_len <= SMALL_BODY_BYTES { self.total_bytes } else { self.max_body_bytes() };
         let used = self.used_bytes.fetch_add(len, Ordering::Relaxed) + len;
-        if used > available {
+        if used > self.available_bytes(body_len) {
             self.release(len);
             return Err(ReadBodyError::MemoryExhausted { total_bytes: self.total_bytes });
         }
--- a/crates/edge/src/control/snapshots.rs
+++ b/crates/edge/src/control/snapshots.rs
@@ -22,6 +22,7 @@
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
 
 use super::context::{ControlContext, ItemKind};
+use crate::intake::Ticket;
 
 /// Maximum size of a request.
 const MAX_REQUEST_BYTES: usize = 64;
@@ -79,14 +80,24 @@
     loop {
         match listener.accept().await {
             Ok((stream, from)) => {
-                let context = Rc::clone(&context);
-                tokio::task::spawn_local(async move {
-                    match timeout(EXCHANGE_TIMEOUT, respond(&context, stream)).await {
-                        Ok(Ok(())) => {}
-                        Ok(Err(e)) => tracing::debug!(%from, error = %e, "Sending items failed."),
-                        Err(_) => tracing::debug!(%from, "Sending items timed out."),
-                    }
+                let ports = &context.shared.ports;
+                let has_closed = ports.admit(&ports.peers, from.ip(), |ticket| {
+                    let context = Rc::clone(&context);
+                    let exchange = async move {
+                        match timeout(EXCHANGE_TIMEOUT, respond(&context, stream, &ticket)).await {
+                            Ok(Ok(())) => {}
+                            Ok(Err(e)) => {
+                                tracing::debug!(%from, error = %e, "Sending items failed.");
+                            }
+                            Err(_) => tracing::debug!(%from, "Sending items timed out."),
+                        }
+                    };
+                    tokio::task::spawn_local(exchange).abort_handle()
                 });
+                if has_closed {
+                    // The task of the closed connection gives its descriptor back first.
+                    tokio::task::yield_now().await;
+                }
             }
             Err(e) => {
                 tracing::warn!(
@@ -94,6 +105,7 @@
                     error = %e,
                     "A connection from another host could not be accepted."
                 );
+                context.shared.ports.peers.free_descriptor();
                 tokio::time::sleep(CHECK_PERIOD).await;
             }
         }
@@ -102,11 +114,17 @@
 
 type ExchangeError = Box<dyn std::error::Error>;
 
-async fn respond(context: &ControlContext, stream: TcpStream) -> Result<(), ExchangeError> {
+async fn respond(
+    context: &ControlContext,
+    stream: TcpStream,
+    ticket: &Ticket,
+) -> Result<(), ExchangeError> {
     let mut frames = frames(stream, MAX_REQUEST_BYTES);
     let Some(frame) = next_frame(&mut frames).await? else { return Ok(()) };
     let request: CopyRequest = postcard::from_bytes(&frame)?;
     let response = Bytes::from(postcard::to_stdvec(&build_response(context, request))?);
+    ticket.set_queued_bytes(response.len());
+    ticket.set_unread(true);
     frames.codec_mut().set_max_frame_length(MAX_RESPONSE_BYTES);
     frames.send(response).await?;
     Ok(())
--- a/crates/edge/src/front/listener.rs
+++ b/crates/edge/src/front/listener.rs
@@ -9,18 +9,15 @@
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::{
-    io::AsyncReadExt,
     net::{TcpListener, TcpSocket, TcpStream},
     sync::watch,
     task::JoinSet,
 };
 
-use super::{
-    pipeline::{self, Remainder},
-    responses::FullResponse,
-};
+use super::{client_stream::ClientStream, pipeline, responses::FullResponse};
 use crate::{
     error::EdgeError,
+    intake::Port,
     shared::{Phase, Shared},
 };
 
@@ -37,6 +34,9 @@
 /// A listening socket.
 pub struct Listener {
     listener: TcpListener,
+    port: Arc<Port>,
+    /// Maximum number of requests of one connection that run at the same time.
+    max_ahead: usize,
 }
 
 /// Error that makes the HTTP library close a connection without a response.
@@ -45,16 +45,25 @@
 struct NoResponse;
 
 impl Listener {
-    /// Starts to listen on an address.
-    pub fn bind(address: SocketAddr) -> Result<Self, EdgeError> {
+    /// Starts to listen on an address for clients of a port.
+    pub fn bind(
+        address: SocketAddr,
+        port: &Arc<Port>,
+        max_ahead: usize,
+    ) -> Result<Self, EdgeError> {
+        let buffer_bytes = u32::try_from(port.limits().socket_buffer_bytes).unwrap_or(u32::MAX);
         let open_socket = || -> io::Result<TcpListener> {
             let socket = TcpSocket::new_v4()?;
             socket.set_reuseaddr(true)?;
+            // Accepted connections inherit the sizes. Without them, the system would keep several MB
+            // of each client that sends faster than the host reads, or does not read.
+            socket.set_recv_buffer_size(buffer_bytes)?;
+            socket.set_send_buffer_size(buffer_bytes)?;
             socket.bind(address)?;
             socket.listen(BACKLOG)
         };
         let listener = open_socket().map_err(|source| EdgeError::Bind { address, source })?;
-        Ok(Listener { listener })
+        Ok(Listener { listener, port: Arc::clone(port), max_ahead })
     }
 
     /// Accepts connections until [`Phase::Closing`], then those that already wait to be accepted, and
@@ -64,20 +73,29 @@
         F: Fn(Request<CallerBody>) -> Fut + Clone + Send + Sync + 'static,
         Fut: Future<Output = Option<FullResponse>> + Send + 'static,
     {
+        let max_ahead = self.max_ahead;
         let mut connections = JoinSet::new();
+        let start = |connections: &mut JoinSet<()>, stream, from: SocketAddr| {
+            shared.ports.admit(&self.port, from.ip(), |ticket| {
+                let stream = ClientStream::new(stream, ticket);
+                let (shared, handle) = (Arc::clone(&shared), handle.clone());
+                connections.spawn(serve_connection(shared, stream, max_ahead, handle))
+            })
+        };
         let mut phase = shared.phase();
         loop {
             tokio::select! {
                 accepted = self.listener.accept() => match accepted {
-                    Ok((stream, _)) => {
-                        connections.spawn(serve_connection(
-                            Arc::clone(&shared),
-                            stream,
-                            handle.clone(),
-                        ));
+                    Ok((stream, from)) => {
+                        set_no_delay(&stream);
+                        if start(&mut connections, stream, from) {
+                            // The task of the closed connection gives its descriptor back first.
+                            tokio::task::yield_now().await;
+                        }
                     }
                     Err(e) => {
                         tracing::warn!(event = 313, error = %e, "Accepting a connection failed.");
+                        self.port.free_descriptor();
                         tokio::time::sleep(ACCEPT_PAUSE).await;
                     }
                 },
@@ -85,8 +103,9 @@
                 () = wait_for_phase(&mut phase, Phase::Closing) => break,
             }
         }
-        while let Some(Ok((stream, _))) = self.listener.accept().now_or_never() {
-            connections.spawn(serve_connection(Arc::clone(&shared), stream, handle.clone()));
+        while let Some(Ok((stream, from))) = self.listener.accept().now_or_never() {
+            set_no_delay(&stream);
+            start(&mut connections, stream, from);
         }
         drop(self.listener);
         while connections.join_next().await.is_some() {}
@@ -94,40 +113,55 @@
     }
 }
 
+fn set_no_delay(stream: &TcpStream) {
+    if let Err(e) = stream.set_nodelay(true) {
+        tracing::debug!(error = %e, "Setting TCP_NODELAY on a connection failed.");
+    }
+}
+
 /// Waits until the process has reached a phase.
 pub async fn wait_for_phase(phases: &mut watch::Receiver<Phase>, phase: Phase) {
     // The sender exists until the process ends, so the wait cannot fail.
     let _ = phases.wait_for(|p| *p >= phase).await.map(|_| ());
 }
 
-async fn serve_connection<F, Fut>(shared: Arc<Shared>, stream: TcpStream, handle: F)
-where
+async fn serve_connection<F, Fut>(
+    shared: Arc<Shared>,
+    stream: ClientStream,
+    max_ahead: usize,
+    handle: F,
+) where
     F: Fn(Request<CallerBody>) -> Fut,
     Fut: Future<Output = Option<FullResponse>> + Send + 'static,
 {
-    if let Err(e) = stream.set_nodelay(true) {
-        tracing::debug!(error = %e, "Setting TCP_NODELAY on a connection failed.");
-    }
-    match pipeline::serve(&shared, stream, &handle).await {
-        Ok(Some(remainder)) => serve_remainder(&shared, remainder, &handle).await,
+    match pipeline::serve(&shared, stream, max_ahead, &handle).await {
+        Ok(Some(stream)) => serve_remainder(&shared, stream, &handle).await,
         Ok(None) => {}
         Err(e) => tracing::debug!(error = %e, "A connection to a caller failed."),
     }
 }
 
 /// Serves a connection by the HTTP library, one request after the other.
-async fn serve_remainder<F, Fut>(shared: &Shared, remainder: Remainder, handle: &F)
+async fn serve_remainder<F, Fut>(shared: &Shared, stream: ClientStream, handle: &F)
 where
     F: Fn(Request<CallerBody>) -> Fut,
     Fut: Future<Output = Option<FullResponse>>,
 {
     let limits = shared.view.load().catalog.limits.clone();
+    let ticket = stream.ticket().clone();
+    ticket.hand_to_library();
     let service = service_fn(|req: Request<Incoming>| {
-        let response = handle(req.map(BodyExt::boxed_unsync));
-        async move { response.await.ok_or(NoResponse) }
+        ticket.request_started();
+        let mut req = req.map(BodyExt::boxed_unsync);
+        req.extensions_mut().insert(ticket.clone());
+        let response = handle(req);
+        let ticket = &ticket;
+        async move {
+            let response = response.await;
+            ticket.request_ended();
+            response.ok_or(NoResponse)
+        }
     });
-    let (read_half, write_half) = remainder.stream.into_split();
-    let stream = tokio::io::join(io::Cursor::new(remainder.unread).chain(read_half), write_half);
     // The library measures the time for reading a head from the end of the previous response, which
     // includes the idle time. A single timer therefore limits both, with the idle timeout.
     let connection = http1::Builder::new()
--- a/crates/edge/src/front/pipeline.rs
+++ b/crates/edge/src/front/pipeline.rs
@@ -14,12 +14,12 @@
 use jasminestage_core::declaration::Repeat;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
-    net::TcpStream,
     time::{Instant, sleep_until},
 };
 use tokio_util::task::AbortOnDropHandle;
 
 use super::{
+    client_stream::ClientStream,
     listener::{CallerBody, wait_for_phase},
     responses::FullResponse,
 };
@@ -42,14 +42,6 @@
     header::TE,
 ];
 
-/// A connection that the HTTP library serves from now on.
-pub struct Remainder {
-    /// Bytes that have been read and belong to no request yet.
-    pub unread: Bytes,
-    /// The connection.
-    pub stream: TcpStream,
-}
-
 /// What the buffer holds at its start.
 enum Next {
     /// A request without a body, and the length of its head.
@@ -60,20 +52,20 @@
     Other,
 }
 
-/// Serves the requests that can be read ahead. Returns the connection if another request follows;
-/// `None` if the connection has ended.
+/// Serves the requests that can be read ahead, at most `max_ahead` at the same time. Returns the
+/// connection if another request follows; `None` if the connection has ended.
 pub async fn serve<F, Fut>(
     shared: &Arc<Shared>,
-    mut stream: TcpStream,
+    mut stream: ClientStream,
+    max_ahead: usize,
     handle: &F,
-) -> io::Result<Option<Remainder>>
+) -> io::Result<Option<ClientStream>>
 where
     F: Fn(Request<CallerBody>) -> Fut,
     Fut: Future<Output = Option<FullResponse>> + Send + 'static,
 {
     let limits = shared.view.load().catalog.limits.clone();
     let max_buffered = limits.max_header_bytes;
-    let max_ahead = shared.cfg.max_pipelined_requests;
     let mut phase = shared.phase();
     let mut buf = BytesMut::new();
     let mut responses: FuturesOrdered<AbortOnDropHandle<Option<FullResponse>>> =
@@ -83,30 +75,44 @@
         let is_draining = *phase.borrow() >= Phase::Draining;
         // While the host stops, the next response ends the connection.
         let max_in_flight = if is_draining { 1 } else { max_ahead };
+        let mut starts = false;
         while responses.len() < max_in_flight {
             match parse_next(&buf) {
                 Next::Request(req, head_len)
-                    if responses.is_empty() || may_repeat(shared, &req) =>
+                    if responses.is_empty()
+                        || (may_repeat(shared, &req) && !shared.ports.is_short_for_servers()) =>
                 {
                     buf.advance(head_len);
+                    stream.ticket().request_started();
+                    starts = true;
                     responses.push_back(AbortOnDropHandle::new(tokio::spawn(handle(*req))));
                 }
                 Next::Other if responses.is_empty() => {
-                    return Ok(Some(Remainder { unread: buf.freeze(), stream }));
+                    stream.put_back(buf.freeze());
+                    return Ok(Some(stream));
                 }
                 // The library rejects a head that is too large.
                 Next::Incomplete if responses.is_empty() && buf.len() >= max_buffered => {
-                    return Ok(Some(Remainder { unread: buf.freeze(), stream }));
+                    stream.put_back(buf.freeze());
+                    return Ok(Some(stream));
                 }
                 Next::Request(..) | Next::Other | Next::Incomplete => break,
             }
         }
+        if starts {
+            stream.ticket().set_head_bytes(buf.len());
+        }
+        if buf.is_empty() {
+            // An idle connection holds no buffer.
+            buf = BytesMut::new();
+        }
         let is_idle = responses.is_empty();
         let may_read = buf.len() < max_buffered;
         tokio::select! {
             Some(response) = responses.next(), if !is_idle => {
                 // A handler that panicked has no response, like a caller that disconnected.
                 let Some(response) = response.ok().flatten() else { return Ok(None) };
+                stream.ticket().request_ended();
                 let closes = response.headers().contains_key(header::CONNECTION);
                 write_response(&mut stream, response).await?;
                 if closes {
@@ -176,7 +182,7 @@
     Some(req)
 }
 
-async fn write_response(stream: &mut TcpStream, response: FullResponse) -> io::Result<()> {
+async fn write_response(stream: &mut ClientStream, response: FullResponse) -> io::Result<()> {
     let (parts, body) = response.into_parts();
     // The body is complete and in memory, so it is there at once.
     let body = body.collect().await.map_or_else(|never| match never {}, |b| b.to_bytes());
--- a/crates/edge/src/front/request.rs
+++ b/crates/edge/src/front/request.rs
@@ -5,8 +5,10 @@
 use bytes::Bytes;
 use http::{HeaderMap, HeaderValue, Request, Response, header};
 use http_body_util::Full;
+use hyper::body::Body;
 use jasminestage_core::{
     declaration::Repeat,
+    intake::Activity,
     steer::{
         refusal::{Refusal, RefusalReason},
         server::AttemptOutcome,
@@ -26,6 +28,7 @@
 };
 use crate::{
     body::{self, ReadBodyError},
+    intake::Ticket,
     shared::{Phase, Shared},
     stop,
     upstream::{AttemptResult, OutgoingRequest, ServerResponse, Upstream, send},
@@ -37,6 +40,11 @@
 /// Time after which a caller may send a request again for whose body there was no memory.
 const MEMORY_RETRY_AFTER: Duration = Duration::from_secs(1);
 
+/// Time after which a caller may send a request again for which there was no connection.
+const DESCRIPTOR_RETRY_AFTER: Duration = Duration::from_secs(1);
+/// Time after which a body that has stopped half-way gives up its memory to another one.
+const STALLED_BODY_TIME: Duration = Duration::from_secs(1);
+
 /// Answers a request; `None` closes the connection without a response.
 pub async fn handle(
     shared: Arc<Shared>,
@@ -98,7 +106,8 @@
     shared.with_steering(|steering, now| steering.charge_quota(now, &pending))?;
     let mut guard = AbandonGuard { shared, pending };
     guard.pending.limit_deadline(shared.last_response_at());
-    let body = read_body(shared, guard.pending.deadline, body).await?;
+    let ticket = parts.extensions.get::<Ticket>();
+    let body = read_body(shared, guard.pending.deadline, ticket, body).await?;
     let fingerprint = fingerprint(parts, &body);
     shared.with_steering(|steering, now| {
         steering.check_fingerprint(now, &mut guard.pending, fingerprint)
@@ -107,6 +116,10 @@
     let workspace = guard.pending.workspace.as_ref().map(|w| w.name.clone());
     headers::prepare_for_server(&mut server_headers, workspace.as_deref());
     let at_most_once = guard.pending.route.repeat == Repeat::AtMostOnce;
+    let _reservation = shared.ports.reserve_server_connection().await.ok_or(Refusal {
+        retry_after: Some(DESCRIPTOR_RETRY_AFTER),
+        ..RefusalReason::DescriptorsExhausted.into()
+    })?;
     loop {
         let mut dispatch = shared
             .with_steering(|steering, now| steering.choose_server(now, &mut guard.pending))?;
@@ -146,7 +159,8 @@
             steering.finish_attempt(now, &mut guard.pending, outcome, report)
         });
         match (next_action, response) {
-            (NextAction::Retry, _) => {}
+            // The descriptor of the failed attempt is free as soon as the task of its connection has run.
+            (NextAction::Retry, _) => tokio::task::yield_now().await,
             (NextAction::Deliver, Some(response)) => return Ok(response),
             (NextAction::Deliver, None) => {
                 return Err(Failure::Refused(RefusalReason::BadAnswer.into()));
@@ -174,12 +188,32 @@
 }
 
 /// Reads the body of a request until its deadline. A body for which there is no memory is refused
-/// before it is read.
-async fn read_body(shared: &Shared, deadline: Instant, body: CallerBody) -> Result<Bytes, Failure> {
+/// before it is read, unless bodies that have stopped half-way hold the memory.
+async fn read_body(
+    shared: &Shared,
+    deadline: Instant,
+    ticket: Option<&Ticket>,
+    body: CallerBody,
+) -> Result<Bytes, Failure> {
+    let ticket = ticket.filter(|_| !body.is_end_stream());
+    let announced_bytes = body.size_hint().lower();
+    if let Some(ticket) = ticket {
+        let len = usize::try_from(announced_bytes).unwrap_or(usize::MAX);
+        if !shared.request_memory.has_room(len) {
+            ticket.free_stalled(Activity::Body, STALLED_BODY_TIME);
+            // The tasks of the closed connections run before this one.
+            tokio::task::yield_now().await;
+        }
+        ticket.body_started(announced_bytes);
+    }
     let max_bytes = shared.view.load().catalog.limits.max_body_bytes;
     let read = body::read_body(&shared.request_memory, max_bytes, body);
     let time_left = deadline.saturating_since(clock::now());
-    let refusal = match timeout(time_left, read).await {
+    let result = timeout(time_left, read).await;
+    if let Some(ticket) = ticket {
+        ticket.body_ended();
+    }
+    let refusal = match result {
         Ok(Ok(body)) => return Ok(body),
         Ok(Err(ReadBodyError::Connection(_))) => return Err(Failure::CallerDisconnected),
         Ok(Err(ReadBodyError::TooLong { .. })) => RefusalReason::BodyTooLarge.into(),
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod control;
 pub mod error;
 pub mod front;
+pub mod intake;
 pub mod log;
 pub mod metrics;
 pub mod options;
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -28,6 +28,8 @@
     connections: Counter<u64>,
     store_calls: Counter<u64>,
     cut_responses: Counter<u64>,
+    closed_connections: Counter<u64>,
+    client_connections: Gauge<u64>,
     invalid_retry_after: Counter<u64>,
     invalid_server_limit: Counter<u64>,
     request_memory: Gauge<u64>,
@@ -75,6 +77,14 @@
                 "jasminestage.responses.cut",
                 "Responses of servers that were cut, by the limit that they exceeded.",
             ),
+            closed_connections: counter(
+                "jasminestage.clients.closed",
+                "Connections of clients that were closed or refused, by port and reason.",
+            ),
+            client_connections: gauge(
+                "jasminestage.clients.connections",
+                "Open connections of clients, by port.",
+            ),
             invalid_retry_after: counter(
                 "jasminestage.retry_after.invalid",
                 "Responses of servers with a Retry-After header that cannot be read.",
@@ -134,6 +144,17 @@
         self.cut_responses.add(1, &[KeyValue::new("limit", limit)]);
     }
 
+    /// Counts connections of clients that were closed or refused.
+    pub fn count_closed_connections(&self, port: &'static str, reason: &'static str, count: u64) {
+        let labels = [KeyValue::new("port", port), KeyValue::new("reason", reason)];
+        self.closed_connections.add(count, &labels);
+    }
+
+    /// Records the number of open connections of clients.
+    pub fn record_client_connections(&self, port: &'static str, count: usize) {
+        self.client_connections.record(count as u64, &[KeyValue::new("port", port)]);
+    }
+
     /// Counts a response with a header that cannot be read.
     pub fn count_invalid_report(&self, report: &InvalidReport) {
         let counter = match report {
--- a/crates/edge/src/options.rs
+++ b/crates/edge/src/options.rs
@@ -11,6 +11,7 @@
 use jasminestage_core::{
     declaration::fields,
     ini::{self, Section},
+    intake::{IntakeLimits, PortShare},
     steer::bounds::Bounds,
 };
 
@@ -197,6 +198,13 @@
         (self.request_memory() as f64 * SMALL_REQUEST_MEMORY_FRACTION) as usize
     }
 
+    /// Limits on the connections of a port.
+    pub fn intake_limits(&self, share: PortShare) -> IntakeLimits {
+        let memory_bytes = (f64::from(self.memory_mb) * 1e6) as usize;
+        let descriptors = self.max_descriptors.saturating_sub(RESERVED_DESCRIPTORS);
+        IntakeLimits::new(share, memory_bytes, descriptors)
+    }
+
     fn apply_section(&mut self, section: &Section<'_>) -> Result<(), EdgeError> {
         for entry in &section.entries {
             if section.kind == DOMAINS_SECTION {
--- a/crates/edge/src/shared.rs
+++ b/crates/edge/src/shared.rs
@@ -14,7 +14,9 @@
 use jasminestage_net::clock;
 use tokio::sync::watch;
 
-use crate::{body::BodyMemory, log::LineLimiter, metrics::Metrics, options::Options};
+use crate::{
+    body::BodyMemory, intake::Ports, log::LineLimiter, metrics::Metrics, options::Options,
+};
 
 /// Phase of the process, from normal operation to its end.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -44,6 +46,8 @@
     pub metrics: Metrics,
     /// Memory for the bodies of callers' requests.
     pub request_memory: Arc<BodyMemory>,
+    /// Connections of clients.
+    pub ports: Ports,
     /// Limit on the log lines about requests.
     pub request_lines: LineLimiter,
     phase: watch::Sender<Phase>,
@@ -68,6 +72,7 @@
         let view =
             Arc::new(View::empty(cfg.bounds.clone(), announcement.clone(), cfg.domains.clone()));
         let request_memory = BodyMemory::new(cfg.request_memory(), cfg.small_request_memory());
+        let ports = Ports::new(&cfg);
         Shared {
             cfg,
             settings_path,
@@ -75,6 +80,7 @@
             view: ArcSwap::from(Arc::clone(&view)),
             metrics,
             request_memory: Arc::new(request_memory),
+            ports,
             request_lines: LineLimiter::default(),
             phase: watch::Sender::new(Phase::Serving),
             last_response_at: OnceLock::new(),
--- a/crates/edge/src/upstream/mod.rs
+++ b/crates/edge/src/upstream/mod.rs
@@ -15,7 +15,7 @@
 /// Connections to the servers, and the memory for their responses.
 pub struct Upstream {
     /// Idle connections.
-    pub pool: Pool,
+    pub pool: Arc<Pool>,
     /// Memory for the bodies of responses.
     pub response_memory: Arc<BodyMemory>,
 }
--- a/crates/edge/src/upstream/pool.rs
+++ b/crates/edge/src/upstream/pool.rs
@@ -95,6 +95,27 @@
         }
     }
 
+    /// Number of idle connections.
+    pub fn len(&self) -> usize {
+        let idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        idle.values().map(Vec::len).sum()
+    }
+
+    /// Whether there is no idle connection.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
+    /// Closes an idle connection to any server; returns whether there was one.
+    pub fn close_one(&self) -> bool {
+        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        let oldest = idle.values_mut().filter(|c| !c.is_empty()).min_by_key(|c| c[0].idle_since);
+        oldest.is_some_and(|connections| {
+            connections.remove(0);
+            true
+        })
+    }
+
     /// Closes connections that were idle too long and connections to servers that are not known.
     pub fn expire(&self, is_known: impl Fn(&str) -> bool) {
         let now = clock::now();
--- a/crates/edge/tests/hostile/main.rs
+++ b/crates/edge/tests/hostile/main.rs
@@ -308,14 +308,19 @@
 #[derive(Debug, Default)]
 struct Peak {
     memory_bytes: u64,
+    /// Part of the memory that was in the sockets at that time.
+    socket_bytes: u64,
     descriptors: usize,
 }
 
 impl Peak {
     /// Measures the host; `None` if it does not run.
     fn measure(&mut self, host: &Host) -> Option<()> {
-        self.memory_bytes =
-            self.memory_bytes.max(host.resident_bytes()? + host.socket_buffer_bytes());
+        let (resident_bytes, socket_bytes) = (host.resident_bytes()?, host.socket_buffer_bytes());
+        if resident_bytes + socket_bytes > self.memory_bytes {
+            self.memory_bytes = resident_bytes + socket_bytes;
+            self.socket_bytes = socket_bytes;
+        }
         self.descriptors = self.descriptors.max(host.open_descriptors()?);
         Some(())
     }
@@ -379,7 +384,11 @@
         answer.is_some_and(|a| a.is_complete(&id))
     });
     if !requests.await {
-        faults.push("an ordinary request was not answered".to_owned());
+        let is_ordinary = |line: &serde_json::Value| {
+            line["request"].as_str().is_some_and(|id| id.starts_with("ordinary"))
+        };
+        let last = host.log_lines().into_iter().rfind(is_ordinary);
+        faults.push(format!("an ordinary request was not answered, last line {last:?}"));
     }
     let pages = [
         ("readiness", host.readiness_address, "/readiness"),
@@ -396,7 +405,8 @@
         faults.push("the process has ended".to_owned());
     }
     if peak.memory_bytes > u64::from(MEMORY_MB) * 1_000_000 {
-        faults.push(format!("{} bytes of memory and sockets", peak.memory_bytes));
+        let Peak { memory_bytes, socket_bytes, .. } = peak;
+        faults.push(format!("{memory_bytes} bytes of memory and sockets ({socket_bytes})"));
     }
     if peak.descriptors > OPEN_DESCRIPTORS {
         faults.push(format!("{} open descriptors", peak.descriptors));
