--- a/crates/edge/src/front/listener.rs
+++ b/crates/edge/src/front/listener.rs
@@ -96,7 +96,7 @@
                         accepted_count += 1;
                         // Tasks of closed connections give their descriptors back before many more
                         // connections are accepted.
-                        if accepted_count % ACCEPTS_AT_ONCE == 0 {
+                        if accepted_count.is_multiple_of(ACCEPTS_AT_ONCE) {
                             tokio::task::yield_now().await;
                         }
                     }
