Limit the wait behind requests of other routes only, and learn routes faster

A route that appears at a service has few samples and began with a guess. Change: the limit compares with the requests of other routes; the first samples of a route move its latency in larger steps.

--- a/crates/core/src/steer/cost.rs
+++ b/crates/core/src/steer/cost.rs
@@ -10,6 +10,9 @@
 
 /// Step of the base latency towards a sample, as a fraction of the base latency.
 const BASE_LATENCY_STEP: f64 = 0.06;
+/// The same for the first sample of a route; it falls with the number of samples. A route has fewer than
+/// its service, and its first latency is a guess.
+const FIRST_ROUTE_STEP: f64 = 1.0;
 /// Quantile of the latencies that is the base latency. Most slower answers had to fetch the object.
 const BASE_LATENCY_QUANTILE: f64 = 0.4;
 /// Smallest base latency, in seconds.
@@ -26,6 +29,7 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct BaseLatency {
     seconds: Option<f64>,
+    samples: u32,
 }
 
 impl BaseLatency {
@@ -34,12 +38,13 @@
         self.seconds.unwrap_or(objective_s * ASSUMED_LATENCY_FRACTION)
     }
 
-    /// Moves the latency towards a quantile of the samples.
-    pub fn observe(&mut self, objective_s: f64, sample_s: f64) {
+    /// Moves the latency towards a quantile of the samples, by this step.
+    fn observe(&mut self, objective_s: f64, sample_s: f64, step: f64) {
         let known_s = self.seconds(objective_s);
         let direction =
             if sample_s > known_s { BASE_LATENCY_QUANTILE } else { BASE_LATENCY_QUANTILE - 1.0 };
-        let new_s = known_s * (1.0 + BASE_LATENCY_STEP * direction);
+        let new_s = known_s * (1.0 + step * direction);
+        self.samples = self.samples.saturating_add(1);
         self.seconds = Some(new_s.max(MIN_BASE_LATENCY_S));
     }
 }
@@ -109,10 +114,10 @@
         base_latency.unwrap_or_default().seconds(route.latency_objective.as_secs_f64())
     }
 
-    /// Returns the longest time for which a more urgent request may wait behind a request of this urgency
-    /// and still meet its objective, in seconds; `None` if none is expected. Servers run their queues
-    /// in the order of arrival.
-    pub fn wait_limit_s(&self, urgency: Urgency) -> Option<f64> {
+    /// Returns the longest time for which a more urgent request of another route may wait behind a request
+    /// of this route and urgency and still meet its objective, in seconds; `None` if none is expected.
+    /// Servers run their queues in the order of arrival.
+    pub fn wait_limit_s(&self, route: &Route, urgency: Urgency) -> Option<f64> {
         let total: f64 = self.routes.values().map(RouteCost::total_requests).sum();
         let has_more_urgent = |cost: &&RouteCost| {
             let more_urgent = cost.recent_requests.iter().filter(|(other, _)| **other < urgency);
@@ -120,7 +125,8 @@
         };
         let slack_s =
             |cost: &RouteCost| cost.objective_s - cost.base_latency.seconds(cost.objective_s);
-        let limits = self.routes.values().filter(has_more_urgent).map(slack_s);
+        let others = self.routes.iter().filter(|(name, _)| **name != route.name);
+        let limits = others.map(|(_, cost)| cost).filter(has_more_urgent).map(slack_s);
         limits.min_by(f64::total_cmp).map(|slack_s| slack_s.max(0.0))
     }
 
@@ -128,8 +134,9 @@
     pub fn observe(&mut self, route: &Route, sample_s: f64) {
         let objective_s = route.latency_objective.as_secs_f64();
         if let Some(cost) = self.routes.get_mut(&route.name) {
-            cost.base_latency.observe(objective_s, sample_s);
+            let step = FIRST_ROUTE_STEP / f64::from(cost.base_latency.samples + 1);
+            cost.base_latency.observe(objective_s, sample_s, step.max(BASE_LATENCY_STEP));
         }
-        self.base_latency.observe(objective_s, sample_s);
+        self.base_latency.observe(objective_s, sample_s, BASE_LATENCY_STEP);
     }
 }
--- a/crates/core/src/steer/steering/choose.rs
+++ b/crates/core/src/steer/steering/choose.rs
@@ -155,7 +155,7 @@
             queued_latency_s,
             fetch_cost_factor,
         };
-        let wait_limit_s = state.costs.wait_limit_s(request.urgency());
+        let wait_limit_s = state.costs.wait_limit_s(&request.route, request.urgency());
         let region = self.region_for(&view, request, &shares);
         let mut best = None;
         for version_filter in version_filters.in_order() {
--- a/crates/core/tests/steer/cost.rs
+++ b/crates/core/tests/steer/cost.rs
@@ -91,7 +91,7 @@
         costs.count_request(route, (0, route.priority));
         costs.observe(route, took.as_secs_f64());
     }
-    let limit_ms = costs.wait_limit_s((0, exports.priority)).map(|s| s * 1000.0);
+    let limit_ms = costs.wait_limit_s(&exports, (0, exports.priority)).map(|s| s * 1000.0);
     match (limit_ms, case.limit_ms) {
         (Some(limit_ms), Some(expected_ms)) => {
             assert!((limit_ms - expected_ms).abs() < 30.0, "{limit_ms} ms");
@@ -99,7 +99,7 @@
         (limit_ms, expected_ms) => assert_eq!(limit_ms, expected_ms),
     }
     // A workspace with a higher priority goes before one with a lower priority, whatever the routes.
-    assert!(costs.wait_limit_s((1, 0)).is_some());
+    assert!(costs.wait_limit_s(&exports, (1, 0)).is_some());
 }
 
 /// Servers that run requests in the order of their arrival.
