Count the whole buffer of a body that arrives in chunks

Cause: the buffer of a body without an announced length doubled when it grew, and only its bytes counted towards the memory for bodies. Change: the capacity counts, and it grows by a quarter.

--- a/crates/edge/src/body.rs
+++ b/crates/edge/src/body.rs
@@ -11,6 +11,8 @@
 use hyper::body::Body;
 use thiserror::Error;
 
+/// Part of a body's buffer by which it grows, as a divisor of its size.
+const GROWTH_DIVISOR: usize = 4;
 /// Size up to which a body counts as small.
 const SMALL_BODY_BYTES: usize = 64 * 1024;
 
@@ -115,9 +117,14 @@
         if len > max_bytes {
             return Err(ReadBodyError::TooLong { max_bytes });
         }
-        let missing = len.saturating_sub(self.reserved_bytes);
-        self.memory.reserve(missing, len)?;
-        self.reserved_bytes += missing;
+        if len > self.reserved_bytes {
+            // The buffer grows by a quarter instead of twofold, and its whole capacity counts.
+            let grown = self.reserved_bytes + self.reserved_bytes / GROWTH_DIVISOR;
+            let capacity = len.max(grown.min(max_bytes));
+            self.memory.reserve(capacity - self.reserved_bytes, len)?;
+            self.reserved_bytes = capacity;
+            self.data.reserve_exact(capacity - self.data.len());
+        }
         self.data.extend_from_slice(chunk);
         Ok(())
     }
