Take back the paced admission of workspaces over their rate

Suspected, not shown: while a flood rises, the counts of other hosts that arrive through relays are old, so the shares of all hosts add up to more than one, and at the full rate the window leaves no slack for that. Change: quotas decide as on. The tests of a flood stay and are listed as known failures; those of pauses and bursts pass.

--- a/crates/core/src/steer/quota.rs
+++ b/crates/core/src/steer/quota.rs
@@ -18,21 +18,8 @@
 const USED_WINDOW_FRACTION: f64 = 0.92;
 /// Fraction of the headroom that all hosts together may use within one exchange period.
 const PERIOD_FRACTION: f64 = 0.15;
-/// The same while requests are admitted at the rate of the workspace, which by itself keeps the window.
-const PACED_PERIOD_FRACTION: f64 = 0.5;
 /// Fraction of the requests of a period that is split evenly among hosts; the rest is split by demand.
 const EVEN_SPLIT_FRACTION: f64 = 0.3;
-/// The same while requests are admitted at the rate of the workspace: hosts without demand waste their
-/// part of it.
-const PACED_EVEN_SPLIT_FRACTION: f64 = 0.1;
-/// Used fraction of a workspace's rate from which requests are admitted at the rate.
-const FLOODED_USE: f64 = 1.1;
-/// Multiple of its share of the rate, and further requests per second for single ones that arrive close
-/// together, from which the requests offered to a host show that the workspace exceeds its rate.
-const FLOODED_RATIO: f64 = 2.0;
-const FLOODED_RATE: f64 = 3.0;
-/// Time constant of the mean rate of offered requests.
-const OFFERED_RATE_TIME: Duration = Duration::from_secs(1);
 /// Tokens above one that a host may hold while the whole window is free, independent of the number of
 /// hosts, because requests of a workspace come in bursts.
 const MIN_BURST_TOKENS: f64 = 2.0;
@@ -74,34 +61,12 @@
     pub remote: RemoteUsage,
 }
 
-/// Mean rate of the requests that callers offer to this host, admitted or not.
-#[derive(Clone, Copy, Debug, Default)]
-struct OfferedRate {
-    per_s: f64,
-    updated_at: Instant,
-}
-
-impl OfferedRate {
-    fn record_request(&mut self, now: Instant) {
-        let time_s = OFFERED_RATE_TIME.as_secs_f64();
-        let elapsed_s = now.saturating_since(self.updated_at).as_secs_f64();
-        self.per_s = self.per_s * (-elapsed_s / time_s).exp() + 1.0 / time_s;
-        self.updated_at = now;
-    }
-
-    fn rate(&self) -> f64 {
-        self.per_s
-    }
-}
-
 /// Use of one workspace's quota on this host.
 #[derive(Clone, Debug, Default)]
 struct QuotaUsage {
     /// Start of each counting bucket with the number of admitted requests.
     buckets: VecDeque<(Instant, u32)>,
     tokens: f64,
-    offered: OfferedRate,
-    is_paced: bool,
     first_request_at: Instant,
     refilled_at: Instant,
     remote: RemoteUsage,
@@ -147,70 +112,29 @@
     /// Adds the tokens earned since the last call and returns the current rate in tokens per second.
     fn refill(&mut self, now: Instant, bounds: &Bounds, workspace: &Workspace) -> f64 {
         let host_count = self.remote.host_count.max(1) as f64;
-        let unreachable_share = self.remote.unreachable_hosts as f64 / host_count;
         let allowance = allowance(bounds, workspace);
-        let total = self.admitted() + self.remote.admitted;
-        let headroom = (allowance * (1.0 - unreachable_share) - total).max(0.0);
-        let period = if self.remote.is_delayed { DELAYED_EXCHANGE_PERIOD } else { EXCHANGE_PERIOD };
-        let shared_burst = (BURST_FRACTION * headroom / host_count).min(MAX_BURST_TOKENS);
-        let small_burst = shared_burst.max(MIN_BURST_TOKENS * headroom / allowance);
-        let paced_share = self.paced_share(now, workspace, period);
-        self.update_pacing(bounds, workspace, paced_share);
-        let (rate, burst) = if self.is_paced {
-            let guard = headroom * PACED_PERIOD_FRACTION / period.as_secs_f64();
-            let rate = workspace.rate_per_s * (1.0 - unreachable_share);
-            // Tokens from before the counts rose must not be used on top of them.
-            let burst =
-                (workspace.burst * (1.0 - unreachable_share)).min(headroom * PERIOD_FRACTION);
-            (paced_share * rate.min(guard), paced_share * burst)
-        } else {
-            let share = self.share(now, EVEN_SPLIT_FRACTION, 1.0);
-            let per_period = headroom * PERIOD_FRACTION * share;
-            (per_period / period.as_secs_f64(), per_period)
-        };
-        let elapsed_s = now.saturating_since(self.refilled_at).as_secs_f64();
-        let capacity = burst.max(1.0 + small_burst);
-        self.tokens = (self.tokens + elapsed_s * rate).min(capacity).min(headroom);
-        self.refilled_at = now;
-        rate
-    }
-
-    /// Decides whether requests are admitted at the rate of the workspace: from the time at which it has
-    /// used its burst and uses up its rate, or sends this host much more than its share, until it does
-    /// so no longer. Otherwise the window would be used up within a second and the callers of the
-    /// workspace would be refused for the rest of it.
-    fn update_pacing(&mut self, bounds: &Bounds, workspace: &Workspace, paced_share: f64) {
-        let total = self.admitted() + self.remote.admitted;
-        let used_rate = total / bounds.quota_window.as_secs_f64();
-        let offered_limit = FLOODED_RATIO * paced_share * workspace.rate_per_s + FLOODED_RATE;
-        let exceeds_rate =
-            used_rate > FLOODED_USE * workspace.rate_per_s || self.offered.rate() > offered_limit;
-        self.is_paced = exceeds_rate && (self.is_paced || total > workspace.burst);
-    }
-
-    /// Returns this host's share of a rate that all hosts use up. Requests that other hosts have admitted
-    /// since their last counts must not make several hosts take the same part, so the counts decide
-    /// only as far as they exceed what may be missing in them.
-    fn paced_share(&self, now: Instant, workspace: &Workspace, period: Duration) -> f64 {
-        let total = self.admitted() + self.remote.admitted;
-        let uncounted = workspace.rate_per_s * 2.0 * period.as_secs_f64();
-        self.share(now, PACED_EVEN_SPLIT_FRACTION, total / (total + uncounted))
-    }
-
-    /// Returns this host's share of what all hosts may admit: a part is split evenly, the rest by demand
-    /// as far as the counts are trusted.
-    fn share(&self, now: Instant, even_split: f64, confidence: f64) -> f64 {
-        let even_share = 1.0 / self.remote.host_count.max(1) as f64;
         let admitted_here = self.admitted();
+        let reserved = allowance * self.remote.unreachable_hosts as f64 / host_count;
+        let headroom = (allowance - admitted_here - self.remote.admitted - reserved).max(0.0);
         let total = admitted_here + self.remote.admitted;
         // Until the first counts of the other hosts can have arrived, they show no demand elsewhere.
         let is_demand_known = !self.remote.is_delayed
             || now.saturating_since(self.first_request_at) > 2 * DELAYED_EXCHANGE_PERIOD;
-        if !is_demand_known || total <= 0.0 {
-            return even_share;
-        }
-        let demand_share = confidence * admitted_here / total + (1.0 - confidence) * even_share;
-        even_split * even_share + (1.0 - even_split) * demand_share
+        let demand_share = match is_demand_known && total > 0.0 {
+            true => admitted_here / total,
+            false => 1.0 / host_count,
+        };
+        let share = EVEN_SPLIT_FRACTION / host_count + (1.0 - EVEN_SPLIT_FRACTION) * demand_share;
+        let per_period = headroom * PERIOD_FRACTION * share;
+        let period = if self.remote.is_delayed { DELAYED_EXCHANGE_PERIOD } else { EXCHANGE_PERIOD };
+        let rate = per_period / period.as_secs_f64();
+        let elapsed_s = now.saturating_since(self.refilled_at).as_secs_f64();
+        let shared_burst = (BURST_FRACTION * headroom / host_count).min(MAX_BURST_TOKENS);
+        let burst = shared_burst.max(MIN_BURST_TOKENS * headroom / allowance);
+        let capacity = per_period.max(1.0 + burst);
+        self.tokens = (self.tokens + elapsed_s * rate).min(capacity).min(headroom);
+        self.refilled_at = now;
+        rate
     }
 }
 
@@ -235,7 +159,6 @@
             ..QuotaUsage::default()
         });
         usage.expire(now, bounds);
-        usage.offered.record_request(now);
         let rate = usage.refill(now, bounds, workspace);
         if usage.tokens < 1.0 {
             let wait_s = (1.0 - usage.tokens) / rate.max(0.01);
