--- a/review/10/main.rs
+++ b/review/10/main.rs
@@ -66,10 +66,15 @@
             servers.push(Server::start(&name, ip, setup, &store, &record, Arc::clone(&behaviour)));
         }
     }
-    let mut hosts: Vec<Host> =
-        ZONES.iter().enumerate().map(|(n, (zone, _))| fleet.start_host(n as u8 + 1, zone)).collect();
+    let mut hosts: Vec<Host> = ZONES
+        .iter()
+        .enumerate()
+        .map(|(n, (zone, _))| fleet.start_host(n as u8 + 1, zone))
+        .collect();
     if !wait_until_ready(&hosts) {
         eprintln!("the hosts do not become ready");
+        drop(hosts);
+        drop(fleet);
         exit(2);
     }
     thread::sleep(ms(4500));
@@ -98,22 +103,32 @@
                     let mut reader = Reader::new(stream);
                     let ids: Vec<String> = (0..AHEAD).map(|i| format!("c{c}n{n}r{i}")).collect();
                     n += 1;
-                    let text: String =
-                        ids.iter().map(|id| request("GET", HOST, "/lepu270/2f", id, KEY, 10_000, "")).collect();
+                    let text: String = ids
+                        .iter()
+                        .map(|id| request("GET", HOST, "/lepu270/2f", id, KEY, 10_000, ""))
+                        .collect();
                     if reader.stream.write_all(text.as_bytes()).is_err() {
                         continue;
                     }
                     for (i, id) in ids.iter().enumerate() {
                         match reader.message().filter(|m| m.is_whole) {
                             Some(m) => {
-                                record.add(format!("client {c}: {id} by {name}: {} {}", m.status(), m.header("connection")));
+                                record.add(format!(
+                                    "client {c}: {id} by {name}: {} {}",
+                                    m.status(),
+                                    m.header("connection")
+                                ));
                                 *lock(&answered) += 1;
                             }
                             None => {
                                 let rest = &ids[i..];
-                                record.add(format!("client {c}: the connection to {name} ends before {}", rest.join(" ")));
+                                record.add(format!(
+                                    "client {c}: the connection to {name} ends before {}",
+                                    rest.join(" ")
+                                ));
                                 let at = now_ms();
-                                lock(&cut).extend(rest.iter().map(|id| (name.clone(), id.clone(), at)));
+                                lock(&cut)
+                                    .extend(rest.iter().map(|id| (name.clone(), id.clone(), at)));
                                 break;
                             }
                         }
@@ -143,7 +158,10 @@
         format!("of these, passed on to a server before: {}", passed_on.len()),
     ];
     for (host, id, at) in &passed_on {
-        summary.push(format!("  {id} at {host}: a server runs it at {} ms, its connection ends at {at} ms", runs[id]));
+        summary.push(format!(
+            "  {id} at {host}: a server runs it at {} ms, its connection ends at {at} ms",
+            runs[id]
+        ));
     }
     summary.push((if is_broken { "BROKEN: LOST" } else { "held" }).to_owned());
     record.write(&out, &summary);
--- a/review/6/main.rs
+++ b/review/6/main.rs
@@ -57,7 +57,8 @@
         }
         Run::Answer(ms(150))
     });
-    let counts = [("zrh-a", 3), ("gva-a", 1), ("lug-a", 2), ("zrh-b", 3), ("gva-b", 1), ("lug-b", 2)];
+    let counts =
+        [("zrh-a", 3), ("gva-a", 1), ("lug-a", 2), ("zrh-b", 3), ("gva-b", 1), ("lug-b", 2)];
     let mut servers = Vec::new();
     for (zone, count) in counts {
         for n in 0..count {
@@ -75,11 +76,14 @@
             servers.push(Server::start(&name, ip, setup, &store, &record, Arc::clone(&behaviour)));
         }
     }
-    let zones = ["zrh-a", "zrh-a", "gva-a", "gva-a", "lug-a", "lug-a", "zrh-b", "zrh-b", "gva-b", "lug-b"];
+    let zones =
+        ["zrh-a", "zrh-a", "gva-a", "gva-a", "lug-a", "lug-a", "zrh-b", "zrh-b", "gva-b", "lug-b"];
     let hosts: Vec<Host> =
         zones.iter().enumerate().map(|(n, zone)| fleet.start_host(n as u8 + 1, zone)).collect();
     if !wait_until_ready(&hosts) {
         eprintln!("the hosts do not become ready");
+        drop(hosts);
+        drop(fleet);
         exit(2);
     }
     // After `contact`, all machines are in touch.
@@ -90,7 +94,8 @@
     let mut rng = Rng(0x9e37_79b9_7f4a_7c15 ^ unix_ms());
     let clients: Vec<_> = (0..PER_S / 2)
         .map(|c| {
-            let (addresses, record, served) = (addresses.clone(), record.clone(), Arc::clone(&served));
+            let (addresses, record, served) =
+                (addresses.clone(), record.clone(), Arc::clone(&served));
             let mut rng = Rng(rng.next() | 1);
             thread::spawn(move || {
                 thread::sleep(ms(rng.below(500) as u64));
@@ -99,8 +104,10 @@
                     let next = Instant::now() + ms(250 + rng.below(500) as u64);
                     let (name, to) = &addresses[rng.below(addresses.len())];
                     let id = format!("c{c}n{n}");
-                    let text = request("POST", HOST, &format!("/xapu221/{c}/{n}"), &id, KEY, 3000, "x");
-                    let status = send_once(*to, text.as_bytes(), ms(4000)).map_or(0, |m| m.status());
+                    let text =
+                        request("POST", HOST, &format!("/xapu221/{c}/{n}"), &id, KEY, 3000, "x");
+                    let status =
+                        send_once(*to, text.as_bytes(), ms(4000)).map_or(0, |m| m.status());
                     record.add(format!("client {c}: {id} by {name}: {status}"));
                     let mut served = lock(&served);
                     served.0 += usize::from(status == 200);
@@ -135,7 +142,9 @@
     let summary = vec![
         format!("attempts of the client: {ATTEMPTS}, runs at servers: {}", arrivals.len()),
         format!("crashed servers: {}", if trouble { arrivals.len() } else { 0 }),
-        format!("the third run: {third:?} ms; runs later than {CONTACT_MS} ms after it: {late} (allowed {ALLOWED})"),
+        format!(
+            "the third run: {third:?} ms; runs later than {CONTACT_MS} ms after it: {late} (allowed {ALLOWED})"
+        ),
         format!("other requests answered with 200: {ok} of {all}"),
         format!("{}", if is_broken { "BROKEN: BUDGET" } else { "held" }),
     ];
--- a/review/9/main.rs
+++ b/review/9/main.rs
@@ -62,7 +62,8 @@
         }
         Run::Answer(ms(120))
     });
-    let counts = [("zrh-a", 4), ("gva-a", 1), ("lug-a", 4), ("zrh-b", 4), ("gva-b", 1), ("lug-b", 4)];
+    let counts =
+        [("zrh-a", 4), ("gva-a", 1), ("lug-a", 4), ("zrh-b", 4), ("gva-b", 1), ("lug-b", 4)];
     let mut servers = Vec::new();
     for (zone, count) in counts {
         for n in 0..count {
@@ -80,11 +81,14 @@
             servers.push(Server::start(&name, ip, setup, &store, &record, Arc::clone(&behaviour)));
         }
     }
-    let zones = ["zrh-a", "zrh-a", "gva-a", "gva-a", "lug-a", "lug-a", "zrh-b", "zrh-b", "gva-b", "lug-b"];
+    let zones =
+        ["zrh-a", "zrh-a", "gva-a", "gva-a", "lug-a", "lug-a", "zrh-b", "zrh-b", "gva-b", "lug-b"];
     let hosts: Vec<Host> =
         zones.iter().enumerate().map(|(n, zone)| fleet.start_host(n as u8 + 1, zone)).collect();
     if !wait_until_ready(&hosts) {
         eprintln!("the hosts do not become ready");
+        drop(hosts);
+        drop(fleet);
         exit(2);
     }
     thread::sleep(ms(3500));
@@ -113,10 +117,13 @@
                         false => (format!("/lepu270/{}", rng.below(200)), rng.below(200)),
                     };
                     let text = request("GET", HOST, &path, &id, KEY, 2500, "");
-                    let cookie = format!("Cookie: Jasminestage-Affinity-Key={object}\r\nJasminestage-Request-Id");
+                    let cookie = format!(
+                        "Cookie: Jasminestage-Affinity-Key={object}\r\nJasminestage-Request-Id"
+                    );
                     let text = text.replacen("Jasminestage-Request-Id", &cookie, 1);
                     let at = now_ms();
-                    let status = send_once(*to, text.as_bytes(), ms(4000)).map_or(0, |m| m.status());
+                    let status =
+                        send_once(*to, text.as_bytes(), ms(4000)).map_or(0, |m| m.status());
                     record.add(format!("client {c}: {id} {path} by {name}: {status}"));
                     lock(&sent).push(Sent { at, is_late_route, status });
                     thread::sleep(next.saturating_duration_since(Instant::now()));
@@ -137,7 +144,8 @@
     clients.into_iter().for_each(|c| c.join().unwrap_or(()));
     let sent = lock(&sent).clone();
     let share = |is_late_route: bool, from: u64, to: u64| {
-        let rows = sent.iter().filter(|s| s.is_late_route == is_late_route && (from..to).contains(&s.at));
+        let rows =
+            sent.iter().filter(|s| s.is_late_route == is_late_route && (from..to).contains(&s.at));
         let (mut all, mut ok) = (0, 0);
         for row in rows {
             all += 1;
@@ -158,7 +166,10 @@
         format!("steady state, from {SETTLE_MS} ms after the last crash, for {JUDGED_MS} ms:"),
         format!("  first route: {first_ok} of {first_all} served"),
         format!("  late route: {late_ok} of {late_all} served"),
-        format!("  late route later than 63 s after the last crash: {} of {} served", beyond.0, beyond.1),
+        format!(
+            "  late route later than 63 s after the last crash: {} of {} served",
+            beyond.0, beyond.1
+        ),
         format!("{}", if is_broken { "BROKEN: CONFIG" } else { "held" }),
     ];
     record.write(&out, &summary);
