--- a/review/10/main.rs
+++ b/review/10/main.rs
@@ -1,6 +1,6 @@
 //! A machine is stopped by SIGTERM while clients have sent several requests ahead on a connection.
-#[path = "../tools-2/common.rs"]
-mod common;
+#[path = "../standins-2.rs"]
+mod standins;
 
 use std::{
     collections::HashMap,
@@ -12,13 +12,22 @@
     time::{Duration, Instant},
 };
 
-use common::*;
+use standins::*;
 
 const KEY: &str = "tnfzs989anu6wsjnbanf";
 const HOST: &str = "jepu9.example";
 /// Requests that a client sends before the first response.
 const AHEAD: usize = 4;
 const CLIENTS: usize = 12;
+/// Zones of hotar-ro-grown with their regions.
+const ZONES: [(&str, &str); 6] = [
+    ("muntenia-a", "muntenia"),
+    ("moldova-a", "moldova"),
+    ("banat-a", "banat"),
+    ("muntenia-b", "muntenia"),
+    ("moldova-b", "moldova"),
+    ("banat-b", "banat"),
+];
 
 fn main() {
     let out = std::env::args().nth(1).unwrap_or_else(|| "record.txt".to_owned());
--- a/review/6/main.rs
+++ b/review/6/main.rs
@@ -1,6 +1,6 @@
 //! A request that crashes each server that begins to run it comes again and again.
-#[path = "../tools-2/common.rs"]
-mod common;
+#[path = "../standins-2.rs"]
+mod standins;
 
 use std::{
     net::Ipv4Addr,
@@ -10,7 +10,7 @@
     time::{Duration, Instant},
 };
 
-use common::*;
+use standins::*;
 
 const KEY: &str = "tnfzs989anu6wsjnbanf";
 const HOST: &str = "hulo84.example";
--- a/review/9/main.rs
+++ b/review/9/main.rs
@@ -1,6 +1,6 @@
 //! Four servers crash one after the other, seven seconds apart, while they run the same harmless request among others.
-#[path = "../tools-2/common.rs"]
-mod common;
+#[path = "../standins-2.rs"]
+mod standins;
 
 use std::{
     net::Ipv4Addr,
@@ -10,7 +10,7 @@
     time::{Duration, Instant},
 };
 
-use common::*;
+use standins::*;
 
 const KEY: &str = "tnfzs989anu6wsjnbanf";
 const HOST: &str = "jepu9.example";
