Answer all requests of a connection that servers run at a planned stop

Cause: the handler of each request marked its response as the last one of the connection. The connection ended after the first marked response although further requests were in flight. Change: the connection marks a response when it is written and no other is in flight; while the host stops, it starts a request only if none is in flight. Event 367 tells of requests whose connection ended, which looked like any caller that left (363). Evidence: in the record of the script the cut requests had been passed on before the signal, and the connection ended right after a complete response with Connection: close.

--- a/crates/edge/src/front/listener.rs
+++ b/crates/edge/src/front/listener.rs
@@ -14,7 +14,11 @@
     task::JoinSet,
 };
 
-use super::{client_stream::ClientStream, pipeline, responses::FullResponse};
+use super::{
+    client_stream::ClientStream,
+    pipeline,
+    responses::{self, FullResponse},
+};
 use crate::{
     error::EdgeError,
     intake::Port,
@@ -164,8 +168,12 @@
         let response = handle(req);
         let ticket = &ticket;
         async move {
-            let response = response.await;
+            let mut response = response.await;
             ticket.request_ended();
+            // The library starts no other request before the response has been written.
+            if let Some(response) = response.as_mut().filter(|_| shared.is_stopping()) {
+                responses::close_connection(response);
+            }
             response.ok_or(NoResponse)
         }
     });
--- a/crates/edge/src/front/pipeline.rs
+++ b/crates/edge/src/front/pipeline.rs
@@ -4,6 +4,10 @@
 //! Requests without a body are therefore read ahead here and run at the same time; the responses are
 //! written in the order of the requests. From the first request of another form on, the connection is
 //! left to the library.
+//!
+//! A stopping host closes a connection with the last response in flight, which is known only when that
+//! response is written. Requests that have not been started by then are left unread; their callers
+//! send them again.
 
 use std::{io, sync::Arc, time::Duration};
 
@@ -21,9 +25,12 @@
 use super::{
     client_stream::ClientStream,
     listener::{CallerBody, wait_for_phase},
-    responses::FullResponse,
+    responses::{self, FullResponse},
+};
+use crate::{
+    log::RequestOutcome,
+    shared::{Phase, Shared},
 };
-use crate::shared::{Phase, Shared};
 
 /// Maximum number of headers of a request that is read ahead.
 const MAX_HEADERS: usize = 64;
@@ -72,9 +79,8 @@
         FuturesOrdered::new();
     let (mut has_served, mut idle_since) = (false, Instant::now());
     loop {
-        let is_draining = *phase.borrow() >= Phase::Draining;
-        // While the host stops, the next response ends the connection.
-        let max_in_flight = if is_draining { 1 } else { max_ahead };
+        // A stopping host starts a request only if no other response could close the connection.
+        let max_in_flight = if shared.is_stopping() { 1 } else { max_ahead };
         let mut starts = false;
         while responses.len() < max_in_flight {
             match parse_next(&buf) {
@@ -111,19 +117,26 @@
         tokio::select! {
             Some(response) = responses.next(), if !is_idle => {
                 // A handler that panicked has no response, like a caller that disconnected.
-                let Some(response) = response.ok().flatten() else { return Ok(None) };
+                let Some(mut response) = response.ok().flatten() else { return Ok(None) };
                 stream.ticket().request_ended();
-                let closes = response.headers().contains_key(header::CONNECTION);
-                write_response(&mut stream, response).await?;
-                if closes {
+                let is_last = responses.is_empty() && shared.is_stopping();
+                if is_last {
+                    responses::close_connection(&mut response);
+                }
+                if let Err(e) = write_response(&mut stream, response).await {
+                    log_cut_requests(shared, responses.len(), "a response could not be written");
+                    return Err(e);
+                }
+                if is_last {
                     stream.shutdown().await?;
                     return Ok(None);
                 }
                 (has_served, idle_since) = (true, Instant::now());
             }
             len = stream.read_buf(&mut buf), if may_read => {
-                if len? == 0 {
-                    return Ok(None);
+                if !matches!(len, Ok(1..)) {
+                    log_cut_requests(shared, responses.len(), "the caller closed the connection");
+                    return len.map(|_| None);
                 }
             }
             () = sleep_until(idle_since + limits.idle_timeout), if is_idle => return Ok(None),
@@ -135,6 +148,18 @@
     }
 }
 
+/// Logs that a connection has ended while requests of it were running, which are aborted.
+fn log_cut_requests(shared: &Shared, requests: usize, reason: &str) {
+    if requests > 0 && shared.request_lines.admits(RequestOutcome::Bad) {
+        tracing::info!(
+            event = 367,
+            requests,
+            reason,
+            "A connection ended before its requests were answered."
+        );
+    }
+}
+
 /// Waits until the host closes its connections and a first request would have arrived.
 async fn wait_for_first_request(shared: &Shared) {
     wait_for_phase(&mut shared.phase(), Phase::Closing).await;
--- a/crates/edge/src/front/request.rs
+++ b/crates/edge/src/front/request.rs
@@ -29,7 +29,7 @@
 use crate::{
     body::{self, ReadBodyError},
     intake::Ticket,
-    shared::{Phase, Shared},
+    shared::Shared,
     stop,
     upstream::{AttemptResult, OutgoingRequest, ServerResponse, Upstream, send},
 };
@@ -55,7 +55,7 @@
     let (parts, body) = req.into_parts();
     let id = headers::text(&parts.headers, &headers::REQUEST_ID).unwrap_or_default().to_owned();
     let mut trace = Trace::new(&shared, &id, arrived_at);
-    let mut response = match serve(&shared, &upstream, &parts, body, &id, &mut trace).await {
+    let response = match serve(&shared, &upstream, &parts, body, &id, &mut trace).await {
         Ok(server_response) => deliver(server_response),
         Err(Failure::Refused(refusal)) => {
             trace.record_refusal(&refusal);
@@ -63,9 +63,6 @@
         }
         Err(Failure::CallerDisconnected) => return None,
     };
-    if *shared.phase().borrow() >= Phase::Draining {
-        response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
-    }
     trace.record_response(response.status().as_u16());
     Some(response)
 }
--- a/crates/edge/src/front/responses.rs
+++ b/crates/edge/src/front/responses.rs
@@ -17,6 +17,11 @@
     response
 }
 
+/// Makes a response the last one of its connection.
+pub fn close_connection(response: &mut FullResponse) {
+    response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+}
+
 /// Creates the response for a refusal.
 pub fn refusal(refusal: Refusal) -> FullResponse {
     let status = refusal.reason.status();
--- a/crates/edge/src/shared.rs
+++ b/crates/edge/src/shared.rs
@@ -23,8 +23,8 @@
 pub enum Phase {
     /// Callers are served.
     Serving,
-    /// Connections are still accepted, but each response closes its connection and the directories
-    /// of all hosts no longer list this host.
+    /// Connections are still accepted, but each is closed with the last response in flight, and the
+    /// directories of all hosts no longer list this host.
     Draining,
     /// No new connection is accepted; requests in flight are finished.
     Closing,
@@ -126,6 +126,11 @@
         self.phase.subscribe()
     }
 
+    /// Whether the host is stopping.
+    pub fn is_stopping(&self) -> bool {
+        *self.phase.borrow() >= Phase::Draining
+    }
+
     /// Advances to a later phase; ignored if that phase has already been reached.
     pub fn advance_to(&self, phase: Phase) {
         self.phase.send_if_modified(|current| {
--- a/crates/edge/tests/processes/pipeline.rs
+++ b/crates/edge/tests/processes/pipeline.rs
@@ -166,3 +166,54 @@
     // The kernel may complete one connection between the last accept and the end of the listener.
     assert!(all_cut.len() <= 1, "{all_cut:?}");
 }
+
+struct StopCase {
+    /// Time from the requests to the signal.
+    signal_after: Duration,
+    /// Requests that are sent 50 ms after the signal, behind those in flight.
+    sent_after_signal: usize,
+}
+
+/// Fails if a planned stop ends a connection while servers run further requests of it: the first
+/// response after the signal closed the connection.
+#[test_case(&StopCase { signal_after: Duration::from_millis(100), sent_after_signal: 0 }; "before the first response")]
+#[test_case(&StopCase { signal_after: Duration::from_millis(450), sent_after_signal: 0 }; "between two responses")]
+#[test_case(&StopCase { signal_after: Duration::from_millis(100), sent_after_signal: 3 }; "more requests after the signal")]
+fn a_planned_stop_answers_the_requests_that_were_passed_on(case: &StopCase) {
+    let runtime = tokio::runtime::Runtime::new().expect("a runtime starts");
+    runtime.block_on(async {
+        let mut environment = Environment::start(&["a1"]).await;
+        for (server, work_ms) in environment.servers_of("lookup").zip([300, 900]) {
+            server.set_fault(Fault::Slow(Duration::from_millis(work_ms)));
+        }
+        let address = environment.hosts[0].caller_address;
+        let mut connections = Vec::new();
+        for connection in 0..4 {
+            let mut stream = TcpStream::connect(address).await.expect("the host listens");
+            let ids: Vec<String> = (0..4).map(|n| format!("c{connection}r{n}")).collect();
+            let requests: String = ids.iter().map(|id| get("/read/x", id)).collect();
+            stream.write_all(requests.as_bytes()).await.expect("the host reads");
+            connections.push((stream, ids));
+        }
+        tokio::time::sleep(case.signal_after).await;
+        environment.hosts[0].send_signal(Signal::TERM);
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        for (stream, ids) in &mut connections {
+            for n in 0..case.sent_after_signal {
+                let id = format!("{}late{n}", ids[0]);
+                stream.write_all(get("/read/x", &id).as_bytes()).await.expect("the host reads");
+                ids.push(id);
+            }
+        }
+        for (mut stream, ids) in connections {
+            let text = read_responses(&mut stream, usize::MAX).await;
+            let answered = answered_ids(&text);
+            let expected: Vec<&String> = ids.iter().filter(|id| environment.runs(id) > 0).collect();
+            assert_eq!(answered, expected, "{text}");
+            assert!(answered.len() >= 4, "{text}");
+            let closing = text.to_lowercase().matches("connection: close").count();
+            assert_eq!(closing, 1, "only the last response closes the connection: {text}");
+        }
+        assert_eq!(environment.hosts[0].wait_for_exit(Duration::from_secs(6)).await, Some(0));
+    });
+}
