Deliver the last response of a connection to callers that go on sending

Cause: the host wrote the last response to the socket's buffer, shut its side down and dropped the socket. The system resets a connection that is dropped with unread bytes, or that gets bytes afterwards, and discards what it has not sent. The HTTP library does the same after Connection: close.

Change: the connection has one close for both readers. The library reads the request that was put back before it is told to stop. A counter tells what became of the connections that the host has closed.

--- a/crates/edge/src/front/listener.rs
+++ b/crates/edge/src/front/listener.rs
@@ -16,13 +16,14 @@
 
 use super::{
     client_stream::ClientStream,
-    pipeline,
+    pipeline::{self, Served},
     responses::{self, FullResponse},
 };
 use crate::{
     error::EdgeError,
     intake::Port,
     shared::{Phase, Shared},
+    stop,
 };
 
 /// Maximum number of connections that wait to be accepted.
@@ -145,11 +146,17 @@
     F: Fn(Request<CallerBody>) -> Fut,
     Fut: Future<Output = Option<FullResponse>> + Send + 'static,
 {
+    let socket = Arc::clone(stream.socket());
     match pipeline::serve(&shared, stream, max_ahead, &handle).await {
-        Ok(Some(stream)) => serve_remainder(&shared, stream, &handle).await,
-        Ok(None) => {}
-        Err(e) => tracing::debug!(error = %e, "A connection to a caller failed."),
+        Ok(Served::OtherRequest(stream)) => serve_remainder(&shared, stream, &handle).await,
+        Ok(Served::Closing) => {}
+        Ok(Served::Ended) => return,
+        Err(e) => {
+            tracing::debug!(error = %e, "A connection to a caller failed.");
+            return;
+        }
     }
+    socket.close(stop::wait_for_last_closings(&shared), &shared.metrics).await;
 }
 
 /// Serves a connection by the HTTP library, one request after the other.
@@ -159,7 +166,7 @@
     Fut: Future<Output = Option<FullResponse>>,
 {
     let limits = shared.view.load().catalog.limits.clone();
-    let ticket = stream.ticket().clone();
+    let ticket = stream.socket().ticket().clone();
     ticket.hand_to_library();
     let service = service_fn(|req: Request<Incoming>| {
         ticket.request_started();
@@ -187,6 +194,9 @@
     let mut connection = std::pin::pin!(connection);
     let mut phase = shared.phase();
     let result = tokio::select! {
+        // The library closes a connection from which it has not read anything, so it has to read the
+        // request that was put back first.
+        biased;
         result = connection.as_mut() => result,
         () = wait_for_phase(&mut phase, Phase::Closing) => {
             connection.as_mut().graceful_shutdown();
--- a/crates/edge/src/front/pipeline.rs
+++ b/crates/edge/src/front/pipeline.rs
@@ -59,14 +59,23 @@
     Other,
 }
 
-/// Serves the requests that can be read ahead, at most `max_ahead` at the same time. Returns the
-/// connection if another request follows; `None` if the connection has ended.
+/// What remains to be done with a connection.
+pub enum Served {
+    /// A request of another form follows.
+    OtherRequest(ClientStream),
+    /// The host has written its last response, or ends an idle connection.
+    Closing,
+    /// The client has left, or there is no response that could be written.
+    Ended,
+}
+
+/// Serves the requests that can be read ahead, at most `max_ahead` at the same time.
 pub async fn serve<F, Fut>(
     shared: &Arc<Shared>,
     mut stream: ClientStream,
     max_ahead: usize,
     handle: &F,
-) -> io::Result<Option<ClientStream>>
+) -> io::Result<Served>
 where
     F: Fn(Request<CallerBody>) -> Fut,
     Fut: Future<Output = Option<FullResponse>> + Send + 'static,
@@ -89,24 +98,24 @@
                         || (may_repeat(shared, &req) && !shared.ports.is_short_for_servers()) =>
                 {
                     buf.advance(head_len);
-                    stream.ticket().request_started();
+                    stream.socket().ticket().request_started();
                     starts = true;
                     responses.push_back(AbortOnDropHandle::new(tokio::spawn(handle(*req))));
                 }
                 Next::Other if responses.is_empty() => {
                     stream.put_back(buf.freeze());
-                    return Ok(Some(stream));
+                    return Ok(Served::OtherRequest(stream));
                 }
                 // The library rejects a head that is too large.
                 Next::Incomplete if responses.is_empty() && buf.len() >= max_buffered => {
                     stream.put_back(buf.freeze());
-                    return Ok(Some(stream));
+                    return Ok(Served::OtherRequest(stream));
                 }
                 Next::Request(..) | Next::Other | Next::Incomplete => break,
             }
         }
         if starts {
-            stream.ticket().set_head_bytes(buf.len());
+            stream.socket().ticket().set_head_bytes(buf.len());
         }
         if buf.is_empty() {
             // An idle connection holds no buffer.
@@ -117,8 +126,8 @@
         tokio::select! {
             Some(response) = responses.next(), if !is_idle => {
                 // A handler that panicked has no response, like a caller that disconnected.
-                let Some(mut response) = response.ok().flatten() else { return Ok(None) };
-                stream.ticket().request_ended();
+                let Some(mut response) = response.ok().flatten() else { return Ok(Served::Ended) };
+                stream.socket().ticket().request_ended();
                 let is_last = responses.is_empty() && shared.is_stopping();
                 if is_last {
                     responses::close_connection(&mut response);
@@ -128,22 +137,25 @@
                     return Err(e);
                 }
                 if is_last {
-                    stream.shutdown().await?;
-                    return Ok(None);
+                    return Ok(Served::Closing);
                 }
                 (has_served, idle_since) = (true, Instant::now());
             }
             len = stream.read_buf(&mut buf), if may_read => {
                 if !matches!(len, Ok(1..)) {
                     log_cut_requests(shared, responses.len(), "the caller closed the connection");
-                    return len.map(|_| None);
+                    return len.map(|_| Served::Ended);
                 }
             }
-            () = sleep_until(idle_since + limits.idle_timeout), if is_idle => return Ok(None),
+            () = sleep_until(idle_since + limits.idle_timeout), if is_idle => {
+                return Ok(Served::Closing);
+            }
             () = wait_for_phase(&mut phase, Phase::Closing), if is_idle && has_served => {
-                return Ok(None);
+                return Ok(Served::Closing);
+            }
+            () = wait_for_first_request(shared), if is_idle && !has_served => {
+                return Ok(Served::Closing);
             }
-            () = wait_for_first_request(shared), if is_idle && !has_served => return Ok(None),
         }
     }
 }
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -29,6 +29,7 @@
     store_calls: Counter<u64>,
     cut_responses: Counter<u64>,
     closed_connections: Counter<u64>,
+    closings: Counter<u64>,
     client_connections: Gauge<u64>,
     invalid_retry_after: Counter<u64>,
     invalid_server_limit: Counter<u64>,
@@ -83,6 +84,10 @@
                 "jasminestage.clients.closed",
                 "Connections of clients that were closed or refused, by port and reason.",
             ),
+            closings: counter(
+                "jasminestage.clients.closings",
+                "Connections of clients that the host closed itself, by what the client did then.",
+            ),
             client_connections: gauge(
                 "jasminestage.clients.connections",
                 "Open connections of clients, by port.",
@@ -160,6 +165,11 @@
         self.closed_connections.add(count, &labels);
     }
 
+    /// Counts a connection that the host has closed itself.
+    pub fn count_closing(&self, outcome: &'static str) {
+        self.closings.add(1, &[KeyValue::new("outcome", outcome)]);
+    }
+
     /// Records the number of open connections of clients.
     pub fn record_client_connections(&self, port: &'static str, count: usize) {
         self.client_connections.record(count as u64, &[KeyValue::new("port", port)]);
--- a/crates/edge/src/stop.rs
+++ b/crates/edge/src/stop.rs
@@ -19,6 +19,8 @@
 const EXIT_RESERVE: Duration = Duration::from_millis(600);
 /// Part of the stop grace before that in which the last responses are written.
 const RESPONSE_RESERVE: Duration = Duration::from_millis(250);
+/// Part of [`RESPONSE_RESERVE`] for which callers may take the last responses.
+const CLOSE_RESERVE: Duration = Duration::from_millis(200);
 
 /// Waits for SIGTERM or SIGINT and advances the process to [`Phase::Closing`].
 pub async fn wait_for_stop(shared: Arc<Shared>) -> Result<(), EdgeError> {
@@ -51,6 +53,12 @@
     tokio::time::sleep(left).await;
 }
 
+/// Waits until a stopping host has to give up the connections that it closes.
+pub async fn wait_for_last_closings(shared: &Shared) {
+    wait_for_last_responses(shared).await;
+    tokio::time::sleep(CLOSE_RESERVE).await;
+}
+
 fn drain_time(grace: Duration) -> Duration {
     DRAIN_TIME.min(grace / 3)
 }
--- a/crates/edge/tests/processes/main.rs
+++ b/crates/edge/tests/processes/main.rs
@@ -1,5 +1,6 @@
 //! Tests of real host processes with stand-ins for the platform's store and servers.
 
+mod connection_ends;
 mod crashes;
 mod path;
 mod pipeline;
