Notice callers who leave while further requests of them wait

Cause: the end of a connection was looked for by reading. The HTTP library reads only while its buffer is empty, and keeps a connection from the first request with a body on; the reader that reads ahead stops while its buffer for heads is full. Evidence: a server got the second request 1.373 s after its caller had left, when the first had run to its end; connections without a POST were cancelled at once by the same handler.

Change: the end is an event of the socket, which arrives also while bytes are unread, and both readers wait for it. The library gives the connection back with the next request that can be read ahead, so requests behind one with a body run at the same time again.

--- a/crates/core/src/intake/table.rs
+++ b/crates/core/src/intake/table.rs
@@ -308,9 +308,15 @@
         self.update(now, key, |c| c.head_bytes = bytes);
     }
 
-    /// The HTTP library reads the connection from now on.
-    pub fn hand_to_library(&mut self, now: Instant, key: ConnectionKey) {
-        self.update(now, key, |c| c.uses_library = true);
+    /// Whether the HTTP library reads the connection from now on.
+    pub fn set_uses_library(&mut self, now: Instant, key: ConnectionKey, uses_library: bool) {
+        self.update(now, key, |c| c.uses_library = uses_library);
+    }
+
+    /// Number of requests of a connection that are being handled.
+    pub fn running_requests(&self, key: ConnectionKey) -> usize {
+        let running = self.connections.get(key).map_or(0, |c| c.running);
+        usize::try_from(running).unwrap_or(usize::MAX)
     }
 
     /// A header section is complete and its request is being handled.
--- a/crates/edge/src/front/client_stream.rs
+++ b/crates/edge/src/front/client_stream.rs
@@ -4,15 +4,18 @@
 use std::{
     io,
     pin::Pin,
-    sync::Arc,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
     task::{Context, Poll, ready},
     time::Duration,
 };
 
-use bytes::{Buf, Bytes};
+use bytes::{Buf, Bytes, BytesMut};
 use rustix::net::Shutdown;
 use tokio::{
-    io::{AsyncRead, AsyncWrite, ReadBuf},
+    io::{AsyncRead, AsyncWrite, Interest, ReadBuf},
     net::TcpStream,
     time::sleep,
 };
@@ -55,6 +58,8 @@
 pub struct ClientSocket {
     stream: TcpStream,
     ticket: Ticket,
+    /// Whether bytes were written after the last flush.
+    has_unflushed: AtomicBool,
 }
 
 impl ClientSocket {
@@ -63,6 +68,19 @@
         &self.ticket
     }
 
+    /// Whether everything that was written has been flushed.
+    pub fn is_flushed(&self) -> bool {
+        !self.has_unflushed.load(Ordering::Relaxed)
+    }
+
+    /// Waits until the client has closed its side or the connection has failed, also while bytes are
+    /// unread. A client that closes only its sending side cannot be told from one that has left.
+    pub async fn closed_by_client(&self) {
+        // Interest in priority data includes the end of the stream, but not data to be read. The wait
+        // fails only when the runtime is shut down.
+        let _ = self.stream.ready(Interest::PRIORITY).await;
+    }
+
     /// Closes the sending side and discards what still arrives until the client has closed its side.
     /// The system resets a connection that is dropped with unread bytes, or that receives bytes after
     /// that, and throws away what it has not sent yet. Ends at `host_ends` at the latest.
@@ -118,7 +136,7 @@
 impl ClientStream {
     /// A new connection.
     pub fn new(stream: TcpStream, ticket: Ticket) -> Self {
-        let socket = ClientSocket { stream, ticket };
+        let socket = ClientSocket { stream, ticket, has_unflushed: AtomicBool::new(false) };
         ClientStream { unread: Bytes::new(), socket: Arc::new(socket), is_blocked: false }
     }
 
@@ -127,9 +145,17 @@
         &self.socket
     }
 
-    /// Puts back bytes that were read.
-    pub fn put_back(&mut self, unread: Bytes) {
-        self.unread = unread;
+    /// Puts back bytes that were read, before those that were put back earlier.
+    pub fn put_back(&mut self, read: Bytes) {
+        self.unread = match self.unread.is_empty() {
+            true => read,
+            false => [read, std::mem::take(&mut self.unread)].concat().into(),
+        };
+    }
+
+    /// Takes the bytes that were put back.
+    pub fn take_unread(&mut self) -> BytesMut {
+        BytesMut::from(std::mem::take(&mut self.unread))
     }
 
     fn set_blocked(&mut self, is_blocked: bool) {
@@ -145,6 +171,7 @@
         cx: &mut Context<'_>,
         write: impl Fn(&TcpStream) -> io::Result<usize>,
     ) -> Poll<io::Result<usize>> {
+        self.socket.has_unflushed.store(true, Ordering::Relaxed);
         let result = loop {
             match self.socket.stream.poll_write_ready(cx) {
                 Poll::Ready(Ok(())) => match write(&self.socket.stream) {
@@ -213,6 +240,7 @@
 
     /// All written bytes are in the socket's buffer, so there is nothing to flush.
     fn poll_flush(self: Pin<&mut Self>, _cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        self.socket.has_unflushed.store(false, Ordering::Relaxed);
         Poll::Ready(Ok(()))
     }
 
--- a/crates/edge/src/front/listener.rs
+++ b/crates/edge/src/front/listener.rs
@@ -5,9 +5,7 @@
 use bytes::Bytes;
 use futures_util::FutureExt;
 use http::Request;
-use http_body_util::{BodyExt, combinators::UnsyncBoxBody};
-use hyper::{body::Incoming, server::conn::http1, service::service_fn};
-use hyper_util::rt::{TokioIo, TokioTimer};
+use http_body_util::combinators::UnsyncBoxBody;
 use tokio::{
     net::{TcpListener, TcpSocket, TcpStream},
     sync::watch,
@@ -16,8 +14,9 @@
 
 use super::{
     client_stream::ClientStream,
+    library,
     pipeline::{self, Served},
-    responses::{self, FullResponse},
+    responses::FullResponse,
 };
 use crate::{
     error::EdgeError,
@@ -28,8 +27,6 @@
 
 /// Maximum number of connections that wait to be accepted.
 const BACKLOG: u32 = 1024;
-/// Smallest buffer for the head of a request that the HTTP library accepts.
-const MIN_HEAD_BUFFER_BYTES: usize = 8192;
 /// Connections that are accepted before other tasks run. Those that wait keep what they have received
 /// in the system's memory.
 const ACCEPTS_AT_ONCE: usize = 4;
@@ -47,11 +44,6 @@
     max_ahead: usize,
 }
 
-/// Error that makes the HTTP library close a connection without a response.
-#[derive(Debug, thiserror::Error)]
-#[error("The request ended without a response.")]
-struct NoResponse;
-
 impl Listener {
     /// Starts to listen on an address for clients of a port.
     pub fn bind(
@@ -139,7 +131,7 @@
 
 async fn serve_connection<F, Fut>(
     shared: Arc<Shared>,
-    stream: ClientStream,
+    mut stream: ClientStream,
     max_ahead: usize,
     handle: F,
 ) where
@@ -147,63 +139,22 @@
     Fut: Future<Output = Option<FullResponse>> + Send + 'static,
 {
     let socket = Arc::clone(stream.socket());
-    match pipeline::serve(&shared, stream, max_ahead, &handle).await {
-        Ok(Served::OtherRequest(stream)) => serve_remainder(&shared, stream, &handle).await,
-        Ok(Served::Closing) => {}
-        Ok(Served::Ended) => return,
-        Err(e) => {
-            tracing::debug!(error = %e, "A connection to a caller failed.");
-            return;
-        }
-    }
-    socket.close(stop::wait_for_last_closings(&shared), &shared.metrics).await;
-}
-
-/// Serves a connection by the HTTP library, one request after the other.
-async fn serve_remainder<F, Fut>(shared: &Shared, stream: ClientStream, handle: &F)
-where
-    F: Fn(Request<CallerBody>) -> Fut,
-    Fut: Future<Output = Option<FullResponse>>,
-{
-    let limits = shared.view.load().catalog.limits.clone();
-    let ticket = stream.socket().ticket().clone();
-    ticket.hand_to_library();
-    let service = service_fn(|req: Request<Incoming>| {
-        ticket.request_started();
-        let mut req = req.map(BodyExt::boxed_unsync);
-        req.extensions_mut().insert(ticket.clone());
-        let response = handle(req);
-        let ticket = &ticket;
-        async move {
-            let mut response = response.await;
-            ticket.request_ended();
-            // The library starts no other request before the response has been written.
-            if let Some(response) = response.as_mut().filter(|_| shared.is_stopping()) {
-                responses::close_connection(response);
+    let mut first = None;
+    loop {
+        match pipeline::serve(&shared, stream, first, max_ahead, &handle).await {
+            Ok(Served::OtherRequest(unread)) => stream = unread,
+            Ok(Served::Closing) => break,
+            Ok(Served::Ended) => return,
+            Err(e) => {
+                tracing::debug!(error = %e, "A connection to a caller failed.");
+                return;
             }
-            response.ok_or(NoResponse)
         }
-    });
-    // The library measures the time for reading a head from the end of the previous response, which
-    // includes the idle time. A single timer therefore limits both, with the idle timeout.
-    let connection = http1::Builder::new()
-        .timer(TokioTimer::new())
-        .header_read_timeout(limits.idle_timeout)
-        .max_buf_size(limits.max_header_bytes.max(MIN_HEAD_BUFFER_BYTES))
-        .serve_connection(TokioIo::new(stream), service);
-    let mut connection = std::pin::pin!(connection);
-    let mut phase = shared.phase();
-    let result = tokio::select! {
-        // The library closes a connection from which it has not read anything, so it has to read the
-        // request that was put back first.
-        biased;
-        result = connection.as_mut() => result,
-        () = wait_for_phase(&mut phase, Phase::Closing) => {
-            connection.as_mut().graceful_shutdown();
-            connection.await
+        match library::serve(&shared, stream, &handle).await {
+            library::Served::ReadAhead(unread, req) => (stream, first) = (unread, Some(req)),
+            library::Served::Closing => break,
+            library::Served::Ended => return,
         }
-    };
-    if let Err(e) = result {
-        tracing::debug!(error = %e, "A connection to a caller ended with an error.");
     }
+    socket.close(stop::wait_for_last_closings(&shared), &shared.metrics).await;
 }
--- a/crates/edge/src/front/mod.rs
+++ b/crates/edge/src/front/mod.rs
@@ -2,6 +2,7 @@
 
 mod client_stream;
 mod endpoints;
+mod library;
 mod listener;
 mod pipeline;
 mod request;
--- a/crates/edge/src/front/pipeline.rs
+++ b/crates/edge/src/front/pipeline.rs
@@ -2,19 +2,20 @@
 //!
 //! The HTTP library starts a request only after the response to the previous one has been written.
 //! Requests without a body are therefore read ahead here and run at the same time; the responses are
-//! written in the order of the requests. From the first request of another form on, the connection is
-//! left to the library.
+//! written in the order of the requests. Requests of another form are left to the library, which gives
+//! the connection back with the next one that can be read ahead.
 //!
 //! A stopping host closes a connection with the last response in flight, which is known only when that
 //! response is written. Requests that have not been started by then are left unread; their callers
 //! send them again.
 
-use std::{io, sync::Arc, time::Duration};
+use std::{io, pin::pin, sync::Arc, time::Duration};
 
 use bytes::{Buf, Bytes, BytesMut};
 use futures_util::{StreamExt, stream::FuturesOrdered};
 use http::{HeaderName, HeaderValue, Method, Request, Uri, Version, header};
 use http_body_util::{BodyExt, Empty};
+use hyper::body::Body;
 use jasminestage_core::declaration::Repeat;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
@@ -39,6 +40,8 @@
 /// Time for which a connection without any request is kept at a planned stop, because its first
 /// request may already be on the way.
 const FIRST_REQUEST_WAIT: Duration = Duration::from_millis(300);
+/// Reason in the log line about a caller that has left.
+pub const CALLER_CLOSED: &str = "the caller closed the connection";
 /// Headers that change how a message or its connection is read.
 const FRAMING_HEADERS: [HeaderName; 6] = [
     header::CONNECTION,
@@ -69,10 +72,12 @@
     Ended,
 }
 
-/// Serves the requests that can be read ahead, at most `max_ahead` at the same time.
+/// Serves the requests that can be read ahead, at most `max_ahead` at the same time. The `first` one
+/// may have been read already.
 pub async fn serve<F, Fut>(
     shared: &Arc<Shared>,
     mut stream: ClientStream,
+    first: Option<Box<Request<CallerBody>>>,
     max_ahead: usize,
     handle: &F,
 ) -> io::Result<Served>
@@ -80,13 +85,20 @@
     F: Fn(Request<CallerBody>) -> Fut,
     Fut: Future<Output = Option<FullResponse>> + Send + 'static,
 {
+    let socket = Arc::clone(stream.socket());
     let limits = shared.view.load().catalog.limits.clone();
     let max_buffered = limits.max_header_bytes;
     let mut phase = shared.phase();
-    let mut buf = BytesMut::new();
+    let mut buf = stream.take_unread();
     let mut responses: FuturesOrdered<AbortOnDropHandle<Option<FullResponse>>> =
         FuturesOrdered::new();
-    let (mut has_served, mut idle_since) = (false, Instant::now());
+    let (mut has_served, mut idle_since) = (first.is_some(), Instant::now());
+    if let Some(req) = first {
+        socket.ticket().request_started();
+        socket.ticket().set_head_bytes(buf.len());
+        responses.push_back(AbortOnDropHandle::new(tokio::spawn(handle(*req))));
+    }
+    let mut closed_by_client = pin!(socket.closed_by_client());
     loop {
         // A stopping host starts a request only if no other response could close the connection.
         let max_in_flight = if shared.is_stopping() { 1 } else { max_ahead };
@@ -98,7 +110,7 @@
                         || (may_repeat(shared, &req) && !shared.ports.is_short_for_servers()) =>
                 {
                     buf.advance(head_len);
-                    stream.socket().ticket().request_started();
+                    socket.ticket().request_started();
                     starts = true;
                     responses.push_back(AbortOnDropHandle::new(tokio::spawn(handle(*req))));
                 }
@@ -115,7 +127,7 @@
             }
         }
         if starts {
-            stream.socket().ticket().set_head_bytes(buf.len());
+            socket.ticket().set_head_bytes(buf.len());
         }
         if buf.is_empty() {
             // An idle connection holds no buffer.
@@ -124,10 +136,12 @@
         let is_idle = responses.is_empty();
         let may_read = buf.len() < max_buffered;
         tokio::select! {
+            // A response that is ready is written before the end of the caller's side is handled.
+            biased;
             Some(response) = responses.next(), if !is_idle => {
                 // A handler that panicked has no response, like a caller that disconnected.
                 let Some(mut response) = response.ok().flatten() else { return Ok(Served::Ended) };
-                stream.socket().ticket().request_ended();
+                socket.ticket().request_ended();
                 let is_last = responses.is_empty() && shared.is_stopping();
                 if is_last {
                     responses::close_connection(&mut response);
@@ -141,9 +155,14 @@
                 }
                 (has_served, idle_since) = (true, Instant::now());
             }
+            // The end is seen also while the buffer is full or bytes wait in the socket.
+            () = &mut closed_by_client => {
+                log_cut_requests(shared, responses.len(), CALLER_CLOSED);
+                return Ok(Served::Ended);
+            }
             len = stream.read_buf(&mut buf), if may_read => {
                 if !matches!(len, Ok(1..)) {
-                    log_cut_requests(shared, responses.len(), "the caller closed the connection");
+                    log_cut_requests(shared, responses.len(), CALLER_CLOSED);
                     return len.map(|_| Served::Ended);
                 }
             }
@@ -161,7 +180,7 @@
 }
 
 /// Logs that a connection has ended while requests of it were running, which are aborted.
-fn log_cut_requests(shared: &Shared, requests: usize, reason: &str) {
+pub fn log_cut_requests(shared: &Shared, requests: usize, reason: &str) {
     if requests > 0 && shared.request_lines.admits(RequestOutcome::Bad) {
         tracing::info!(
             event = 367,
@@ -188,6 +207,14 @@
     route.is_none_or(|r| r.repeat == Repeat::Idempotent)
 }
 
+/// Whether the library has read a request that could have been read ahead.
+pub fn is_read_ahead<B: Body>(req: &Request<B>) -> bool {
+    req.version() == Version::HTTP_11
+        && req.method() == Method::GET
+        && req.body().is_end_stream()
+        && FRAMING_HEADERS.iter().all(|name| !req.headers().contains_key(name))
+}
+
 /// Parses the head at the start of the buffer.
 fn parse_next(buf: &[u8]) -> Next {
     let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
--- a/crates/edge/src/intake.rs
+++ b/crates/edge/src/intake.rs
@@ -337,9 +337,14 @@
         self.report(|intake, now, key| intake.set_head_bytes(now, key, bytes));
     }
 
-    /// The HTTP library reads the connection from now on.
-    pub fn hand_to_library(&self) {
-        self.report(Intake::hand_to_library);
+    /// Whether the HTTP library reads the connection from now on.
+    pub fn set_uses_library(&self, uses_library: bool) {
+        self.report(|intake, now, key| intake.set_uses_library(now, key, uses_library));
+    }
+
+    /// Number of requests of the connection that are being handled.
+    pub fn running_requests(&self) -> usize {
+        self.0.port.state().intake.running_requests(self.0.key)
     }
 
     /// A request is being handled.
