Keep quotas when all hosts restart, by a token bucket over all hosts

Cause: the admitted requests of the window are in the memory of the hosts only, and before the restart the whole window may have been used within a second, so that any rate afterwards exceeds the quota.

Change: hosts exchange their counts by age, and the headroom is that of the fullest window of any length, so a flood gets its burst and then its rate. A host that has just started admits at the rate without the burst for a window. What was admitted before and the rate afterwards add up to the quota by themselves, whoever restarts and however often. Counts outlast their host.

--- a/crates/core/src/steer/digest.rs
+++ b/crates/core/src/steer/digest.rs
@@ -17,6 +17,7 @@
 use serde_with::{DurationMilliSeconds, serde_as};
 
 use super::{
+    admitted::AdmittedCounts,
     leaving::IncarnationHash,
     limits::{self, LimitReport},
     mirror::CopyState,
@@ -99,13 +100,24 @@
     pub millicores: u32,
 }
 
+/// Requests admitted in the last quota window by workspace.
+pub type AdmittedByWorkspace = BTreeMap<NameHash, AdmittedCounts>;
+
+/// Adds the requests that other hosts had admitted some slots ago.
+pub fn add_admitted(sum: &mut AdmittedByWorkspace, other: &AdmittedByWorkspace, slots: u64) {
+    for (workspace, counts) in other {
+        sum.entry(*workspace).or_default().add(&counts.aged(slots));
+    }
+}
+
 /// Traffic statistics that can be summed over hosts.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct TrafficStats {
     /// Requests per second by service.
     pub request_rates: BTreeMap<NameHash, f32>,
-    /// Requests admitted in the last quota window by workspace.
-    pub admitted: BTreeMap<NameHash, u32>,
+    /// Requests admitted in the last quota window by workspace. A sum of several hosts includes those of
+    /// hosts that have ended.
+    pub admitted: AdmittedByWorkspace,
     /// Response counts of running rollouts.
     pub canaries: Vec<CanaryStats>,
     /// Requests that servers ran when they crashed.
@@ -122,9 +134,7 @@
         for (service, rate) in &other.request_rates {
             *self.request_rates.entry(*service).or_default() += rate;
         }
-        for (workspace, count) in &other.admitted {
-            *self.admitted.entry(*workspace).or_default() += count;
-        }
+        add_admitted(&mut self.admitted, &other.admitted, 0);
         for canary in &other.canaries {
             match self.canaries.iter_mut().find(|c| c.is_same_rollout(canary)) {
                 Some(sum) => sum.add(canary),
--- a/crates/core/src/steer/mod.rs
+++ b/crates/core/src/steer/mod.rs
@@ -4,6 +4,7 @@
 //! [`view::View`]; [`steering`] decides on single requests by that view and by the host's own
 //! measurements.
 
+pub mod admitted;
 pub mod bounds;
 pub mod catalog;
 pub mod control;
--- a/crates/core/src/steer/region_summaries.rs
+++ b/crates/core/src/steer/region_summaries.rs
@@ -1,12 +1,18 @@
 //! The newest summary of each other region.
 
-use std::{collections::HashMap, time::Duration};
+use std::{
+    collections::{BTreeSet, HashMap},
+    time::Duration,
+};
 
-use super::digest::RegionSummary;
+use super::digest::{AdmittedByWorkspace, RegionSummary, add_admitted};
 use crate::{host::Incarnation, time::Instant};
 
 /// Age after which a summary is ignored.
 const SUMMARY_TTL: Duration = Duration::from_millis(1500);
+/// Time for which the requests that the hosts of a region have admitted are counted after the summary
+/// was received. It is longer than a quota window, so that hosts that end leave no gap in the count.
+const ADMITTED_LIFETIME: Duration = Duration::from_secs(6);
 
 #[derive(Clone, Debug)]
 struct ReceivedSummary {
@@ -32,9 +38,37 @@
         }
     }
 
-    /// Removes expired summaries.
+    /// Removes summaries that no longer count.
     pub fn expire(&mut self, now: Instant) {
-        self.summaries.retain(|_, r| now.saturating_since(r.received_at) <= SUMMARY_TTL);
+        self.summaries.retain(|_, r| now.saturating_since(r.received_at) <= ADMITTED_LIFETIME);
+    }
+
+    /// Requests that the hosts of all other regions have admitted. An older summary counts as far as it
+    /// includes hosts that the newest one of its region no longer has.
+    pub fn admitted(&self, now: Instant, slot: Duration) -> AdmittedByWorkspace {
+        let mut sum = AdmittedByWorkspace::new();
+        for region in self.regions() {
+            let newest = self.get(now, region).map(|s| &s.hosts);
+            let has_ended = |host: &Incarnation| {
+                newest.is_none_or(|hosts| hosts.iter().all(|(known, _)| known != host))
+            };
+            let mut region_sum = AdmittedByWorkspace::new();
+            for r in self.summaries.values().filter(|r| r.summary.region == region) {
+                let age = now.saturating_since(r.received_at);
+                let is_newest = newest.is_some_and(|hosts| std::ptr::eq(hosts, &r.summary.hosts));
+                let includes_ended = r.summary.hosts.iter().any(|(host, _)| has_ended(host));
+                if age > ADMITTED_LIFETIME || !is_newest && !includes_ended {
+                    continue;
+                }
+                let slots = age.as_micros() / slot.as_micros().max(1);
+                let slots = u64::try_from(slots).unwrap_or(u64::MAX);
+                for (workspace, counts) in &r.summary.stats.admitted {
+                    region_sum.entry(*workspace).or_default().merge_report(&counts.aged(slots));
+                }
+            }
+            add_admitted(&mut sum, &region_sum, 0);
+        }
+        sum
     }
 
     /// Returns the newest summary of a region that has not expired.
@@ -47,10 +81,10 @@
 
     /// Returns the newest summary of each region that has not expired.
     pub fn all(&self, now: Instant) -> Vec<&RegionSummary> {
-        let mut regions: Vec<&str> =
-            self.summaries.keys().map(|(region, _)| region.as_str()).collect();
-        regions.sort_unstable();
-        regions.dedup();
-        regions.into_iter().filter_map(|region| self.get(now, region)).collect()
+        self.regions().into_iter().filter_map(|region| self.get(now, region)).collect()
+    }
+
+    fn regions(&self) -> BTreeSet<&str> {
+        self.summaries.keys().map(|(region, _)| region.as_str()).collect()
     }
 }
--- a/crates/core/src/steer/steering/choose.rs
+++ b/crates/core/src/steer/steering/choose.rs
@@ -85,7 +85,7 @@
         if let Some(workspace) = &request.workspace {
             let view = Arc::clone(&self.view);
             let mut quotas = std::mem::take(&mut self.quotas);
-            let remote = || self.remote_usage(now, &workspace.name);
+            let remote = || self.remote_usages(now)(&workspace.name);
             let admitted = quotas.try_admit(now, &view.bounds, workspace, remote);
             self.quotas = quotas;
             admitted.map_err(|wait| Refusal {
--- a/crates/core/src/steer/steering/mod.rs
+++ b/crates/core/src/steer/steering/mod.rs
@@ -146,6 +146,11 @@
         }
     }
 
+    /// The same for a host that has run for less than a quota window.
+    pub fn starting_at(now: Instant, view: Arc<View>) -> Self {
+        Steering { quotas: Quotas::starting_at(now), ..Steering::new(view) }
+    }
+
     /// The current view.
     pub fn view(&self) -> &Arc<View> {
         &self.view
@@ -233,11 +238,8 @@
         self.remote_regions.expire(now);
         self.judge_rollouts();
         self.expire_received_states(now);
-        let mut quotas = std::mem::take(&mut self.quotas);
-        quotas.update_remote_usage(now, &self.view.bounds, |workspace| {
-            self.remote_usage(now, workspace)
-        });
-        self.quotas = quotas;
+        let remote = self.remote_usages(now);
+        self.quotas.update_remote_usage(now, &self.view.bounds, remote);
         if now.saturating_since(self.last_plan_at) >= plan::PLAN_PERIOD {
             self.plan_regions(now);
         }
--- a/crates/core/src/steer/steering/peers.rs
+++ b/crates/core/src/steer/steering/peers.rs
@@ -7,10 +7,12 @@
 use crate::{
     host::Incarnation,
     steer::{
+        admitted::AdmittedCounts,
         digest::{
-            AggregateScope, Digest, NameHash, RegionSummary, StateSum, TrafficStats, name_hash,
+            AggregateScope, Digest, NameHash, RegionSummary, StateSum, TrafficStats, add_admitted,
+            name_hash,
         },
-        quota::RemoteUsage,
+        quota::{RemoteUsage, slot_length},
     },
     time::Instant,
 };
@@ -19,7 +21,7 @@
     /// Applies the digest of another host of the region. Its aggregate must cover hosts that this
     /// host does not count otherwise.
     pub fn receive_digest(&mut self, now: Instant, digest: Digest) {
-        let Digest { sender, in_flight, stats, aggregate, region_summaries, .. } = digest;
+        let Digest { sender, is_relay, in_flight, stats, aggregate, region_summaries, .. } = digest;
         self.receive_crashes(now, &stats);
         self.receive_leaving(now, &stats);
         self.receive_limits(now, &stats);
@@ -31,6 +33,10 @@
         let scope = aggregate.as_ref().map(|a| a.scope);
         // The sum of the region includes the sender.
         if scope != Some(AggregateScope::Region) {
+            let host_state = match is_relay {
+                true => host_state,
+                false => host_state.of_follower(sender.zone.clone()),
+            };
             self.receive_state(Source::Host(sender.incarnation), host_state);
         }
         if let Some(aggregate) = aggregate {
@@ -56,7 +62,12 @@
     pub fn sum_of_hosts(&self, now: Instant, hosts: &[Incarnation]) -> StateSum {
         let is_included = |source: &Source| matches!(source, Source::Host(h) if hosts.contains(h));
         let states = self.received.fresh(now).filter(|(source, _)| is_included(source));
-        received::add_up(states.map(|(_, state)| &state.sum))
+        let mut sum = received::add_up(states.map(|(_, state)| &state.sum));
+        let zone = &self.view.local_host.zone;
+        let slot = slot_length(&self.view.bounds);
+        let ended = self.received.admitted_by_ended_followers(now, slot, zone);
+        add_admitted(&mut sum.stats.admitted, &ended, 0);
+        sum
     }
 
     /// Returns the sum of the states of all hosts of the region, this one included, without that of
@@ -66,8 +77,14 @@
         let others = self.received.without_region_sum(now);
         let others = others.filter(|(source, _)| !is_receiver(source));
         let (in_flight, stats) = (self.in_flight(), self.local_traffic_stats());
+        let mut admitted = stats.admitted.clone();
         let local = StateSum { host_count: 1, in_flight, stats };
-        received::add_up(others.map(|(_, state)| &state.sum).chain([&local]))
+        let mut sum = received::add_up(others.map(|(_, state)| &state.sum).chain([&local]));
+        let slot = slot_length(&self.view.bounds);
+        let others = self.received.admitted_without_region_sum(now, slot, receiver);
+        add_admitted(&mut admitted, &others, 0);
+        sum.stats.admitted = admitted;
+        sum
     }
 
     /// Whether another host has had requests recently, according to its digests.
@@ -126,7 +143,7 @@
             admitted: self
                 .quotas
                 .admitted_in_window()
-                .map(|(name, admitted)| (name_hash(name), admitted as u32))
+                .map(|(name, admitted)| (name_hash(name), admitted))
                 .collect(),
             canaries: self.view.rollouts.keys().filter_map(|s| self.local_canary(s)).collect(),
             crashes: self.crash_report.clone(),
@@ -138,16 +155,19 @@
     /// Returns the sum of the traffic statistics of all hosts of this region.
     pub fn regional_traffic_stats(&self, now: Instant) -> TrafficStats {
         let mut sum = self.local_traffic_stats();
+        let mut admitted = sum.admitted.clone();
         for (_, state) in self.received.fresh(now) {
             sum.merge(&state.sum.stats);
         }
+        let slot = slot_length(&self.view.bounds);
+        add_admitted(&mut admitted, &self.received.admitted(now, slot), 0);
+        sum.admitted = admitted;
         sum
     }
 
-    /// Returns the use of a workspace's quota by the other hosts. A host whose state is in no sum
+    /// Returns the use of the workspaces' quotas by the other hosts. A host whose state is in no sum
     /// counts as unreachable, also if a relay reports it as running.
-    pub(super) fn remote_usage(&self, now: Instant, workspace: &str) -> RemoteUsage {
-        let key = name_hash(workspace);
+    pub(super) fn remote_usages(&self, now: Instant) -> impl Fn(&str) -> RemoteUsage + use<> {
         let summaries = self.remote_regions.all(now);
         // The summary of a region is more accurate than the store's list of its hosts: the store still
         // lists hosts that have stopped, and lists hosts that have just started only after a delay.
@@ -161,14 +181,18 @@
         let unreachable_hosts = in_region.len().saturating_sub(counted)
             + elsewhere.iter().filter(|p| !p.is_reachable).count()
             + summaries.iter().map(|s| s.unreachable_hosts as usize).sum::<usize>();
-        let same_region = self.received.fresh(now).map(|(_, state)| &state.sum.stats);
-        let stats = same_region.chain(summaries.iter().map(|s| &s.stats));
-        let admitted = stats.filter_map(|s| s.admitted.get(&key)).sum::<u32>();
-        RemoteUsage {
-            admitted: f64::from(admitted),
+        let slot = slot_length(&self.view.bounds);
+        let mut admitted = self.received.admitted(now, slot);
+        add_admitted(&mut admitted, &self.remote_regions.admitted(now, slot), 0);
+        let fleet = RemoteUsage {
+            admitted: AdmittedCounts::default(),
             host_count: 1 + in_region.len() + elsewhere.len() + summarized,
             unreachable_hosts,
             is_delayed: self.received.has_region_sum(now),
+        };
+        move |workspace| {
+            let admitted = admitted.get(&name_hash(workspace)).copied().unwrap_or_default();
+            RemoteUsage { admitted, ..fleet }
         }
     }
 }
--- a/crates/core/src/steer/steering/received.rs
+++ b/crates/core/src/steer/steering/received.rs
@@ -7,7 +7,7 @@
 
 use crate::{
     host::Incarnation,
-    steer::digest::{NameHash, StateSum},
+    steer::digest::{AdmittedByWorkspace, NameHash, StateSum, add_admitted},
     time::Instant,
 };
 
@@ -16,6 +16,9 @@
 /// Time for which a received state counts towards the verdict on a rollout. It is longer than
 /// [`LIFETIME`], so that a short loss of messages does not take back a verdict.
 const ROLLOUT_LIFETIME: Duration = Duration::from_secs(6);
+/// Time for which the requests that a host has admitted are counted after its last message. It is longer
+/// than a quota window, so that a host that ends leaves no gap in the count.
+const ADMITTED_LIFETIME: Duration = Duration::from_secs(6);
 /// Time for which a sum is kept against a smaller one of another relay.
 const SUM_PRECEDENCE: Duration = Duration::from_millis(1000);
 
@@ -36,13 +39,31 @@
     received_at: Instant,
     /// The host that built the sum, which is the host itself for its own state.
     sender: Incarnation,
+    /// Failure domain of a host that is no relay.
+    followed_zone: Option<String>,
     pub(super) sum: StateSum,
 }
 
 impl ReceivedState {
     /// Creates a state that has just been received.
     pub(super) fn new(now: Instant, sender: Incarnation, sum: StateSum) -> Self {
-        ReceivedState { received_at: now, sender, sum }
+        ReceivedState { received_at: now, sender, followed_zone: None, sum }
+    }
+
+    /// The same state of a host that is no relay of its failure domain.
+    pub(super) fn of_follower(self, zone: String) -> Self {
+        ReceivedState { followed_zone: Some(zone), ..self }
+    }
+
+    /// Adds the requests that were admitted according to this state.
+    fn add_admitted(&self, now: Instant, slot: Duration, sum: &mut AdmittedByWorkspace) {
+        let age = now.saturating_since(self.received_at);
+        let slots = age.as_micros() / slot.as_micros().max(1);
+        add_admitted(sum, &self.sum.stats.admitted, u64::try_from(slots).unwrap_or(u64::MAX));
+    }
+
+    fn counts_as_admitted(&self, now: Instant) -> bool {
+        now.saturating_since(self.received_at) <= ADMITTED_LIFETIME
     }
 
     /// Whether this state replaces `known`. A relay that has just been chosen does not know all hosts
@@ -95,6 +116,53 @@
         self.younger_than(now, ROLLOUT_LIFETIME)
     }
 
+    /// Requests that all other hosts of the region have admitted, also those that have ended since.
+    pub(super) fn admitted(&self, now: Instant, slot: Duration) -> AdmittedByWorkspace {
+        if !self.has_region_sum(now) {
+            return self.admitted_without_region_sum(now, slot, None);
+        }
+        let mut sum = AdmittedByWorkspace::new();
+        for (_, state) in self.fresh(now) {
+            state.add_admitted(now, slot, &mut sum);
+        }
+        sum
+    }
+
+    /// The same for a relay, which leaves out sums of the region, and the `receiver` of its sum.
+    pub(super) fn admitted_without_region_sum(
+        &self,
+        now: Instant,
+        slot: Duration,
+        receiver: Option<Incarnation>,
+    ) -> AdmittedByWorkspace {
+        let mut sum = AdmittedByWorkspace::new();
+        for (source, state) in &self.states {
+            let is_receiver = receiver.is_some_and(|r| *source == Source::Host(r));
+            if *source != Source::Region && !is_receiver && state.counts_as_admitted(now) {
+                state.add_admitted(now, slot, &mut sum);
+            }
+        }
+        sum
+    }
+
+    /// Requests that followers of a failure domain had admitted which have ended since.
+    pub(super) fn admitted_by_ended_followers(
+        &self,
+        now: Instant,
+        slot: Duration,
+        zone: &str,
+    ) -> AdmittedByWorkspace {
+        let mut sum = AdmittedByWorkspace::new();
+        for state in self.states.values() {
+            let has_ended = now.saturating_since(state.received_at) > LIFETIME;
+            let is_follower = state.followed_zone.as_deref() == Some(zone);
+            if is_follower && has_ended && state.counts_as_admitted(now) {
+                state.add_admitted(now, slot, &mut sum);
+            }
+        }
+        sum
+    }
+
     fn younger_than(
         &self,
         now: Instant,
@@ -138,7 +206,7 @@
             if age > LIFETIME {
                 ended.append(&mut s.sum.in_flight);
             }
-            age <= ROLLOUT_LIFETIME
+            age <= ROLLOUT_LIFETIME.max(ADMITTED_LIFETIME)
         });
         ended
     }
--- a/crates/core/tests/steer/exchange.rs
+++ b/crates/core/tests/steer/exchange.rs
@@ -217,7 +217,9 @@
         let host = &mut self.hosts[n];
         let own: u32 = host.steering.in_flight().iter().map(|(_, requests)| requests).sum();
         let workspace = name_hash("w");
-        let admitted = |stats: TrafficStats| stats.admitted.get(&workspace).copied().unwrap_or(0);
+        let admitted = |stats: TrafficStats| {
+            stats.admitted.get(&workspace).map_or(0, |counts| counts.total() as u32)
+        };
         let own_admitted = admitted(host.steering.local_traffic_stats());
         let all_admitted = admitted(host.steering.regional_traffic_stats(now));
         let probe = RequestHead { id: "probe", ..HEAD };
@@ -294,7 +296,7 @@
                 let others = region.running() - 1;
                 for host in region.hosts.iter().filter(|h| h.is_running) {
                     let remote = host.steering.quota_state("w").remote;
-                    let covered = remote.admitted as usize / 2 + remote.unreachable_hosts;
+                    let covered = remote.admitted.total() as usize / 2 + remote.unreachable_hosts;
                     let name = &host.announcement.name;
                     assert!(covered >= others, "seed {seed}, {name}: {covered} of {others}");
                 }
--- a/crates/core/tests/steer/region_summaries.rs
+++ b/crates/core/tests/steer/region_summaries.rs
@@ -154,7 +154,7 @@
     };
     let mut summary = region_summary("b", 20, 1);
     summary.stats.canaries = vec![canary];
-    summary.stats.admitted = [(name_hash("w"), 3)].into();
+    summary.stats.admitted = [(name_hash("w"), vec![3].into())].into();
     assert_eq!(steering.rollout_verdict("lookup"), Verdict::Sound);
     steering.receive_region_summary(at(10), &summary);
     steering.tick(at(20));
--- a/crates/edge/src/front/trace.rs
+++ b/crates/edge/src/front/trace.rs
@@ -141,7 +141,7 @@
                 code,
                 status,
                 used_here = self.quota.admitted,
-                used_elsewhere = self.quota.remote.admitted,
+                used_elsewhere = self.quota.remote.admitted.total(),
                 hosts = self.quota.remote.host_count,
                 hosts_unheard = self.quota.remote.unreachable_hosts,
                 took_ms,
--- a/crates/edge/src/shared.rs
+++ b/crates/edge/src/shared.rs
@@ -85,7 +85,7 @@
             phase: watch::Sender::new(Phase::Serving),
             last_response_at: OnceLock::new(),
             bounds,
-            steering: Mutex::new(Steering::new(view)),
+            steering: Mutex::new(Steering::starting_at(clock::now(), view)),
         }
     }
 
