Check a server for a crash when a connection to it is lost

Cause: a crash counted only if the host that had lost the connection failed to connect to the same server within 2 s, and it avoided that server for just that time.

A refused connection confirms the crash, one that is accepted or times out does not, and lost connections to one server share a check.

--- a/crates/core/src/crash/evidence.rs
+++ b/crates/core/src/crash/evidence.rs
@@ -21,6 +21,8 @@
 
 /// Time after a lost connection in which a failed connection confirms the crash.
 const CONFIRMATION_WINDOW: Duration = Duration::from_secs(2);
+/// Time after a lost connection within which the server is not checked again.
+const CHECK_PERIOD: Duration = Duration::from_millis(500);
 /// Time for which a host reports its own observation.
 const REPORT_PERIOD: Duration = Duration::from_secs(10);
 /// Time before a host reports the only crash of a request. Most requests that happened to run there
@@ -241,14 +243,20 @@
 }
 
 impl CrashEvidence {
-    /// Records that a connection was lost while a server ran a request.
+    /// Records that a connection was lost while a server ran a request. Returns whether the server has to
+    /// be checked: without a check, a crash is noticed only if this host soon has another request for
+    /// the server.
     pub fn record_lost_connection(
         &mut self,
         now: Instant,
         fingerprint: Fingerprint,
         server: CrashedServer,
-    ) {
+    ) -> bool {
+        self.lost.retain(|l| now.saturating_since(l.at) <= CONFIRMATION_WINDOW);
+        let is_recent = |l: &LostConnection| now.saturating_since(l.at) <= CHECK_PERIOD;
+        let is_checked = self.lost.iter().any(|l| l.server == server && is_recent(l));
         self.lost.push(LostConnection { fingerprint, server, at: now });
+        !is_checked
     }
 
     /// Records that a server accepts no connection; returns the requests that it ran when connections
--- a/crates/core/src/steer/steering/crashes.rs
+++ b/crates/core/src/steer/steering/crashes.rs
@@ -1,15 +1,26 @@
 //! Requests that crash servers: the lost connections, and the refusals.
 
+use std::net::SocketAddr;
+
 use super::{Steering, request::Attempt};
 use crate::{
     crash::{
         Fingerprint,
         evidence::{CrashedServer, ReportedCrash},
     },
-    steer::{digest::TrafficStats, leaving::IncarnationHash},
+    steer::{digest::TrafficStats, leaving::IncarnationHash, server::ServerKey},
     time::Instant,
 };
 
+/// A server to which a connection was lost, and which has to be checked for a crash.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct CrashCheck {
+    /// Address of the server.
+    pub address: SocketAddr,
+    server: ServerKey,
+    incarnation: IncarnationHash,
+}
+
 /// A change in what this host knows about crashes.
 #[derive(Clone, Debug, PartialEq)]
 pub enum CrashChange {
@@ -51,15 +62,36 @@
         let server = server.filter(|s| s.incarnation == attempt.incarnation);
         if let Some(server) = server.filter(|s| !s.entry.draining && !s.is_leaving) {
             let incarnation = crashed_server(server.incarnation);
-            self.crashes.record_lost_connection(now, fingerprint, incarnation);
+            if self.crashes.record_lost_connection(now, fingerprint, incarnation) {
+                self.crash_checks.push(CrashCheck {
+                    address: server.entry.address,
+                    server: attempt.server,
+                    incarnation: attempt.incarnation,
+                });
+            }
         }
     }
 
+    /// Returns the servers that have to be checked for a crash since the last call.
+    pub fn take_crash_checks(&mut self) -> Vec<CrashCheck> {
+        std::mem::take(&mut self.crash_checks)
+    }
+
+    /// Records that a server which was checked refuses connections.
+    pub fn record_refused_connection(&mut self, now: Instant, check: &CrashCheck) {
+        self.record_connect_failure(now, check.server, check.incarnation);
+    }
+
     /// Records that a server accepts no connection.
-    pub(super) fn record_connect_failure(&mut self, now: Instant, attempt: &Attempt) {
-        let incarnation = crashed_server(attempt.incarnation);
+    pub(super) fn record_connect_failure(
+        &mut self,
+        now: Instant,
+        server: ServerKey,
+        incarnation: IncarnationHash,
+    ) {
+        let incarnation = crashed_server(incarnation);
         let requests = self.crashes.record_connect_failure(now, incarnation);
-        let Some(server) = self.servers.get(attempt.server).filter(|_| !requests.is_empty()) else {
+        let Some(server) = self.servers.get(server).filter(|_| !requests.is_empty()) else {
             return;
         };
         let server = server.entry.id.clone();
--- a/crates/core/src/steer/steering/mod.rs
+++ b/crates/core/src/steer/steering/mod.rs
@@ -20,7 +20,7 @@
 };
 
 pub use self::{
-    crashes::CrashChange,
+    crashes::{CrashChange, CrashCheck},
     limits::LimitChange,
     plan::ShareChange,
     request::{Dispatch, NextAction, PendingRequest, RequestHead},
@@ -113,6 +113,8 @@
     refused_requests: BTreeSet<Fingerprint>,
     /// What this host reports about crashes.
     crash_report: CrashReport,
+    /// Servers that have to be checked for a crash.
+    crash_checks: Vec<CrashCheck>,
     leaving: LeavingServers,
     limits: ServerLimits,
     /// Changes that have not been logged yet.
@@ -137,6 +139,7 @@
             crashes: CrashEvidence::default(),
             refused_requests: BTreeSet::new(),
             crash_report: CrashReport::default(),
+            crash_checks: Vec::new(),
             leaving: LeavingServers::default(),
             limits: ServerLimits::default(),
             changes: UnloggedChanges::default(),
--- a/crates/core/src/steer/steering/outcome.rs
+++ b/crates/core/src/steer/steering/outcome.rs
@@ -66,7 +66,9 @@
             AttemptOutcome::Lost => {
                 self.record_lost_connection(now, request.fingerprint, &attempt);
             }
-            AttemptOutcome::NotSent => self.record_connect_failure(now, &attempt),
+            AttemptOutcome::NotSent => {
+                self.record_connect_failure(now, attempt.server, attempt.incarnation);
+            }
             _ => {}
         }
         let is_idempotent = request.route.repeat == Repeat::Idempotent;
--- a/crates/core/tests/steer/crash.rs
+++ b/crates/core/tests/steer/crash.rs
@@ -222,3 +222,25 @@
         }
     }
 }
+
+struct CheckCase {
+    /// Connections that are lost, with the time in milliseconds and the server.
+    lost: &'static [(u64, CrashedServer)],
+    /// Whether each of them leads to a check.
+    checks: &'static [bool],
+}
+
+/// Fails if a crash is noticed only when the host that lost the connection has another request for the
+/// server: a request that crashes servers, and comes to another host each time, was never refused.
+#[test_case(&CheckCase { lost: &[(0, 1)], checks: &[true] }; "the first one")]
+#[test_case(&CheckCase { lost: &[(0, 1), (10, 1), (400, 1)], checks: &[true, false, false] }; "many at once")]
+#[test_case(&CheckCase { lost: &[(0, 1), (10, 2)], checks: &[true, true] }; "two servers")]
+#[test_case(&CheckCase { lost: &[(0, 1), (1100, 1)], checks: &[true, true] }; "the same server later")]
+fn a_lost_connection_leads_to_a_check(case: &CheckCase) {
+    let mut crashes = CrashEvidence::default();
+    let mut checks = Vec::new();
+    for (millis, server) in case.lost {
+        checks.push(crashes.record_lost_connection(at(1000 + millis), REQUEST, *server));
+    }
+    assert_eq!(checks, case.checks);
+}
--- a/crates/edge/src/front/request.rs
+++ b/crates/edge/src/front/request.rs
@@ -31,7 +31,7 @@
     intake::Ticket,
     shared::Shared,
     stop,
-    upstream::{AttemptResult, OutgoingRequest, ServerResponse, Upstream, send},
+    upstream::{self, AttemptResult, OutgoingRequest, ServerResponse, Upstream, send},
 };
 
 /// Time added to the timeout of an attempt, so that the server's own response to an exceeded
@@ -156,6 +156,9 @@
         let next_action = shared.with_steering(|steering, now| {
             steering.finish_attempt(now, &mut guard.pending, outcome, report)
         });
+        if outcome == AttemptOutcome::Lost {
+            upstream::check_for_crashes(shared);
+        }
         match (next_action, response) {
             // The descriptor of the failed attempt is free as soon as the task of its connection has run.
             (NextAction::Retry, _) => tokio::task::yield_now().await,
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -26,6 +26,7 @@
     refusals: Counter<u64>,
     attempts: Counter<u64>,
     connections: Counter<u64>,
+    crash_checks: Counter<u64>,
     store_calls: Counter<u64>,
     cut_responses: Counter<u64>,
     closed_connections: Counter<u64>,
@@ -75,6 +76,10 @@
             refusals: counter("jasminestage.refusals", "Answers of the system itself by reason."),
             attempts: counter("jasminestage.tries", "Tries at servers by outcome."),
             connections: counter("jasminestage.connections", "New connections to servers."),
+            crash_checks: counter(
+                "jasminestage.servers.checks",
+                "Checks of servers to which connections were lost, by outcome.",
+            ),
             store_calls: counter("jasminestage.store.calls", "Calls to the store by outcome."),
             cut_responses: counter(
                 "jasminestage.responses.cut",
@@ -165,6 +170,11 @@
         self.closed_connections.add(count, &labels);
     }
 
+    /// Counts a check of a server to which a connection was lost.
+    pub fn count_crash_check(&self, outcome: &'static str) {
+        self.crash_checks.add(1, &[KeyValue::new("outcome", outcome)]);
+    }
+
     /// Counts a connection that the host has closed itself.
     pub fn count_closing(&self, outcome: &'static str) {
         self.closings.add(1, &[KeyValue::new("outcome", outcome)]);
--- a/crates/edge/src/upstream/mod.rs
+++ b/crates/edge/src/upstream/mod.rs
@@ -1,5 +1,6 @@
 //! Connections to backend servers and attempts of requests on them.
 
+mod check;
 mod pool;
 mod send;
 
@@ -8,6 +9,7 @@
 use crate::body::BodyMemory;
 
 pub use self::{
+    check::check_for_crashes,
     pool::Pool,
     send::{AttemptResult, OutgoingRequest, ServerResponse, send},
 };
--- a/crates/edge/tests/processes/crashes.rs
+++ b/crates/edge/tests/processes/crashes.rs
@@ -131,3 +131,41 @@
         assert!(refused.len() < 10, "{refused:?}");
     });
 }
+
+struct CrashingCase {
+    path: &'static str,
+    method: Method,
+}
+
+/// Fails if a request that crashes each server that runs it is not recognized because each repetition
+/// meets another host, and no other request shows that the server is gone.
+#[test_case(&CrashingCase { path: "/book/jam", method: Method::POST }; "at most once")]
+#[test_case(&CrashingCase { path: "/read/jam", method: Method::GET }; "repeatable")]
+fn a_request_that_crashes_servers_is_refused_by_all_hosts(case: &CrashingCase) {
+    let runtime = tokio::runtime::Runtime::new().expect("a runtime starts");
+    runtime.block_on(async {
+        let mut environment = environment().await;
+        let servers = Arc::new(std::mem::take(&mut environment.servers));
+        servers.iter().for_each(|s| s.set_fault(Fault::CrashesOn("jam", WORK)));
+        let restarts =
+            tokio::spawn(restart_crashed(Arc::clone(&servers), environment.store.clone()));
+        let runs = |id: &str| -> usize {
+            servers.iter().map(|s| s.executed_requests().get(id).map_or(0, Vec::len)).sum()
+        };
+        let addresses = addresses(&environment);
+        let mut runs_by_repetition = Vec::new();
+        for n in 0..8 {
+            let id = format!("jam-{n}");
+            if let Some(mut caller) = Caller::connect(addresses[n % addresses.len()]).await {
+                caller.object = Some("17".to_owned());
+                caller.send(case.method.clone(), case.path, &id, API_KEY, "").await;
+            }
+            runs_by_repetition.push(runs(&id));
+            tokio::time::sleep(Duration::from_millis(1800)).await;
+        }
+        restarts.abort();
+        // Two crashes prove it, and one repetition may be under way before all hosts know.
+        let late: usize = runs_by_repetition[4..].iter().sum();
+        assert_eq!(late, 0, "{runs_by_repetition:?}");
+    });
+}
