--- a/crates/core/src/steer/steering/mod.rs
+++ b/crates/core/src/steer/steering/mod.rs
@@ -20,7 +20,7 @@
 };
 
 pub use self::{
-    crashes::CrashChange,
+    crashes::{CrashChange, CrashCheck},
     limits::LimitChange,
     plan::ShareChange,
     request::{Dispatch, NextAction, PendingRequest, RequestHead},
@@ -113,6 +113,8 @@
     refused_requests: BTreeSet<Fingerprint>,
     /// What this host reports about crashes.
     crash_report: CrashReport,
+    /// Servers that have to be checked for a crash.
+    crash_checks: Vec<CrashCheck>,
     leaving: LeavingServers,
     limits: ServerLimits,
     /// Changes that have not been logged yet.
@@ -137,6 +139,7 @@
             crashes: CrashEvidence::default(),
             refused_requests: BTreeSet::new(),
             crash_report: CrashReport::default(),
+            crash_checks: Vec::new(),
             leaving: LeavingServers::default(),
             limits: ServerLimits::default(),
             changes: UnloggedChanges::default(),
@@ -146,6 +149,11 @@
         }
     }
 
+    /// The same for a host that has run for less than a quota window.
+    pub fn starting_at(now: Instant, view: Arc<View>) -> Self {
+        Steering { quotas: Quotas::starting_at(now), ..Steering::new(view) }
+    }
+
     /// The current view.
     pub fn view(&self) -> &Arc<View> {
         &self.view
@@ -233,11 +241,8 @@
         self.remote_regions.expire(now);
         self.judge_rollouts();
         self.expire_received_states(now);
-        let mut quotas = std::mem::take(&mut self.quotas);
-        quotas.update_remote_usage(now, &self.view.bounds, |workspace| {
-            self.remote_usage(now, workspace)
-        });
-        self.quotas = quotas;
+        let remote = self.remote_usages(now);
+        self.quotas.update_remote_usage(now, &self.view.bounds, remote);
         if now.saturating_since(self.last_plan_at) >= plan::PLAN_PERIOD {
             self.plan_regions(now);
         }
