Reserve the quota of unreachable hosts once

Cause: a part of each quota is reserved for hosts that are listed and send no digests, and since what these hosts had admitted counted as well. And a host that has just started counted whole slots against a part of a slot's rate, so it had no headroom in its first second beside running hosts.

Change: the requests of a host count after its last digest only once it is no longer listed; an older summary of a region only if more of its hosts are gone than the newest one takes for running. The slots since the start of a host count in part. The tests of restarts and of sums hold.

--- a/crates/core/src/steer/admitted.rs
+++ b/crates/core/src/steer/admitted.rs
@@ -60,6 +60,12 @@
         self.0.iter().take(complete + 1).map(|n| f64::from(*n)).sum()
     }
 
+    /// Requests in the newest slots, of which the last one may count in part.
+    pub fn in_newest_slots(&self, slots: f64) -> f64 {
+        let parts = (0..SLOTS).map(|n| (slots - n as f64).clamp(0.0, 1.0));
+        self.0.iter().zip(parts).map(|(n, part)| f64::from(*n) * part).sum()
+    }
+
     /// Requests in all slots.
     pub fn total(&self) -> f64 {
         self.in_newest(SLOTS)
--- a/crates/core/src/steer/quota.rs
+++ b/crates/core/src/steer/quota.rs
@@ -143,9 +143,10 @@
             admitted.in_newest(SLOTS_PER_WINDOW),
         );
         let since_start = age.map(|age| {
-            let complete = (age.as_micros() / slot.as_micros().max(1)) as usize;
             let permitted = permitted_rate(bounds, workspace) * age.as_secs_f64();
-            (permitted, admitted.in_newest(complete))
+            // The slots of the hosts begin at different times, so the newest one is half complete.
+            let slots = age.as_secs_f64() / slot.as_secs_f64().max(f64::EPSILON) + 0.5;
+            (permitted, admitted.in_newest_slots(slots))
         });
         let reachable_fraction =
             1.0 - self.remote.unreachable_hosts as f64 / self.remote.host_count.max(1) as f64;
--- a/crates/core/src/steer/region_summaries.rs
+++ b/crates/core/src/steer/region_summaries.rs
@@ -43,21 +43,32 @@
         self.summaries.retain(|_, r| now.saturating_since(r.received_at) <= ADMITTED_LIFETIME);
     }
 
-    /// Requests that the hosts of all other regions have admitted. An older summary counts as far as it
-    /// includes hosts that the newest one of its region no longer has.
-    pub fn admitted(&self, now: Instant, slot: Duration) -> AdmittedByWorkspace {
+    /// Requests that the hosts of all other regions have admitted. An older summary counts if more of its
+    /// hosts have ended than the newest one of the region still takes for running. Without a newest one,
+    /// a part of the quotas is reserved for the hosts of a region that `is_listed`.
+    pub fn admitted(
+        &self,
+        now: Instant,
+        slot: Duration,
+        is_listed: impl Fn(&str) -> bool,
+    ) -> AdmittedByWorkspace {
         let mut sum = AdmittedByWorkspace::new();
         for region in self.regions() {
-            let newest = self.get(now, region).map(|s| &s.hosts);
+            let newest = self.get(now, region);
             let has_ended = |host: &Incarnation| {
-                newest.is_none_or(|hosts| hosts.iter().all(|(known, _)| known != host))
+                newest.is_none_or(|s| s.hosts.iter().all(|(known, _)| known != host))
+            };
+            let reserved_hosts = match newest {
+                Some(newest) => newest.unreachable_hosts as usize,
+                None if is_listed(region) => usize::MAX,
+                None => 0,
             };
             let mut region_sum = AdmittedByWorkspace::new();
             for r in self.summaries.values().filter(|r| r.summary.region == region) {
                 let age = now.saturating_since(r.received_at);
-                let is_newest = newest.is_some_and(|hosts| std::ptr::eq(hosts, &r.summary.hosts));
-                let includes_ended = r.summary.hosts.iter().any(|(host, _)| has_ended(host));
-                if age > ADMITTED_LIFETIME || !is_newest && !includes_ended {
+                let is_newest = newest.is_some_and(|newest| std::ptr::eq(newest, &r.summary));
+                let ended = r.summary.hosts.iter().filter(|(host, _)| has_ended(host)).count();
+                if age > ADMITTED_LIFETIME || !is_newest && ended <= reserved_hosts {
                     continue;
                 }
                 let slots = age.as_micros() / slot.as_micros().max(1);
--- a/crates/core/src/steer/steering/peers.rs
+++ b/crates/core/src/steer/steering/peers.rs
@@ -65,7 +65,8 @@
         let mut sum = received::add_up(states.map(|(_, state)| &state.sum));
         let zone = &self.view.local_host.zone;
         let slot = slot_length(&self.view.bounds);
-        let ended = self.received.admitted_by_ended_followers(now, slot, zone);
+        let is_listed = |host| self.is_listed(host);
+        let ended = self.received.admitted_by_ended_followers(now, slot, is_listed, zone);
         add_admitted(&mut sum.stats.admitted, &ended, 0);
         sum
     }
@@ -81,7 +82,8 @@
         let local = StateSum { host_count: 1, in_flight, stats };
         let mut sum = received::add_up(others.map(|(_, state)| &state.sum).chain([&local]));
         let slot = slot_length(&self.view.bounds);
-        let others = self.received.admitted_without_region_sum(now, slot, receiver);
+        let is_listed = |host| self.is_listed(host);
+        let others = self.received.admitted_without_region_sum(now, slot, is_listed, receiver);
         add_admitted(&mut admitted, &others, 0);
         sum.stats.admitted = admitted;
         sum
@@ -160,11 +162,17 @@
             sum.merge(&state.sum.stats);
         }
         let slot = slot_length(&self.view.bounds);
-        add_admitted(&mut admitted, &self.received.admitted(now, slot), 0);
+        let others = self.received.admitted(now, slot, |host| self.is_listed(host));
+        add_admitted(&mut admitted, &others, 0);
         sum.admitted = admitted;
         sum
     }
 
+    /// Whether a host is among those that may be running.
+    fn is_listed(&self, host: Incarnation) -> bool {
+        self.view.peers.iter().any(|p| p.host.incarnation == host)
+    }
+
     /// Returns the use of the workspaces' quotas by the other hosts. A host whose state is in no sum
     /// counts as unreachable, also if a relay reports it as running.
     pub(super) fn remote_usages(&self, now: Instant) -> impl Fn(&str) -> RemoteUsage + use<> {
@@ -182,8 +190,9 @@
             + elsewhere.iter().filter(|p| !p.is_reachable).count()
             + summaries.iter().map(|s| s.unreachable_hosts as usize).sum::<usize>();
         let slot = slot_length(&self.view.bounds);
-        let mut admitted = self.received.admitted(now, slot);
-        add_admitted(&mut admitted, &self.remote_regions.admitted(now, slot), 0);
+        let mut admitted = self.received.admitted(now, slot, |host| self.is_listed(host));
+        let is_listed = |region: &str| elsewhere.iter().any(|p| p.region == region);
+        add_admitted(&mut admitted, &self.remote_regions.admitted(now, slot, is_listed), 0);
         let fleet = RemoteUsage {
             admitted: AdmittedCounts::default(),
             host_count: 1 + in_region.len() + elsewhere.len() + summarized,
--- a/crates/core/src/steer/steering/received.rs
+++ b/crates/core/src/steer/steering/received.rs
@@ -62,8 +62,14 @@
         add_admitted(sum, &self.sum.stats.admitted, u64::try_from(slots).unwrap_or(u64::MAX));
     }
 
-    fn counts_as_admitted(&self, now: Instant) -> bool {
-        now.saturating_since(self.received_at) <= ADMITTED_LIFETIME
+    fn is_fresh(&self, now: Instant) -> bool {
+        now.saturating_since(self.received_at) <= LIFETIME
+    }
+
+    /// Whether the host has ended so recently that the requests that it had admitted still count.
+    fn has_ended(&self, now: Instant, is_listed: impl Fn(Incarnation) -> bool) -> bool {
+        let is_recent = now.saturating_since(self.received_at) <= ADMITTED_LIFETIME;
+        !self.is_fresh(now) && is_recent && !is_listed(self.sender)
     }
 
     /// Whether this state replaces `known`. A relay that has just been chosen does not know all hosts
@@ -116,10 +122,17 @@
         self.younger_than(now, ROLLOUT_LIFETIME)
     }
 
-    /// Requests that all other hosts of the region have admitted, also those that have ended since.
-    pub(super) fn admitted(&self, now: Instant, slot: Duration) -> AdmittedByWorkspace {
+    /// Requests that all other hosts of the region have admitted, also those that have ended since. Hosts
+    /// that are still listed but send no digests do not count, since a part of the quotas is reserved for
+    /// them.
+    pub(super) fn admitted(
+        &self,
+        now: Instant,
+        slot: Duration,
+        is_listed: impl Fn(Incarnation) -> bool,
+    ) -> AdmittedByWorkspace {
         if !self.has_region_sum(now) {
-            return self.admitted_without_region_sum(now, slot, None);
+            return self.admitted_without_region_sum(now, slot, is_listed, None);
         }
         let mut sum = AdmittedByWorkspace::new();
         for (_, state) in self.fresh(now) {
@@ -133,12 +146,14 @@
         &self,
         now: Instant,
         slot: Duration,
+        is_listed: impl Fn(Incarnation) -> bool,
         receiver: Option<Incarnation>,
     ) -> AdmittedByWorkspace {
         let mut sum = AdmittedByWorkspace::new();
         for (source, state) in &self.states {
             let is_receiver = receiver.is_some_and(|r| *source == Source::Host(r));
-            if *source != Source::Region && !is_receiver && state.counts_as_admitted(now) {
+            let counts = state.is_fresh(now) || state.has_ended(now, &is_listed);
+            if *source != Source::Region && !is_receiver && counts {
                 state.add_admitted(now, slot, &mut sum);
             }
         }
@@ -150,13 +165,13 @@
         &self,
         now: Instant,
         slot: Duration,
+        is_listed: impl Fn(Incarnation) -> bool,
         zone: &str,
     ) -> AdmittedByWorkspace {
         let mut sum = AdmittedByWorkspace::new();
         for state in self.states.values() {
-            let has_ended = now.saturating_since(state.received_at) > LIFETIME;
             let is_follower = state.followed_zone.as_deref() == Some(zone);
-            if is_follower && has_ended && state.counts_as_admitted(now) {
+            if is_follower && state.has_ended(now, &is_listed) {
                 state.add_admitted(now, slot, &mut sum);
             }
         }
