Admit a few requests at once when hosts have started

A workspace within its rate was refused in the first seconds after a restart of all hosts, since a host without counts of the others had no headroom yet.

Hosts that have started may together admit 4 in 100 of a window at once, out of the 8 in 100 that stay unused; twice if all start twice in a window. The tests of restarts hold.

--- a/crates/core/src/steer/quota.rs
+++ b/crates/core/src/steer/quota.rs
@@ -23,6 +23,9 @@
 
 /// Fraction of the requests permitted in a window that is used; the rest covers requests in transit.
 const USED_WINDOW_FRACTION: f64 = 0.92;
+/// Fraction of the requests permitted in a window that hosts may admit at once when they have started.
+/// It comes out of the rest, twice if all hosts start twice in a window.
+const START_FRACTION: f64 = 0.04;
 /// Fraction of the headroom that all hosts together may use within one exchange period.
 const PERIOD_FRACTION: f64 = 0.15;
 /// Time from the first request of a workspace after which the counts show which hosts it uses.
@@ -143,7 +146,8 @@
             admitted.in_newest(SLOTS_PER_WINDOW),
         );
         let since_start = age.map(|age| {
-            let permitted = permitted_rate(bounds, workspace) * age.as_secs_f64();
+            let at_once = allowance(bounds, workspace, bounds.quota_window) * START_FRACTION;
+            let permitted = at_once + permitted_rate(bounds, workspace) * age.as_secs_f64();
             // The slots of the hosts begin at different times, so the newest one is half complete.
             let slots = age.as_secs_f64() / slot.as_secs_f64().max(f64::EPSILON) + 0.5;
             (permitted, admitted.in_newest_slots(slots))
