Let callers of the soak send ahead, with bodies, and leave

Half of their connections begin with a request with a body, and some requests fill the buffer for heads. The soak checks that no server gets a request long after its caller has left, and that no response ends early.

--- a/crates/edge/tests/soak/callers.rs
+++ b/crates/edge/tests/soak/callers.rs
@@ -53,10 +53,15 @@
 
     /// Whether the host of a request was killed or paused during the request.
     fn was_disrupted(&self, record: &RequestRecord) -> bool {
+        self.is_disrupted(record.host, (record.sent_at, record.ended_at))
+    }
+
+    /// Whether a host was killed or paused between two moments.
+    pub fn is_disrupted(&self, host: usize, (first, last): (Instant, Instant)) -> bool {
         let disruptions = self.disruptions.lock().unwrap_or_else(PoisonError::into_inner);
-        disruptions.get(&record.host).is_some_and(|spans| {
-            spans.iter().any(|(from, to)| record.sent_at <= *to && *from <= record.ended_at)
-        })
+        disruptions
+            .get(&host)
+            .is_some_and(|spans| spans.iter().any(|(from, to)| first <= *to && *from <= last))
     }
 
     /// Checks the guarantees: requests that must run at most once run at most once, and 429 and 503
--- a/crates/edge/tests/soak/main.rs
+++ b/crates/edge/tests/soak/main.rs
@@ -8,6 +8,7 @@
 mod departure;
 mod drills;
 mod faults;
+mod sent_ahead;
 mod usage;
 
 use std::{sync::Arc, time::Duration};
@@ -22,7 +23,7 @@
 };
 use test_case::test_case;
 
-use self::{callers::RequestLog, faults::FaultInjector};
+use self::{callers::RequestLog, faults::FaultInjector, sent_ahead::SentAheadLog};
 
 /// The program under test.
 const BINARY: &str = env!("CARGO_BIN_EXE_jasminestage-edge");
@@ -79,7 +80,9 @@
     let api_faults = environment.api.clone().map(|api| usage::start_faults(seed, api));
     let addresses: Vec<_> = environment.hosts.iter().map(|h| h.caller_address).collect();
     let request_log = Arc::new(RequestLog::default());
-    let callers = callers::start(&addresses, &request_log);
+    let mut callers = callers::start(&addresses, &request_log);
+    let sent_ahead = Arc::new(SentAheadLog::default());
+    callers.extend(sent_ahead::start(seed, &addresses, &sent_ahead, &request_log));
     let mut injector = FaultInjector::new(seed);
     injector.inject(&mut environment, &request_log, FAULT_DURATION).await;
     injector.end(&mut environment).await;
@@ -96,6 +99,7 @@
         caller.abort();
     }
     request_log.check(seed, &environment.servers, injector.history());
+    sent_ahead.check(seed, &environment.servers, &request_log);
     request_log.check_departure(seed, &environment.servers, &departure);
 }
 
@@ -127,8 +131,9 @@
 }
 
 /// Fails if random overlapping faults make a host run a request twice that must run at most once,
-/// break a rule of the usage reports, report a wrong status, leave callers without a response, not recover, return to an older
-/// configuration or be late with one when the store comes back from an older copy.
+/// break a rule of the usage reports, report a wrong status, leave callers without a response, cut a
+/// response, run requests of callers who have left, not recover, return to an older configuration or be
+/// late with one when the store comes back from an older copy.
 #[test_case(1; "seed 1")]
 #[test_case(2; "seed 2")]
 #[test_case(3; "seed 3")]
