--- a/crates/core/src/steer/admitted.rs
+++ b/crates/core/src/steer/admitted.rs
@@ -1,7 +1,12 @@
 //! Requests admitted for a workspace, by age.
 
+use std::time::Duration;
+
 use serde::{Deserialize, Serialize};
 
+/// Time for which the requests that hosts had admitted are counted after their last message. It is longer
+/// than a quota window, so that hosts that end leave no gap in the count.
+pub const ADMITTED_LIFETIME: Duration = Duration::from_secs(6);
 /// Number of slots in a quota window.
 pub const SLOTS_PER_WINDOW: usize = 10;
 /// The window and the slot whose requests may be partly inside it.
@@ -40,8 +45,8 @@
         }
     }
 
-    /// Takes the larger number of each slot. Two reports on the same hosts may each lack requests.
-    pub fn merge_report(&mut self, other: &AdmittedCounts) {
+    /// Takes the larger number of each slot: of two reports on the same hosts, each may lack requests.
+    pub fn merge_largest(&mut self, other: &AdmittedCounts) {
         for (known, n) in self.0.iter_mut().zip(other.0) {
             *known = (*known).max(n);
         }
@@ -55,7 +60,7 @@
         }))
     }
 
-    /// Requests in the newest slot and in `complete` further ones.
+    /// Requests in the newest slot, which is incomplete, and in `complete` further ones.
     pub fn in_newest(&self, complete: usize) -> f64 {
         self.0.iter().take(complete + 1).map(|n| f64::from(*n)).sum()
     }
--- a/crates/core/src/steer/quota.rs
+++ b/crates/core/src/steer/quota.rs
@@ -32,7 +32,8 @@
 const DEMAND_TIME: Duration = Duration::from_millis(1000);
 /// The same when the counts arrive through relays.
 const DELAYED_DEMAND_TIME: Duration = Duration::from_millis(2000);
-/// Time in which the hosts together use up the headroom at the rate of the workspace.
+/// Headroom, as a time at the rate of the workspace, below which hosts admit less than the rate. It keeps
+/// them within the quota although the counts of the others are old.
 const RATE_HEADROOM_TIME: Duration = Duration::from_millis(500);
 /// The same when the counts arrive through relays.
 const DELAYED_RATE_HEADROOM_TIME: Duration = Duration::from_millis(2000);
--- a/crates/core/src/steer/region_summaries.rs
+++ b/crates/core/src/steer/region_summaries.rs
@@ -5,14 +5,14 @@
     time::Duration,
 };
 
-use super::digest::{AdmittedByWorkspace, RegionSummary, add_admitted};
+use super::{
+    admitted::ADMITTED_LIFETIME,
+    digest::{AdmittedByWorkspace, RegionSummary, add_admitted},
+};
 use crate::{host::Incarnation, time::Instant};
 
 /// Age after which a summary is ignored.
 const SUMMARY_TTL: Duration = Duration::from_millis(1500);
-/// Time for which the requests that the hosts of a region have admitted are counted after the summary
-/// was received. It is longer than a quota window, so that hosts that end leave no gap in the count.
-const ADMITTED_LIFETIME: Duration = Duration::from_secs(6);
 
 #[derive(Clone, Debug)]
 struct ReceivedSummary {
@@ -74,7 +74,7 @@
                 let slots = age.as_micros() / slot.as_micros().max(1);
                 let slots = u64::try_from(slots).unwrap_or(u64::MAX);
                 for (workspace, counts) in &r.summary.stats.admitted {
-                    region_sum.entry(*workspace).or_default().merge_report(&counts.aged(slots));
+                    region_sum.entry(*workspace).or_default().merge_largest(&counts.aged(slots));
                 }
             }
             add_admitted(&mut sum, &region_sum, 0);
--- a/crates/core/src/steer/steering/received.rs
+++ b/crates/core/src/steer/steering/received.rs
@@ -7,7 +7,10 @@
 
 use crate::{
     host::Incarnation,
-    steer::digest::{AdmittedByWorkspace, NameHash, StateSum, add_admitted},
+    steer::{
+        admitted::ADMITTED_LIFETIME,
+        digest::{AdmittedByWorkspace, NameHash, StateSum, add_admitted},
+    },
     time::Instant,
 };
 
@@ -16,9 +19,6 @@
 /// Time for which a received state counts towards the verdict on a rollout. It is longer than
 /// [`LIFETIME`], so that a short loss of messages does not take back a verdict.
 const ROLLOUT_LIFETIME: Duration = Duration::from_secs(6);
-/// Time for which the requests that a host has admitted are counted after its last message. It is longer
-/// than a quota window, so that a host that ends leaves no gap in the count.
-const ADMITTED_LIFETIME: Duration = Duration::from_secs(6);
 /// Time for which a sum is kept against a smaller one of another relay.
 const SUM_PRECEDENCE: Duration = Duration::from_millis(1000);
 
