--- a/crates/edge/src/front/listener.rs
+++ b/crates/edge/src/front/listener.rs
@@ -12,12 +12,7 @@
     task::JoinSet,
 };
 
-use super::{
-    client_stream::ClientStream,
-    library,
-    pipeline::{self, Served},
-    responses::FullResponse,
-};
+use super::{client_stream::ClientStream, library, pipeline, responses::FullResponse};
 use crate::{
     error::EdgeError,
     intake::Port,
@@ -142,9 +137,9 @@
     let mut first = None;
     loop {
         match pipeline::serve(&shared, stream, first, max_ahead, &handle).await {
-            Ok(Served::OtherRequest(unread)) => stream = unread,
-            Ok(Served::Closing) => break,
-            Ok(Served::Ended) => return,
+            Ok(pipeline::Served::OtherRequest(unread)) => stream = unread,
+            Ok(pipeline::Served::Closing) => break,
+            Ok(pipeline::Served::Ended) => return,
             Err(e) => {
                 tracing::debug!(error = %e, "A connection to a caller failed.");
                 return;
